--- /dev/null
+++ b/crates/cardamomtally-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library.
--- /dev/null
+++ b/crates/cardamomtally-standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Starts.
+fn main() {}
--- /dev/null
+++ b/src/bin/cardamomtally-control/main.rs
@@ -0,0 +1,7 @@
+//! The control daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cardamomtally::daemon::launch::run("cardamomtally-control", cardamomtally::control::run)
+}
--- /dev/null
+++ b/src/bin/cardamomtally-entry/main.rs
@@ -0,0 +1,7 @@
+//! The entry daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cardamomtally::daemon::launch::run("cardamomtally-entry", cardamomtally::entry::run)
+}
--- /dev/null
+++ b/src/cardamomtally/chart/mod.rs
@@ -0,0 +1,1 @@
+//! State charts in files, validated at start and interpreted.
--- /dev/null
+++ b/src/cardamomtally/core/clock.rs
@@ -0,0 +1,77 @@
+//! Clocks: monotonic time for leases and timeouts, wall time for display.
+
+use serde::{Deserialize, Serialize};
+use std::{
+    fmt::Debug,
+    ops::{Add, Sub},
+    time::{Duration, Instant, SystemTime},
+};
+
+/// A point on one process's monotonic clock, in microseconds.
+///
+/// Points of different processes are not comparable and are never sent.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Mono(pub u64);
+
+impl Mono {
+    /// Returns the time since an earlier point, or zero if that point is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Mono {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Mono {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
+/// A source of time.
+pub trait Clock: Debug + Send + Sync {
+    /// Returns the current point on the monotonic clock.
+    fn now(&self) -> Mono;
+
+    /// Returns the wall clock in microseconds since the Unix epoch.
+    fn wall_micros(&self) -> u64;
+}
+
+/// The clock of the operating system.
+#[derive(Clone, Copy, Debug)]
+pub struct SystemClock {
+    origin: Instant,
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Mono {
+        Mono(self.origin.elapsed().as_micros() as u64)
+    }
+
+    fn wall_micros(&self) -> u64 {
+        SystemTime::now()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .map_or(0, |d| d.as_micros() as u64)
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/ledger/mod.rs
@@ -0,0 +1,1 @@
+//! The ledger of write-once claims and bills.
--- /dev/null
+++ b/src/cardamomtally/net/mod.rs
@@ -0,0 +1,9 @@
+//! What the system's own processes say to each other.
+//!
+//! Control traffic ([`wire`]) goes over nng as CBOR ([`codec`]). Requests go
+//! from entry to agent over HTTP ([`run`]), answered as a stream of frames.
+
+pub mod codec;
+pub mod run;
+pub mod transport;
+pub mod wire;
--- /dev/null
+++ b/src/cardamomtally/ops/mod.rs
@@ -0,0 +1,1 @@
+//! One function for each verb of the command line.
--- /dev/null
+++ b/src/cardamomtally/prelude.rs
@@ -0,0 +1,13 @@
+//! Common types, imported together.
+
+pub use crate::core::{
+    arena::{Arena, Key},
+    clock::{Clock, Mono},
+    digest::Digest,
+    id::{AttemptId, GroupId, Incarnation, Index, MemberId, Name, RequestId, Term},
+    map::{FastMap, FastSet},
+    snapshot::Snapshot,
+    verdict::Verdict,
+};
+pub use eyre::{Result, WrapErr};
+pub use std::{sync::Arc, time::Duration};
--- /dev/null
+++ b/src/cardamomtally/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Decisions: choice of version and backend server, cascades, version health.
--- /dev/null
+++ b/src/cardamomtally/util/mod.rs
@@ -0,0 +1,3 @@
+//! Helpers that know nothing of the product.
+
+pub mod log;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! The test suite: one module a feature.
+
+mod core;
