--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,5 @@
+//! Measurement of capacity; prints one JSON object as its last line.
+
+fn main() {
+    println!("{{}}");
+}
--- /dev/null
+++ b/benches/control.rs
@@ -0,0 +1,5 @@
+//! Measurement of control; prints one JSON object as its last line.
+
+fn main() {
+    println!("{{}}");
+}
--- /dev/null
+++ b/benches/overhead.rs
@@ -0,0 +1,5 @@
+//! Measurement of overhead; prints one JSON object as its last line.
+
+fn main() {
+    println!("{{}}");
+}
--- a/src/cardamomtally/core/log.rs
+++ b/src/cardamomtally/core/log.rs
@@ -1,6 +1,6 @@
 //! The replicated log as its users see it.
 
-use crate::core::id::{GroupId, Index};
+use crate::core::id::{GroupId, Index, Name};
 use futures::future::BoxFuture;
 use std::{fmt, fmt::Debug};
 
@@ -30,13 +30,26 @@
 /// A replicated log with the state machine behind it.
 pub trait Log: Debug + Send + Sync {
     /// Commits a command on a quorum's disks, applies it and returns the state
-    /// machine's answer.
+    /// machine's answer. Any member passes it on to the leader. A command may be
+    /// committed twice, so state machines discard duplicates by their content.
     fn propose(&self, group: GroupId, command: Vec<u8>)
     -> BoxFuture<'_, Result<Vec<u8>, LogError>>;
 
     /// Returns the commit index that a quorum confirmed after this call began,
     /// once the local state machine has applied it.
     fn barrier(&self, group: GroupId) -> BoxFuture<'_, Result<Index, LogError>>;
+
+    /// Tells who leads a group, as this member knows.
+    fn leader(&self, group: GroupId) -> Leader;
+}
+
+/// Who leads a group.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Leader {
+    /// Whether this member leads with a quorum.
+    pub here: bool,
+    /// The leader's process name, if known.
+    pub name: Option<Name>,
 }
 
 /// A deterministic state machine behind a log.
--- /dev/null
+++ b/src/cardamomtally/ops/bills.rs
@@ -0,0 +1,1 @@
+//! The verb `bills`: sums of bills.
--- /dev/null
+++ b/src/cardamomtally/ops/check.rs
@@ -0,0 +1,1 @@
+//! The verb `check`: settings and tickets, offline.
--- /dev/null
+++ b/src/cardamomtally/ops/demo.rs
@@ -0,0 +1,1 @@
+//! The verb `demo`: a small site on this machine.
--- /dev/null
+++ b/src/cardamomtally/ops/status.rs
@@ -0,0 +1,1 @@
+//! The verb `status`: what is in force, and where.
--- /dev/null
+++ b/src/cardamomtally/ops/ticket.rs
@@ -0,0 +1,1 @@
+//! The verb `ticket`: submit, show, diff, history, wait.
--- /dev/null
+++ b/src/cardamomtally/ops/timeline.rs
@@ -0,0 +1,1 @@
+//! The verb `timeline`: events of all processes in one order.
--- a/src/cardamomtally/replica/mod.rs
+++ b/src/cardamomtally/replica/mod.rs
@@ -1,1 +1,3 @@
 //! The replicated log.
+
+pub mod memory;
--- /dev/null
+++ b/tests/testsuite/chart.rs
@@ -0,0 +1,1 @@
+//! State charts.
--- /dev/null
+++ b/tests/testsuite/cli.rs
@@ -0,0 +1,1 @@
+//! The command line.
--- /dev/null
+++ b/tests/testsuite/entry.rs
@@ -0,0 +1,1 @@
+//! Entries.
--- /dev/null
+++ b/tests/testsuite/fuzz.rs
@@ -0,0 +1,1 @@
+//! Decoders of outside bytes.
--- /dev/null
+++ b/tests/testsuite/lease.rs
@@ -0,0 +1,1 @@
+//! Leases and polls.
--- /dev/null
+++ b/tests/testsuite/ledger.rs
@@ -0,0 +1,1 @@
+//! The ledger.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,19 @@
 //! The test suite: one module a feature.
 
+mod agent;
+mod chart;
+mod cli;
+mod control;
 mod core;
+mod entry;
+mod fuzz;
+mod lease;
+mod ledger;
+mod path;
+mod promises;
+mod replica;
+mod routing;
+mod settings;
+mod standin;
+mod support;
+mod timeline;
--- /dev/null
+++ b/tests/testsuite/path.rs
@@ -0,0 +1,1 @@
+//! The whole path with real processes.
--- /dev/null
+++ b/tests/testsuite/promises/mod.rs
@@ -0,0 +1,1 @@
+//! One module for each promise of the brief.
--- /dev/null
+++ b/tests/testsuite/replica.rs
@@ -0,0 +1,1 @@
+//! The replicated log.
--- /dev/null
+++ b/tests/testsuite/routing.rs
@@ -0,0 +1,1 @@
+//! Routing decisions.
--- /dev/null
+++ b/tests/testsuite/settings.rs
@@ -0,0 +1,1 @@
+//! Settings.
--- /dev/null
+++ b/tests/testsuite/standin.rs
@@ -0,0 +1,1 @@
+//! Stand-ins and the fault proxy.
--- /dev/null
+++ b/tests/testsuite/support/mod.rs
@@ -0,0 +1,1 @@
+//! Fixtures: settings, tickets and a running site.
--- /dev/null
+++ b/tests/testsuite/timeline.rs
@@ -0,0 +1,1 @@
+//! The time line.
