--- a/src/cardamomtally/util/shell.rs
+++ b/src/cardamomtally/util/shell.rs
@@ -98,7 +98,6 @@
     }
 
     /// Prints a result to standard output. A reader that has gone is no error.
-    #[expect(clippy::unused_self, reason = "results may be redirected later")]
     pub fn result(self, text: impl Display) {
         // A closed pipe means that the reader has seen enough.
         let _ignored = writeln!(stdout().lock(), "{text}");
