--- /dev/null
+++ b/src/cardamomtally/replica/host/calls.rs
@@ -0,0 +1,251 @@
+//! Commands and reads of this process, on their way through the leader.
+//!
+//! A command is sent again when the leader changes or does not answer; that may
+//! commit it twice, which state machines bear. Reads share one request at a
+//! time: a read that arrives while one is under way waits for the next, since
+//! its quorum round must begin after it.
+
+use crate::{core::log::LogError, prelude::*};
+use std::collections::BTreeMap;
+use tokio::sync::oneshot;
+
+/// Time after which a request is sent again.
+const RESEND: Duration = Duration::from_millis(400);
+/// Time after which a refused request is sent again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(50);
+/// Time after which a request that nobody took is given up.
+const UNSENT_LIMIT: Duration = Duration::from_secs(2);
+/// Time after which a command is given up, its outcome unknown.
+const SENT_LIMIT: Duration = Duration::from_secs(5);
+
+/// Where an answer goes.
+pub(super) type Reply<T> = oneshot::Sender<Result<T, LogError>>;
+
+/// Where a request was sent.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    leader: MemberId,
+    /// When to send it again.
+    until: Mono,
+}
+
+impl Sent {
+    /// The own log answers by itself, whatever happens to its leader.
+    fn to(leader: MemberId, own: MemberId, now: Mono) -> Self {
+        let until = if leader == own {
+            Mono(u64::MAX)
+        } else {
+            now + RESEND
+        };
+        Self { leader, until }
+    }
+}
+
+#[derive(Debug)]
+struct Command {
+    bytes: Vec<u8>,
+    reply: Reply<Vec<u8>>,
+    since: Mono,
+    /// Whether it may have reached a leader's log.
+    taken: bool,
+    sent: Option<Sent>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    reply: Reply<Index>,
+    since: Mono,
+}
+
+#[derive(Debug)]
+struct Reading {
+    id: u64,
+    waiting: Vec<Waiting>,
+    sent: Sent,
+}
+
+/// Reads that wait until an index is applied here.
+#[derive(Debug)]
+struct Confirmed {
+    index: Index,
+    waiting: Vec<Waiting>,
+}
+
+/// A request to hand to the leader.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) id: u64,
+    pub(super) command: Option<Vec<u8>>,
+}
+
+/// Requests of this process to one group.
+#[derive(Debug)]
+pub(super) struct Calls {
+    own: MemberId,
+    next: u64,
+    commands: BTreeMap<u64, Command>,
+    unsent: Vec<u64>,
+    queued: Vec<Waiting>,
+    reading: Option<Reading>,
+    confirmed: Vec<Confirmed>,
+}
+
+impl Calls {
+    /// Numbers begin at a random point, so that a restart uses none again.
+    pub(super) fn new(own: MemberId, first: u64) -> Self {
+        Self {
+            own,
+            next: first,
+            commands: BTreeMap::new(),
+            unsent: Vec::new(),
+            queued: Vec::new(),
+            reading: None,
+            confirmed: Vec::new(),
+        }
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next = self.next.wrapping_add(1);
+        self.next
+    }
+
+    pub(super) fn propose(&mut self, now: Mono, bytes: Vec<u8>, reply: Reply<Vec<u8>>) {
+        let id = self.number();
+        let command = Command {
+            bytes,
+            reply,
+            since: now,
+            taken: false,
+            sent: None,
+        };
+        self.commands.insert(id, command);
+        self.unsent.push(id);
+    }
+
+    pub(super) fn barrier(&mut self, now: Mono, reply: Reply<Index>) {
+        self.queued.push(Waiting { reply, since: now });
+    }
+
+    /// Returns what is to be sent to the leader now.
+    pub(super) fn due(&mut self, now: Mono, leader: MemberId) -> Vec<Request> {
+        let mut requests = Vec::new();
+        let sent = Sent::to(leader, self.own, now);
+        for id in std::mem::take(&mut self.unsent) {
+            let Some(command) = self.commands.get_mut(&id) else {
+                continue;
+            };
+            command.taken = true;
+            command.sent = Some(sent);
+            requests.push(Request {
+                id,
+                command: Some(command.bytes.clone()),
+            });
+        }
+        requests.extend(self.due_read(now, leader));
+        requests
+    }
+
+    fn due_read(&mut self, now: Mono, leader: MemberId) -> Option<Request> {
+        if self.reading.is_some() || self.queued.is_empty() {
+            return None;
+        }
+        let id = self.number();
+        self.reading = Some(Reading {
+            id,
+            waiting: std::mem::take(&mut self.queued),
+            sent: Sent::to(leader, self.own, now),
+        });
+        Some(Request { id, command: None })
+    }
+
+    /// Marks requests to be sent again, and gives up old ones.
+    pub(super) fn review(&mut self, now: Mono, leader: Option<MemberId>) {
+        let stale = |sent: Sent| {
+            let moved = leader.is_some_and(|leader| leader != sent.leader);
+            moved || now >= sent.until
+        };
+        for (id, command) in &mut self.commands {
+            if command.sent.is_some_and(stale) {
+                command.sent = None;
+                self.unsent.push(*id);
+            }
+        }
+        let read_stale = |sent: Sent| stale(sent) || leader.is_none();
+        if let Some(reading) = self.reading.take_if(|r| read_stale(r.sent)) {
+            self.queued.extend(reading.waiting);
+        }
+        self.give_up(now);
+    }
+
+    fn give_up(&mut self, now: Mono) {
+        let old = |c: &Command| {
+            let limit = if c.taken { SENT_LIMIT } else { UNSENT_LIMIT };
+            now.since(c.since) >= limit
+        };
+        for (_, command) in self.commands.extract_if(.., |_, c| old(c)) {
+            let error = if command.taken {
+                LogError::Unknown
+            } else {
+                LogError::NoLeader
+            };
+            answer(command.reply, Err(error));
+        }
+        let confirmed = self.confirmed.iter_mut().map(|c| &mut c.waiting);
+        let reading = self.reading.iter_mut().map(|r| &mut r.waiting);
+        for waiting in confirmed.chain(reading).chain([&mut self.queued]) {
+            for old in waiting.extract_if(.., |w| now.since(w.since) >= UNSENT_LIMIT) {
+                answer(old.reply, Err(LogError::NoLeader));
+            }
+        }
+    }
+
+    /// Answers a command.
+    pub(super) fn applied(&mut self, id: u64, bytes: Vec<u8>) {
+        if let Some(command) = self.commands.remove(&id) {
+            answer(command.reply, Ok(bytes));
+        }
+    }
+
+    /// Notes that a request was refused or lost; it is sent again soon.
+    pub(super) fn refused(&mut self, now: Mono, id: u64) {
+        let reading = self.reading.as_mut().filter(|r| r.id == id);
+        let command = self.commands.get_mut(&id).and_then(|c| c.sent.as_mut());
+        for sent in reading.map(|r| &mut r.sent).into_iter().chain(command) {
+            sent.until = now + REFUSED_PAUSE;
+        }
+    }
+
+    /// Notes the index at which the reads of a request may be answered.
+    pub(super) fn confirmed(&mut self, id: u64, index: Index) {
+        if let Some(reading) = self.reading.take_if(|r| r.id == id) {
+            let waiting = reading.waiting;
+            self.confirmed.push(Confirmed { index, waiting });
+        }
+    }
+
+    /// Answers the reads whose index is applied.
+    pub(super) fn release(&mut self, applied: Index) {
+        for ready in self.confirmed.extract_if(.., |c| c.index <= applied) {
+            for waiting in ready.waiting {
+                answer(waiting.reply, Ok(applied));
+            }
+        }
+    }
+
+    /// Ends all requests.
+    pub(super) fn stop(&mut self) {
+        for command in std::mem::take(&mut self.commands).into_values() {
+            answer(command.reply, Err(LogError::Stopped));
+        }
+        let confirmed = self.confirmed.drain(..).flat_map(|c| c.waiting);
+        let reading = self.reading.take().into_iter().flat_map(|r| r.waiting);
+        for waiting in confirmed.chain(reading).chain(self.queued.drain(..)) {
+            answer(waiting.reply, Err(LogError::Stopped));
+        }
+    }
+}
+
+/// Answers a caller, which may have gone.
+fn answer<T>(reply: Reply<T>, result: Result<T, LogError>) {
+    let _gone = reply.send(result);
+}
--- /dev/null
+++ b/src/cardamomtally/replica/host/group.rs
@@ -0,0 +1,358 @@
+//! One group of this member: its node, its state machine and its storage.
+
+use super::{
+    GroupSpec, GroupStatus, MemberStatus, OpenStorage, Standing,
+    calls::{Calls, Request},
+    links::Links,
+    worker::Event,
+};
+use crate::{
+    core::log::Machine,
+    prelude::*,
+    replica::{
+        entry::{Entry, Payload},
+        node::{Effects, Node, NodeOptions, Outgoing, Part, ReadDone},
+        peers::{Answer, Ask, Body, Outcome},
+        storage::writer::{Writer, Written},
+    },
+    settings::control::GroupSettings,
+};
+use rand::Rng as _;
+use std::{collections::BTreeMap, sync::mpsc::SyncSender};
+
+/// Who waits for an entry or a read.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+enum Origin {
+    /// This process, by its request's number.
+    Here(u64),
+    /// Another member, by its name and its request's number.
+    Member(Name, u64),
+}
+
+/// An entry that someone waits for.
+#[derive(Debug)]
+struct Awaited {
+    term: Term,
+    origin: Origin,
+}
+
+/// What is to be sent to a member.
+#[derive(Debug)]
+pub(super) struct Parcel {
+    pub(super) to: Name,
+    pub(super) body: Body,
+}
+
+/// What one flush of a group leads to.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    pub(super) parcels: Vec<Parcel>,
+    pub(super) notes: Vec<String>,
+}
+
+/// One group of this member.
+#[derive(Debug)]
+pub(super) struct Group {
+    pub(super) id: GroupId,
+    pub(super) node: Node,
+    machine: Box<dyn Machine>,
+    writer: Writer,
+    calls: Calls,
+    awaited: BTreeMap<Index, Awaited>,
+    /// Origins of awaited entries, to drop a request that came twice.
+    open: FastSet<Origin>,
+    reads: FastMap<u64, Origin>,
+    next_read: u64,
+    snapshot_entries: u64,
+    /// Answers to this process's own requests.
+    answers: Vec<Answer>,
+    outbox: Outbox,
+}
+
+/// Opens all groups.
+pub(super) fn open(
+    specs: Vec<GroupSpec>,
+    settings: &GroupSettings,
+    name: &Name,
+    events: &SyncSender<Event>,
+    storage: &OpenStorage<'_>,
+    now: Mono,
+) -> eyre::Result<Vec<Group>> {
+    let open = |spec| Group::open(spec, settings, name, events.clone(), storage, now);
+    specs.into_iter().map(open).collect()
+}
+
+impl Group {
+    fn open(
+        spec: GroupSpec,
+        settings: &GroupSettings,
+        name: &Name,
+        events: SyncSender<Event>,
+        storage: &OpenStorage<'_>,
+        now: Mono,
+    ) -> eyre::Result<Self> {
+        let id = spec.id;
+        let mut storage = storage(id).wrap_err_with(|| format!("failed to open group {}", id.0))?;
+        let options = NodeOptions {
+            id: storage.identity(),
+            name: Arc::clone(name),
+            members: spec.members.iter().map(|m| m.as_str().into()).collect(),
+            heartbeat: settings.heartbeat.0,
+            election: settings.election.0,
+            keep_entries: settings.snapshot_entries / 4,
+            seed: rand::rng().random(),
+            broken: None,
+        };
+        let own = options.id;
+        let node = Node::new(options, storage.load(), now)?;
+        // The control thread takes events until the writer has stopped.
+        let report = move |written| drop(events.send(Event::Written { group: id, written }));
+        Ok(Self {
+            id,
+            node,
+            machine: spec.machine,
+            writer: Writer::start(storage, report)?,
+            calls: Calls::new(own, rand::rng().random()),
+            awaited: BTreeMap::new(),
+            open: FastSet::default(),
+            reads: FastMap::default(),
+            next_read: 0,
+            snapshot_entries: settings.snapshot_entries,
+            answers: Vec::new(),
+            outbox: Outbox::default(),
+        })
+    }
+
+    pub(super) const fn calls(&mut self) -> &mut Calls {
+        &mut self.calls
+    }
+
+    /// Takes the outcome of a write.
+    pub(super) fn written(&mut self, now: Mono, written: Written) {
+        match written {
+            Written::Synced(seq) => self.node.synced(now, seq),
+            Written::Failed(error) => {
+                self.outbox.notes.push(format!("write failed: {error}"));
+                self.node.fail();
+                self.calls.stop();
+            }
+        }
+    }
+
+    /// Takes another member's request.
+    pub(super) fn ask(&mut self, from: Name, ask: Ask) {
+        let origin = Origin::Member(from, ask.id);
+        match ask.command {
+            Some(command) => self.propose(origin, command.into_vec()),
+            None => self.read(origin),
+        }
+    }
+
+    /// Takes the answer to a request of this process.
+    pub(super) fn answer(&mut self, now: Mono, answer: Answer) {
+        match answer.outcome {
+            Outcome::Applied(bytes) => self.calls.applied(answer.id, bytes.into_vec()),
+            Outcome::NotLeader => self.calls.refused(now, answer.id),
+            Outcome::ReadAt(index) => self.calls.confirmed(answer.id, index),
+        }
+    }
+
+    fn propose(&mut self, origin: Origin, command: Vec<u8>) {
+        if self.open.contains(&origin) {
+            return;
+        }
+        let Some((term, index)) = self.node.propose(command) else {
+            self.resolve(origin, Outcome::NotLeader);
+            return;
+        };
+        self.open.insert(origin.clone());
+        let replaced = self.awaited.insert(index, Awaited { term, origin });
+        if let Some(replaced) = replaced {
+            self.lose(replaced.origin);
+        }
+    }
+
+    fn read(&mut self, origin: Origin) {
+        self.next_read += 1;
+        if self.node.read(self.next_read) {
+            self.reads.insert(self.next_read, origin);
+        } else {
+            self.resolve(origin, Outcome::NotLeader);
+        }
+    }
+
+    /// An entry was replaced by another leader's, so its command was not done.
+    fn lose(&mut self, origin: Origin) {
+        self.open.remove(&origin);
+        self.resolve(origin, Outcome::NotLeader);
+    }
+
+    fn resolve(&mut self, origin: Origin, outcome: Outcome) {
+        match origin {
+            Origin::Here(id) => self.answers.push(Answer { id, outcome }),
+            Origin::Member(to, id) => self.outbox.parcels.push(Parcel {
+                to,
+                body: Body::Answer(Answer { id, outcome }),
+            }),
+        }
+    }
+
+    /// Passes requests of this process on to the leader.
+    pub(super) fn route_calls(&mut self, now: Mono) {
+        let leader = self.node.leader().map(|m| (m.id, Arc::clone(&m.name)));
+        self.calls.review(now, leader.as_ref().map(|(id, _)| *id));
+        let Some((id, name)) = leader else {
+            return;
+        };
+        let here = id == self.node.id();
+        for request in self.calls.due(now, id) {
+            if here {
+                self.take_own(request);
+            } else {
+                let command = request.command.map(serde_bytes::ByteBuf::from);
+                let body = Body::Ask(Ask {
+                    id: request.id,
+                    command,
+                });
+                let to = Arc::clone(&name);
+                self.outbox.parcels.push(Parcel { to, body });
+            }
+        }
+    }
+
+    fn take_own(&mut self, request: Request) {
+        let origin = Origin::Here(request.id);
+        match request.command {
+            Some(command) => self.propose(origin, command),
+            None => self.read(origin),
+        }
+    }
+
+    /// Flushes the node and carries out what concerns this process.
+    pub(super) fn flush(&mut self, now: Mono) -> Outbox {
+        let effects = self.node.flush(now);
+        self.carry_out(effects);
+        self.compact(now);
+        self.answer_own(now);
+        std::mem::take(&mut self.outbox)
+    }
+
+    fn carry_out(&mut self, effects: Effects) {
+        if !effects.writes.is_empty() {
+            self.writer.write(effects.seq, effects.writes);
+        }
+        let parcels = effects
+            .send
+            .into_iter()
+            .map(|Outgoing { name, mail }| Parcel {
+                to: name,
+                body: Body::Log(mail),
+            });
+        self.outbox.parcels.extend(parcels);
+        self.outbox.notes.extend(effects.notes);
+        if let Some(image) = effects.restore {
+            self.restore(&image.state, image.index);
+        }
+        for entry in effects.apply {
+            self.apply(&entry);
+        }
+        for read in effects.reads {
+            self.end_read(read);
+        }
+    }
+
+    fn restore(&mut self, state: &[u8], index: Index) {
+        if let Err(error) = self.machine.restore(state) {
+            let note = format!("image of index {index} does not restore: {error:#}");
+            self.outbox.notes.push(note);
+            self.node.fail();
+            self.calls.stop();
+        }
+        // What became of these entries is in the image, but their answers are not.
+        let later = self.awaited.split_off(&index.next());
+        for awaited in std::mem::replace(&mut self.awaited, later).into_values() {
+            self.open.remove(&awaited.origin);
+        }
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let answer = match &entry.payload {
+            Payload::Command(command) => self.machine.apply(entry.index, command),
+            Payload::Empty | Payload::Members(_) => Vec::new(),
+        };
+        let Some(awaited) = self.awaited.remove(&entry.index) else {
+            return;
+        };
+        if awaited.term != entry.term {
+            self.lose(awaited.origin);
+            return;
+        }
+        self.open.remove(&awaited.origin);
+        let outcome = Outcome::Applied(serde_bytes::ByteBuf::from(answer));
+        self.resolve(awaited.origin, outcome);
+    }
+
+    fn end_read(&mut self, read: ReadDone) {
+        let Some(origin) = self.reads.remove(&read.token) else {
+            return;
+        };
+        let outcome = read.index.map_or(Outcome::NotLeader, Outcome::ReadAt);
+        self.resolve(origin, outcome);
+    }
+
+    fn compact(&mut self, now: Mono) {
+        let applied = self.node.applied();
+        let since = applied.0.saturating_sub(self.node.image_index().0);
+        if since < self.snapshot_entries || self.node.part() == Part::Failed {
+            return;
+        }
+        self.node.compact(applied, self.machine.snapshot());
+        let effects = self.node.flush(now);
+        self.carry_out(effects);
+    }
+
+    fn answer_own(&mut self, now: Mono) {
+        for answer in std::mem::take(&mut self.answers) {
+            self.answer(now, answer);
+        }
+        self.calls.release(self.node.applied());
+    }
+
+    /// Stops the node and answers all requests.
+    pub(super) fn stop(&mut self, now: Mono) -> Outbox {
+        self.node.stop();
+        let outbox = self.flush(now);
+        self.calls.stop();
+        outbox
+    }
+
+    /// Writes what is queued and ends the storage thread.
+    pub(super) fn close(&mut self) {
+        self.writer.stop();
+    }
+
+    pub(super) fn status(&self, now: Mono, links: &Links) -> GroupStatus {
+        let members = self.node.members().iter().map(|m| MemberStatus {
+            name: Arc::clone(&m.name),
+            id: m.id,
+            standing: if m.voter {
+                Standing::Voter
+            } else {
+                Standing::Learner
+            },
+            matched: self.node.matched(m.id).unwrap_or_default(),
+            silent_ms: links.silence(now, &m.name).as_millis() as u64,
+        });
+        GroupStatus {
+            group: self.id,
+            term: self.node.term(),
+            leader: self.node.leader().map(|m| Arc::clone(&m.name)),
+            state: self.node.part_name(),
+            leads: self.node.part() == Part::Leader,
+            commit: self.node.commit(),
+            applied: self.node.applied(),
+            last: self.node.last(),
+            members: members.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/replica/host/links.rs
@@ -0,0 +1,92 @@
+//! Which members are heard, by what they send and nothing else.
+
+use crate::{prelude::*, settings::control::MemberSettings};
+use std::collections::BTreeMap;
+
+/// Silence after which a connection is taken for dead.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Shortest time between two connections to one member.
+const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest time without a message to a member.
+const PING_INTERVAL: Duration = Duration::from_millis(400);
+
+#[derive(Debug)]
+struct Link {
+    heard: Mono,
+    sent: Mono,
+    renewed: Mono,
+    /// Since when the member says that it does not hear this one.
+    deaf: Option<Mono>,
+}
+
+/// What to do about the connections.
+#[derive(Debug, Default)]
+pub(super) struct Upkeep {
+    pub(super) ping: Vec<Name>,
+    pub(super) renew: Vec<Name>,
+}
+
+/// Which members are heard.
+#[derive(Debug)]
+pub(super) struct Links {
+    links: BTreeMap<Name, Link>,
+}
+
+impl Links {
+    pub(super) fn new(members: &[MemberSettings], own: &Name, now: Mono) -> Self {
+        let others = members.iter().filter(|m| m.name != own.as_ref());
+        let links = others.map(|m| {
+            let link = Link {
+                heard: now,
+                sent: now,
+                renewed: now,
+                deaf: None,
+            };
+            (Name::from(m.name.as_str()), link)
+        });
+        Self {
+            links: links.collect(),
+        }
+    }
+
+    /// Notes a message from a member.
+    pub(super) fn note_heard(&mut self, now: Mono, name: &Name, hears: bool) {
+        if let Some(link) = self.links.get_mut(name) {
+            link.heard = now;
+            link.deaf = if hears { None } else { link.deaf.or(Some(now)) };
+        }
+    }
+
+    /// Notes a message to a member. Returns whether that member is heard.
+    pub(super) fn note_sent(&mut self, now: Mono, name: &Name) -> bool {
+        let Some(link) = self.links.get_mut(name) else {
+            return false;
+        };
+        link.sent = now;
+        now.since(link.heard) < SILENCE
+    }
+
+    /// Returns how long a member has been silent.
+    pub(super) fn silence(&self, now: Mono, name: &Name) -> Duration {
+        let heard = self.links.get(name).map(|l| l.heard);
+        heard.map_or(Duration::ZERO, |heard| now.since(heard))
+    }
+
+    /// Returns which connections need a message or a replacement.
+    pub(super) fn upkeep(&mut self, now: Mono) -> Upkeep {
+        let mut upkeep = Upkeep::default();
+        for (name, link) in &mut self.links {
+            if now.since(link.sent) >= PING_INTERVAL {
+                upkeep.ping.push(Arc::clone(name));
+            }
+            let deaf = link.deaf.is_some_and(|at| now.since(at) >= SILENCE);
+            let silent = now.since(link.heard) >= SILENCE;
+            if (deaf || silent) && now.since(link.renewed) >= RENEW_INTERVAL {
+                link.renewed = now;
+                link.deaf = None;
+                upkeep.renew.push(Arc::clone(name));
+            }
+        }
+        upkeep
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/replica/host/mod.rs
@@ -0,0 +1,230 @@
+//! A control member's part in all its groups.
+//!
+//! One thread ([`worker`](self)) owns the nodes and the state machines. It takes
+//! events from one queue: messages of other members, syncs that ended, commands
+//! and reads of this process. After each run of events it flushes every node and
+//! carries out the effects. Each group has a thread that writes and syncs. A
+//! command or read that arrives at a member that does not lead is passed on to
+//! the leader over the same network.
+
+mod calls;
+mod group;
+mod links;
+mod options;
+mod worker;
+
+pub use options::{GroupSpec, GroupStatus, HostOptions, MemberStatus, Standing};
+
+use super::{
+    peers::{Deliver, Peers, nng::NngPeers},
+    storage::{Storage, disk::Disk},
+};
+use crate::{
+    core::log::{Leader, Log, LogError},
+    prelude::*,
+};
+use arc_swap::ArcSwap;
+use eyre::{ensure, eyre};
+use futures::future::BoxFuture;
+use std::{
+    fmt,
+    sync::{
+        Mutex, PoisonError,
+        mpsc::{SyncSender, sync_channel},
+    },
+    thread::{self, JoinHandle},
+};
+use tokio::sync::oneshot;
+use worker::{Event, Worker};
+
+/// Events that may wait for the control thread.
+const QUEUE_EVENTS: usize = 32_768;
+
+/// Opens the storage of a group.
+pub type OpenStorage<'s> = dyn Fn(GroupId) -> eyre::Result<Box<dyn Storage>> + 's;
+
+/// Opens the network.
+pub type OpenPeers<'p> = dyn FnOnce(Deliver) -> eyre::Result<Box<dyn Peers>> + 'p;
+
+/// What other threads see of the groups.
+type Published = Arc<ArcSwap<Vec<GroupStatus>>>;
+
+/// A control member's part in all its groups.
+pub struct Host {
+    events: SyncSender<Event>,
+    published: Published,
+    name: Name,
+    bound: String,
+    thread: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Host {
+    /// Opens the member's folder and address, and starts its threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the settings lack this member, or if the folder or
+    /// the address cannot be used.
+    pub fn start(options: HostOptions) -> eyre::Result<Self> {
+        let folder = options.settings.folder.clone();
+        let segment = options.settings.segment.0;
+        let storage = move |group: GroupId| -> eyre::Result<Box<dyn Storage>> {
+            let folder = folder.join(format!("group-{}", group.0));
+            Ok(Box::new(Disk::open(&folder, segment)?))
+        };
+        Self::start_on(options, &storage)
+    }
+
+    /// Starts on other storage, with the real network.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Host::start`] does.
+    pub fn start_on(options: HostOptions, storage: &OpenStorage<'_>) -> eyre::Result<Self> {
+        let settings = options.settings.clone();
+        let own = settings.members.iter().find(|m| m.name == options.name);
+        let own = own.ok_or_else(|| eyre!("no `group.member` is named `{}`", options.name))?;
+        let listen = settings
+            .bind_peer
+            .clone()
+            .unwrap_or_else(|| own.peer.clone());
+        let others = settings.members.iter().filter(|m| m.name != options.name);
+        let others: Vec<_> = others.cloned().collect();
+        let log = options.log.clone();
+        let peers = move |deliver: Deliver| -> eyre::Result<Box<dyn Peers>> {
+            Ok(Box::new(NngPeers::start(&listen, &others, &log, deliver)?))
+        };
+        Self::start_with(options, storage, Box::new(peers))
+    }
+
+    /// Starts on other storage and another network.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`Host::start`] does.
+    pub fn start_with(
+        options: HostOptions,
+        storage: &OpenStorage<'_>,
+        peers: Box<OpenPeers<'_>>,
+    ) -> eyre::Result<Self> {
+        for group in &options.groups {
+            let member = group.members.contains(&options.name);
+            ensure!(
+                member,
+                "group {} lacks member `{}`",
+                group.id.0,
+                options.name
+            );
+        }
+        let (events, inbox) = sync_channel(QUEUE_EVENTS);
+        let name = Name::from(options.name.as_str());
+        let now = options.clock.now();
+        let settings = &options.settings;
+        let groups = group::open(options.groups, settings, &name, &events, storage, now)?;
+        let queue = events.clone();
+        // A full queue drops the message, as the network may.
+        let deliver = move |envelope| drop(queue.try_send(Event::Peer(envelope)));
+        let peers = peers(Box::new(deliver))?;
+        let bound = peers.bound();
+        let published = Published::default();
+        let worker = Worker {
+            groups,
+            links: links::Links::new(&settings.members, &name, now),
+            peers,
+            name: Arc::clone(&name),
+            clock: options.clock,
+            log: options.log,
+            events: options.events,
+            published: Arc::clone(&published),
+            stopping: false,
+        };
+        let run = move || worker.run(inbox);
+        let thread = thread::Builder::new().name("replica".into()).spawn(run)?;
+        Ok(Self {
+            events,
+            published,
+            name,
+            bound,
+            thread: Mutex::new(Some(thread)),
+        })
+    }
+
+    /// Returns the groups as this member sees them.
+    #[must_use]
+    pub fn status(&self) -> Vec<GroupStatus> {
+        self.published.load().as_ref().clone()
+    }
+
+    /// Returns the address at which it takes replication messages.
+    #[must_use]
+    pub fn bound_peer(&self) -> String {
+        self.bound.clone()
+    }
+
+    /// Gives up leadership, writes what is queued and stops the threads.
+    pub fn stop(&self) {
+        let thread = self
+            .thread
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(thread) = thread {
+            // The thread ends by itself only after a panic, which was printed.
+            let _ended = self.events.send(Event::Stop);
+            let _panicked = thread.join();
+        }
+    }
+
+    async fn ask<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<Result<T, LogError>>) -> Event,
+    ) -> Result<T, LogError> {
+        let (reply, answer) = oneshot::channel();
+        if self.events.try_send(event(reply)).is_err() {
+            return Err(LogError::NoLeader);
+        }
+        answer.await.unwrap_or(Err(LogError::Stopped))
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+impl fmt::Debug for Host {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Host")
+            .field("name", &self.name)
+            .field("bound", &self.bound)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Log for Host {
+    fn propose(
+        &self,
+        group: GroupId,
+        command: Vec<u8>,
+    ) -> BoxFuture<'_, Result<Vec<u8>, LogError>> {
+        Box::pin(self.ask(move |reply| Event::Propose {
+            group,
+            command,
+            reply,
+        }))
+    }
+
+    fn barrier(&self, group: GroupId) -> BoxFuture<'_, Result<Index, LogError>> {
+        Box::pin(self.ask(move |reply| Event::Barrier { group, reply }))
+    }
+
+    fn leader(&self, group: GroupId) -> Leader {
+        let groups = self.published.load();
+        let status = groups.iter().find(|s| s.group == group);
+        status.map_or_else(Leader::default, |status| Leader {
+            here: status.leads,
+            name: status.leader.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/replica/host/worker.rs
@@ -0,0 +1,213 @@
+//! The thread that owns all groups of this member.
+
+use super::{
+    Published,
+    calls::Reply,
+    group::{Group, Outbox, Parcel},
+    links::Links,
+};
+use crate::{
+    prelude::*,
+    replica::{
+        peers::{Body, Envelope, Peers},
+        storage::writer::Written,
+    },
+    timeline::Recorder,
+};
+use slog::{Logger, info};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+
+/// Most events that are taken before the nodes are flushed.
+const RUN_EVENTS: usize = 2_048;
+/// Longest wait for an event.
+const IDLE: Duration = Duration::from_millis(50);
+/// Shortest time between two publications of a status that only moved on.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(20);
+/// How long a stopping member lets its last messages travel.
+const FAREWELL: Duration = Duration::from_millis(50);
+
+/// What happens to the thread.
+#[derive(Debug)]
+pub(super) enum Event {
+    Barrier {
+        group: GroupId,
+        reply: Reply<Index>,
+    },
+    Peer(Envelope),
+    Propose {
+        group: GroupId,
+        command: Vec<u8>,
+        reply: Reply<Vec<u8>>,
+    },
+    Stop,
+    Written {
+        group: GroupId,
+        written: Written,
+    },
+}
+
+/// What the thread owns.
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub(super) groups: Vec<Group>,
+    pub(super) links: Links,
+    pub(super) peers: Box<dyn Peers>,
+    pub(super) name: Name,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) log: Logger,
+    pub(super) events: Arc<Recorder>,
+    pub(super) published: Published,
+    pub(super) stopping: bool,
+}
+
+impl Worker {
+    /// Runs until it is told to stop.
+    pub(super) fn run(mut self, inbox: Receiver<Event>) {
+        let mut publish_at = Mono::default();
+        self.flush(self.clock.now());
+        while !self.stopping {
+            self.take_events(&inbox);
+            let now = self.clock.now();
+            for group in &mut self.groups {
+                group.node.tick(now);
+                group.route_calls(now);
+            }
+            self.flush(now);
+            self.keep_links(now);
+            self.publish(now, &mut publish_at);
+        }
+        self.farewell(inbox);
+    }
+
+    fn take_events(&mut self, inbox: &Receiver<Event>) {
+        let now = self.clock.now();
+        let deadlines = self.groups.iter().map(|g| g.node.deadline(now));
+        let wake = deadlines.min().unwrap_or(now + IDLE).min(now + IDLE);
+        match inbox.recv_timeout(wake.since(now)) {
+            Ok(event) => self.take(event),
+            Err(RecvTimeoutError::Timeout) => return,
+            Err(RecvTimeoutError::Disconnected) => self.stopping = true,
+        }
+        for event in inbox.try_iter().take(RUN_EVENTS) {
+            self.take(event);
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.clock.now();
+        match event {
+            Event::Stop => self.stopping = true,
+            Event::Peer(envelope) => self.take_envelope(now, envelope),
+            Event::Written { group, written } => {
+                if let Some(group) = self.group(group) {
+                    group.written(now, written);
+                }
+            }
+            Event::Propose {
+                group,
+                command,
+                reply,
+            } => {
+                // Without such a group the dropped reply says that it stopped.
+                if let Some(group) = self.group(group) {
+                    group.calls().propose(now, command, reply);
+                }
+            }
+            Event::Barrier { group, reply } => {
+                if let Some(group) = self.group(group) {
+                    group.calls().barrier(now, reply);
+                }
+            }
+        }
+    }
+
+    fn take_envelope(&mut self, now: Mono, envelope: Envelope) {
+        self.links.note_heard(now, &envelope.from, envelope.hears);
+        let Some(group) = self.group(envelope.group) else {
+            return;
+        };
+        match envelope.body {
+            Body::Ping => {}
+            Body::Log(mail) => group.node.receive(now, mail),
+            Body::Ask(ask) => group.ask(envelope.from, ask),
+            Body::Answer(answer) => group.answer(now, answer),
+        }
+    }
+
+    fn group(&mut self, id: GroupId) -> Option<&mut Group> {
+        self.groups.iter_mut().find(|g| g.id == id)
+    }
+
+    fn flush(&mut self, now: Mono) {
+        for i in 0..self.groups.len() {
+            let outbox = self.groups[i].flush(now);
+            self.deliver(now, self.groups[i].id, outbox);
+        }
+    }
+
+    fn deliver(&mut self, now: Mono, group: GroupId, outbox: Outbox) {
+        for Parcel { to, body } in outbox.parcels {
+            self.send(now, &to, group, body);
+        }
+        for note in outbox.notes {
+            info!(self.log, "replica: {}", note; "group" => group.0);
+            let subject = format!("member {} group {}", self.name, group.0);
+            self.events.record("replica", &subject, note);
+        }
+    }
+
+    fn send(&mut self, now: Mono, to: &Name, group: GroupId, body: Body) {
+        let envelope = Envelope {
+            from: Arc::clone(&self.name),
+            hears: self.links.note_sent(now, to),
+            group,
+            body,
+        };
+        self.peers.send(to, envelope);
+    }
+
+    fn keep_links(&mut self, now: Mono) {
+        let upkeep = self.links.upkeep(now);
+        for name in upkeep.renew {
+            self.peers.renew(&name);
+        }
+        for name in upkeep.ping {
+            self.send(now, &name, GroupId::CONFIG, Body::Ping);
+        }
+    }
+
+    fn publish(&self, now: Mono, at: &mut Mono) {
+        let old = self.published.load();
+        let differs = |(i, group): (usize, &Group)| {
+            old.get(i).is_none_or(|status| {
+                status.term != group.node.term() || status.state != group.node.part_name()
+            })
+        };
+        let turned = self.groups.iter().enumerate().any(differs);
+        if !turned && now < *at {
+            return;
+        }
+        *at = now + PUBLISH_INTERVAL;
+        let statuses = self.groups.iter().map(|g| g.status(now, &self.links));
+        self.published.store(Arc::new(statuses.collect()));
+    }
+
+    fn farewell(&mut self, inbox: Receiver<Event>) {
+        let now = self.clock.now();
+        for i in 0..self.groups.len() {
+            let outbox = self.groups[i].stop(now);
+            self.deliver(now, self.groups[i].id, outbox);
+        }
+        self.publish(now, &mut Mono::default());
+        let end = now + FAREWELL;
+        while let Some(left) = Some(end.since(self.clock.now())).filter(|d| !d.is_zero()) {
+            let _late = inbox.recv_timeout(left);
+        }
+        // A storage thread that reports into a full queue would not end.
+        drop(inbox);
+        for group in &mut self.groups {
+            group.close();
+        }
+        self.peers.stop();
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/replica/node/life.rs
@@ -0,0 +1,154 @@
+//! The member's part, which follows the chart `member.toml`.
+
+use crate::{
+    chart::{self, Chart, Event, Needs, State},
+    core::id::Name,
+};
+
+/// A member's part in its group: a state of the chart.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Part {
+    /// In no group that it knows of.
+    Joining,
+    /// Receives the log without a vote.
+    Learner,
+    /// Votes, and follows a leader if there is one.
+    Follower,
+    /// Stands for election.
+    Candidate,
+    /// Leads.
+    Leader,
+    /// Its disk failed.
+    Failed,
+    /// It was stopped.
+    Stopped,
+}
+
+/// Parts by their name in the chart.
+const PARTS: [(&str, Part); 7] = [
+    ("joining", Part::Joining),
+    ("learner", Part::Learner),
+    ("follower", Part::Follower),
+    ("candidate", Part::Candidate),
+    ("leader", Part::Leader),
+    ("failed", Part::Failed),
+    ("stopped", Part::Stopped),
+];
+
+/// What the group's members say of this member.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Listed {
+    No,
+    Learner,
+    Voter,
+}
+
+#[derive(Debug)]
+struct Events {
+    added: Event,
+    admitted: Event,
+    removed: Event,
+    timeout: Event,
+    elected: Event,
+    deposed: Event,
+    disk_failed: Event,
+    stop: Event,
+}
+
+/// The chart and where the member stands in it.
+#[derive(Debug)]
+pub(super) struct Life {
+    chart: Chart,
+    state: State,
+    parts: Vec<(State, Part)>,
+    events: Events,
+}
+
+impl Life {
+    pub(super) fn new() -> eyre::Result<Self> {
+        let states = PARTS.map(|(name, _)| name);
+        let needs = Needs {
+            states: &states,
+            events: &[],
+        };
+        let chart = chart::parse("member.toml", chart::MEMBER, needs)?;
+        let event = |name: &str| {
+            let found = chart.event(name);
+            found.ok_or_else(|| eyre::eyre!("member.toml: event `{name}` is missing"))
+        };
+        let events = Events {
+            added: event("added")?,
+            admitted: event("admitted")?,
+            removed: event("removed")?,
+            timeout: event("timeout")?,
+            elected: event("elected")?,
+            deposed: event("deposed")?,
+            disk_failed: event("disk-failed")?,
+            stop: event("stop")?,
+        };
+        let parts = PARTS
+            .iter()
+            .filter_map(|(name, part)| Some((chart.state(name)?, *part)))
+            .collect();
+        Ok(Self {
+            state: chart.initial(),
+            chart,
+            parts,
+            events,
+        })
+    }
+
+    pub(super) fn part(&self) -> Part {
+        let found = self.parts.iter().find(|(state, _)| *state == self.state);
+        found.map_or(Part::Failed, |(_, part)| *part)
+    }
+
+    pub(super) fn name(&self) -> Name {
+        self.chart.name(self.state)
+    }
+
+    pub(super) fn has_ended(&self) -> bool {
+        self.chart.is_final(self.state)
+    }
+
+    /// Follows the list of members.
+    pub(super) fn settle(&mut self, listed: Listed) {
+        match listed {
+            Listed::No => self.fire(self.events.removed),
+            Listed::Learner => {
+                if self.part() != Part::Learner {
+                    self.fire(self.events.removed);
+                    self.fire(self.events.added);
+                }
+            }
+            Listed::Voter => self.fire(self.events.admitted),
+        }
+    }
+
+    pub(super) fn stand(&mut self) {
+        self.fire(self.events.timeout);
+    }
+
+    pub(super) fn elect(&mut self) {
+        self.fire(self.events.elected);
+    }
+
+    pub(super) fn depose(&mut self) {
+        self.fire(self.events.deposed);
+    }
+
+    pub(super) fn fail(&mut self) {
+        self.fire(self.events.disk_failed);
+    }
+
+    pub(super) fn stop(&mut self) {
+        self.fire(self.events.stop);
+    }
+
+    /// Takes the transition of an event; an event without one changes nothing.
+    fn fire(&mut self, event: Event) {
+        if let Some(state) = self.chart.next(self.state, event) {
+            self.state = state;
+        }
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/replica/node/membership.rs
@@ -0,0 +1,198 @@
+//! Forming a group, taking in newcomers, and replacing wiped members.
+//!
+//! A member that is in no group says hello to all addresses. If all initial
+//! members are there and empty, the first of them forms the group. Otherwise the
+//! leader of the existing group adds the newcomer as a learner. Once the learner
+//! holds everything committed, the leader removes the silent member that had the
+//! same name and then lets the learner vote. Each change is one entry, and the
+//! next begins when it is committed, so quorums of neighbouring configurations
+//! always overlap.
+
+use super::{Newcomer, Node, Part, Rule};
+use crate::{
+    prelude::*,
+    replica::{
+        entry::{Member, Members, Payload},
+        message::{Mail, Message},
+    },
+};
+use rand::Rng as _;
+
+/// Elections that a learner may be silent for before it is dropped.
+const LEARNER_SILENCE_ELECTIONS: u32 = 60;
+
+impl Node {
+    /// Tells whether a message comes from another group at a reused address.
+    pub(super) fn is_foreign(&self, mail: &Mail) -> bool {
+        let known = mail.cluster != 0 && self.hard.cluster != 0;
+        known && mail.cluster != self.hard.cluster
+    }
+
+    pub(super) fn is_addressed(&self, mail: &Mail) -> bool {
+        mail.to == self.options.id || self.breaks(Rule::WipedIsNew)
+    }
+
+    /// Returns the identity that a message counts for.
+    pub(super) fn sender(&self, mail: &Mail) -> MemberId {
+        if !self.breaks(Rule::WipedIsNew) {
+            return mail.from;
+        }
+        let voter = self.configs.voters().find(|m| m.name == mail.name);
+        voter.map_or(mail.from, |m| m.id)
+    }
+
+    /// Takes note of a member that is not in the group.
+    pub(super) fn note_stranger(&mut self, now: Mono, from: MemberId, mail: &Mail) {
+        let expected = self.options.members.contains(&mail.name);
+        if !expected || self.configs.find(from).is_some() {
+            return;
+        }
+        let newcomer = Newcomer {
+            id: from,
+            at: now,
+            empty: matches!(mail.message, Message::Hello { empty: true }),
+        };
+        self.newcomers.insert(Arc::clone(&mail.name), newcomer);
+    }
+
+    /// Says hello to all initial members, and forms the group if it may.
+    pub(super) fn say_hello(&mut self, now: Mono) {
+        self.timer = now + self.options.heartbeat;
+        if self.life.part() == Part::Learner && self.hears_leader(now) {
+            return;
+        }
+        if self.may_form(now) {
+            self.form(now);
+            return;
+        }
+        let empty = self.is_empty();
+        for name in self.options.members.clone() {
+            if name != self.options.name {
+                self.send(MemberId::default(), &name, Message::Hello { empty });
+            }
+        }
+    }
+
+    /// Tells whether this member has never voted and holds nothing.
+    fn is_empty(&self) -> bool {
+        let unused = self.hard.term == Term::default() && self.hard.cluster == 0;
+        unused && self.log.last() == Index::default()
+    }
+
+    /// Only the first initial member forms a group, so that there is only one,
+    /// and only while all others say that they are empty.
+    fn may_form(&self, now: Mono) -> bool {
+        let first = self.options.members.first();
+        if first != Some(&self.options.name) || !self.is_empty() {
+            return false;
+        }
+        let limit = self.options.election;
+        let others = self.options.members.iter().skip(1);
+        others.into_iter().all(|name| {
+            let newcomer = self.newcomers.get(name);
+            newcomer.is_some_and(|n| n.empty && now.since(n.at) < limit)
+        })
+    }
+
+    fn form(&mut self, now: Mono) {
+        let members = self.options.members.iter().map(|name| {
+            let id = self.newcomers.get(name).map(|n| n.id);
+            Member {
+                id: id.unwrap_or(self.options.id),
+                name: Arc::clone(name),
+                voter: true,
+            }
+        });
+        let members: Members = members.collect();
+        self.newcomers.clear();
+        self.hard.cluster = self.rng.random_range(1..=u64::MAX);
+        self.hard.term = Term(1);
+        self.hard.vote = Some(self.options.id);
+        self.store_hard();
+        self.append(Payload::Members(members));
+        self.note("formed the group");
+        self.campaign(now, false, false);
+    }
+
+    /// Takes the next step towards one live voter for each name.
+    pub(super) fn change_members(&mut self, now: Mono) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let settled = self.configs.since() <= self.commit && self.commit >= lead.first;
+        if !settled {
+            return;
+        }
+        let next = self
+            .add_learner(now)
+            .or_else(|| self.replace_voter(now))
+            .or_else(|| self.drop_learner(now));
+        if let Some((members, note)) = next {
+            self.append(Payload::Members(members));
+            self.sync_peers(now);
+            self.note(note);
+        }
+    }
+
+    fn add_learner(&mut self, now: Mono) -> Option<(Members, String)> {
+        let limit = self.options.election;
+        self.newcomers.retain(|_, n| now.since(n.at) < limit);
+        let (name, newcomer) = self.newcomers.pop_first()?;
+        let members = self.configs.members().iter();
+        let kept = members.filter(|m| m.voter || m.name != name).cloned();
+        let learner = Member {
+            id: newcomer.id,
+            name: Arc::clone(&name),
+            voter: false,
+        };
+        let members = kept.chain([learner]).collect();
+        Some((
+            members,
+            format!("added {name} ({}) as learner", newcomer.id),
+        ))
+    }
+
+    fn replace_voter(&self, now: Mono) -> Option<(Members, String)> {
+        let members = self.configs.members();
+        let learners = members.iter().filter(|m| !m.voter);
+        let ready = learners.into_iter().find(|m| self.is_ready(now, m))?;
+        let old = self.configs.voters().find(|m| m.name == ready.name);
+        if let Some(old) = old {
+            if !self.is_silent(now, old.id, 1) {
+                return None;
+            }
+            let kept = members.iter().filter(|m| m.id != old.id).cloned();
+            let note = format!("removed {} ({}), which is gone", old.name, old.id);
+            return Some((kept.collect(), note));
+        }
+        let promoted = members.iter().cloned().map(|m| Member {
+            voter: m.voter || m.id == ready.id,
+            ..m
+        });
+        let note = format!("{} ({}) votes", ready.name, ready.id);
+        Some((promoted.collect(), note))
+    }
+
+    /// Tells whether a learner answers and holds everything committed.
+    fn is_ready(&self, now: Mono, learner: &Member) -> bool {
+        let peer = self.lead.as_ref().and_then(|l| l.peers.get(&learner.id));
+        let complete = peer.is_some_and(|p| p.matched >= self.commit);
+        complete && !self.is_silent(now, learner.id, 1)
+    }
+
+    fn is_silent(&self, now: Mono, id: MemberId, elections: u32) -> bool {
+        let peer = self.lead.as_ref().and_then(|l| l.peers.get(&id));
+        let limit = self.options.election * elections;
+        id != self.options.id && peer.is_none_or(|p| now.since(p.heard) >= limit)
+    }
+
+    fn drop_learner(&self, now: Mono) -> Option<(Members, String)> {
+        let members = self.configs.members();
+        let gone = members
+            .iter()
+            .find(|m| !m.voter && self.is_silent(now, m.id, LEARNER_SILENCE_ELECTIONS))?;
+        let kept = members.iter().filter(|m| m.id != gone.id).cloned();
+        let note = format!("dropped learner {} ({})", gone.name, gone.id);
+        Some((kept.collect(), note))
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/replica/node/mod.rs
@@ -0,0 +1,562 @@
+//! One member's part in one group: the replication protocol as pure logic.
+//!
+//! The protocol is Raft with pre-vote, a leader that steps down without a
+//! quorum, read rounds, learners and membership changes one at a time.
+//!
+//! A [`Node`] does no I/O. Its owner calls a method for each input (a message, a
+//! command, a sync that ended) and then [`Node::flush`], which returns
+//! [`Effects`]: what to write, send and apply. Calls between two flushes form one
+//! batch, so that one sync serves many commands. Messages that promise something
+//! about the disk are held back until [`Node::synced`] says that the batch they
+//! depend on is there.
+//!
+//! Of the files here, `election.rs` elects, `follow.rs` takes entries and images,
+//! `lead.rs` sends them, `reads.rs` confirms reads, and `membership.rs` forms
+//! groups and changes members.
+
+mod config;
+mod election;
+mod follow;
+mod lead;
+mod life;
+mod membership;
+mod peer;
+mod reads;
+
+use super::{
+    entry::{Entry, HardState, Image, Member, Payload},
+    message::{Mail, Message},
+    storage::{Loaded, Write},
+    tail::Tail,
+};
+use crate::prelude::*;
+use config::Configs;
+use lead::Lead;
+use life::Life;
+pub use life::Part;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use std::collections::{BTreeMap, VecDeque};
+
+/// A rule of the protocol that a test breaks to see its checks fail.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rule {
+    /// A member acknowledges only what is synced.
+    AckAfterSync,
+    /// Learners do not count in a quorum.
+    LearnersDoNotCount,
+    /// A leader commits only by entries of its own term.
+    OwnTermCommits,
+    /// A read waits for a quorum round that began after it.
+    RoundBeforeRead,
+    /// A wiped member is a new member.
+    WipedIsNew,
+}
+
+/// What a node is built from.
+#[derive(Clone, Debug)]
+pub struct NodeOptions {
+    /// This member's identity.
+    pub id: MemberId,
+    /// Its process name.
+    pub name: Name,
+    /// Process names of the group's members.
+    pub members: Vec<Name>,
+    /// Time between a leader's heartbeats.
+    pub heartbeat: Duration,
+    /// Shortest silence of a leader after which a member stands for election.
+    pub election: Duration,
+    /// Entries kept behind an image for members that lag a little.
+    pub keep_entries: u64,
+    /// Seed of random timeouts.
+    pub seed: u64,
+    /// A rule to break, in tests.
+    pub broken: Option<Rule>,
+}
+
+impl Default for NodeOptions {
+    fn default() -> Self {
+        Self {
+            id: MemberId::default(),
+            name: Name::from(""),
+            members: Vec::new(),
+            heartbeat: Duration::from_millis(100),
+            election: Duration::from_millis(500),
+            keep_entries: 1_000,
+            seed: 0,
+            broken: None,
+        }
+    }
+}
+
+/// A message and the process name that it goes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outgoing {
+    /// The receiver's process name.
+    pub name: Name,
+    /// The message.
+    pub mail: Mail,
+}
+
+/// The outcome of a read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReadDone {
+    /// The number that the caller gave the read.
+    pub token: u64,
+    /// The index to read at, or `None` if this member no longer leads.
+    pub index: Option<Index>,
+}
+
+/// What the owner of a node must do after a flush, in this order.
+#[derive(Debug, Default)]
+pub struct Effects {
+    /// The number of this batch of writes, for [`Node::synced`].
+    pub seq: u64,
+    /// What to write and sync.
+    pub writes: Vec<Write>,
+    /// What to send.
+    pub send: Vec<Outgoing>,
+    /// An image to restore the state machine from, before entries are applied.
+    pub restore: Option<Arc<Image>>,
+    /// Committed entries to apply.
+    pub apply: Vec<Entry>,
+    /// Reads that ended.
+    pub reads: Vec<ReadDone>,
+    /// What happened, for logs and the time line.
+    pub notes: Vec<String>,
+}
+
+/// What is sent once a batch is synced.
+#[derive(Debug)]
+struct Held {
+    seq: u64,
+    outgoing: Outgoing,
+}
+
+/// The last index after a batch that is not synced yet.
+#[derive(Clone, Copy, Debug)]
+struct Unsynced {
+    seq: u64,
+    last: Index,
+}
+
+/// A candidate's election.
+#[derive(Debug)]
+struct Campaign {
+    trial: bool,
+    votes: FastSet<MemberId>,
+    /// The batch that holds the own vote.
+    own: u64,
+}
+
+/// An image that arrives in pieces.
+#[derive(Debug)]
+struct Incoming {
+    index: Index,
+    bytes: Vec<u8>,
+}
+
+/// A member at a known address that is not in the group.
+#[derive(Clone, Copy, Debug)]
+struct Newcomer {
+    id: MemberId,
+    at: Mono,
+    empty: bool,
+}
+
+/// One member's part in one group.
+#[derive(Debug)]
+pub struct Node {
+    options: NodeOptions,
+    life: Life,
+    hard: HardState,
+    log: Tail,
+    image: Option<Arc<Image>>,
+    configs: Configs,
+    commit: Index,
+    applied: Index,
+    leader: Option<MemberId>,
+    /// When a leader was last heard.
+    heard: Option<Mono>,
+    /// When to stand for election, or to say hello.
+    timer: Mono,
+    rng: SmallRng,
+    campaign: Option<Campaign>,
+    lead: Option<Lead>,
+    incoming: Option<Incoming>,
+    newcomers: BTreeMap<Name, Newcomer>,
+    seq: u64,
+    synced: u64,
+    unsynced: VecDeque<Unsynced>,
+    durable: Index,
+    held: VecDeque<Held>,
+    effects: Effects,
+}
+
+impl Node {
+    /// Builds a node from what its disk holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the built-in state chart is invalid.
+    pub fn new(options: NodeOptions, loaded: Loaded, now: Mono) -> eyre::Result<Self> {
+        let base = loaded.image.as_ref().map_or(Index::default(), |i| i.index);
+        let base_term = loaded.image.as_ref().map_or(Term::default(), |i| i.term);
+        let log = Tail::new(base, base_term, loaded.entries);
+        let configs = Configs::load(loaded.image.as_deref(), &log);
+        let rng = SmallRng::seed_from_u64(options.seed ^ options.id.0);
+        let durable = log.last();
+        let mut node = Self {
+            life: Life::new()?,
+            hard: loaded.hard,
+            log,
+            configs,
+            commit: base,
+            applied: base,
+            leader: None,
+            heard: None,
+            timer: now,
+            rng,
+            campaign: None,
+            lead: None,
+            incoming: None,
+            newcomers: BTreeMap::new(),
+            seq: 0,
+            synced: 0,
+            unsynced: VecDeque::new(),
+            durable,
+            held: VecDeque::new(),
+            effects: Effects {
+                restore: loaded.image.clone(),
+                ..Effects::default()
+            },
+            image: loaded.image,
+            options,
+        };
+        node.settle_part();
+        let alone = node.configs.voters().all(|m| m.id == node.options.id);
+        if !alone {
+            node.reset_timer(now);
+        }
+        Ok(node)
+    }
+
+    /// Takes a message.
+    pub fn receive(&mut self, now: Mono, mail: Mail) {
+        if self.life.has_ended() || self.is_foreign(&mail) {
+            return;
+        }
+        let from = self.sender(&mail);
+        self.note_stranger(now, from, &mail);
+        if !self.is_addressed(&mail) {
+            return;
+        }
+        let sender = Sender {
+            id: from,
+            name: Arc::clone(&mail.name),
+            cluster: mail.cluster,
+        };
+        match mail.message {
+            Message::Hello { .. } => {}
+            Message::Vote(ballot) => self.on_vote(now, &sender, ballot),
+            Message::Voted {
+                term,
+                trial,
+                granted,
+            } => self.on_voted(now, &sender, term, trial, granted),
+            Message::Append(append) => self.on_append(now, &sender, append),
+            Message::Appended(appended) => self.on_appended(now, &sender, appended),
+            Message::Chunk(chunk) => self.on_chunk(now, &sender, &chunk),
+            Message::Received {
+                term,
+                index,
+                offset,
+            } => self.on_received(now, &sender, term, index, offset),
+            Message::Stand { term } => self.on_stand(now, term),
+        }
+    }
+
+    /// Lets time pass: elections, heartbeats, checks of quorum and members.
+    pub fn tick(&mut self, now: Mono) {
+        if self.life.has_ended() {
+            return;
+        }
+        if self.lead.is_some() {
+            self.check_quorum(now);
+            self.change_members(now);
+        } else if now >= self.timer {
+            self.on_timer(now);
+        }
+    }
+
+    /// Adds a command to the log, if this member leads.
+    pub fn propose(&mut self, command: Vec<u8>) -> Option<(Term, Index)> {
+        self.lead.as_ref()?;
+        let index = self.append(Payload::Command(Arc::from(command)));
+        Some((self.hard.term, index))
+    }
+
+    /// Notes that a batch and all before it are on disk.
+    pub fn synced(&mut self, now: Mono, seq: u64) {
+        self.synced = self.synced.max(seq);
+        while let Some(first) = self.unsynced.front().copied() {
+            if first.seq > seq {
+                break;
+            }
+            self.durable = first.last;
+            self.unsynced.pop_front();
+        }
+        if self.life.has_ended() {
+            return;
+        }
+        while self.held.front().is_some_and(|held| held.seq <= seq) {
+            let ready = self.held.pop_front().map(|held| held.outgoing);
+            self.effects.send.extend(ready);
+        }
+        self.count_votes(now);
+    }
+
+    /// Notes that the disk failed. The member sends nothing any more.
+    pub fn fail(&mut self) {
+        self.life.fail();
+        self.end();
+        self.note("disk failed; the member no longer votes");
+    }
+
+    /// Stops the member; a leader first asks the best member to stand.
+    pub fn stop(&mut self) {
+        if self.life.has_ended() {
+            return;
+        }
+        self.hand_over();
+        self.life.stop();
+        self.end();
+    }
+
+    /// Takes the state machine's state as of an applied index.
+    pub fn compact(&mut self, index: Index, state: Vec<u8>) {
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let image = Arc::new(Image {
+            index,
+            term,
+            members: self.configs.at(index),
+            state: Arc::from(state),
+        });
+        self.effects.writes.push(Write::Compact(Arc::clone(&image)));
+        self.image = Some(image);
+        self.configs.forget(index);
+        let keep = self.options.keep_entries;
+        self.log.compact(Index(index.0.saturating_sub(keep)));
+    }
+
+    /// Ends a batch of inputs and returns what to do.
+    pub fn flush(&mut self, now: Mono) -> Effects {
+        if !self.life.has_ended() {
+            self.flush_lead(now);
+        }
+        self.deliver();
+        if !self.effects.writes.is_empty() {
+            self.seq += 1;
+            let last = self.log.last();
+            let seq = self.seq;
+            self.unsynced.push_back(Unsynced { seq, last });
+        }
+        let mut effects = std::mem::take(&mut self.effects);
+        effects.seq = self.seq;
+        effects
+    }
+
+    /// Returns when [`Node::tick`] should be called next, at the latest.
+    #[must_use]
+    pub fn deadline(&self, now: Mono) -> Mono {
+        let wake = now + self.options.heartbeat / 2;
+        match &self.lead {
+            Some(lead) => wake.min(lead.next_beat()),
+            None => wake.min(self.timer),
+        }
+    }
+
+    /// Returns this member's identity.
+    #[must_use]
+    pub const fn id(&self) -> MemberId {
+        self.options.id
+    }
+
+    /// Returns this member's part.
+    #[must_use]
+    pub fn part(&self) -> Part {
+        self.life.part()
+    }
+
+    /// Returns the chart's name of this member's part.
+    #[must_use]
+    pub fn part_name(&self) -> Name {
+        self.life.name()
+    }
+
+    /// Returns the current term.
+    #[must_use]
+    pub const fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Returns the last index known to be committed.
+    #[must_use]
+    pub const fn commit(&self) -> Index {
+        self.commit
+    }
+
+    /// Returns the last index handed out to be applied.
+    #[must_use]
+    pub const fn applied(&self) -> Index {
+        self.applied
+    }
+
+    /// Returns the last index of the log.
+    #[must_use]
+    pub fn last(&self) -> Index {
+        self.log.last()
+    }
+
+    /// Returns the index of the latest image.
+    #[must_use]
+    pub fn image_index(&self) -> Index {
+        self.image.as_ref().map_or(Index::default(), |i| i.index)
+    }
+
+    /// Returns the leader, if it is known and a member.
+    #[must_use]
+    pub fn leader(&self) -> Option<&Member> {
+        self.configs.find(self.leader?)
+    }
+
+    /// Returns the members in force, learners too.
+    #[must_use]
+    pub fn members(&self) -> &[Member] {
+        self.configs.members()
+    }
+
+    /// Returns the last index known to be on a member's disk, if this one leads.
+    #[must_use]
+    pub fn matched(&self, id: MemberId) -> Option<Index> {
+        let lead = self.lead.as_ref()?;
+        if id == self.options.id {
+            return Some(self.durable);
+        }
+        lead.peers.get(&id).map(|peer| peer.matched)
+    }
+
+    fn deliver(&mut self) {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.get(self.applied.next()) else {
+                return;
+            };
+            self.applied = entry.index;
+            self.effects.apply.push(entry.clone());
+        }
+    }
+
+    fn end(&mut self) {
+        self.leave_lead();
+        self.campaign = None;
+        self.held.clear();
+        self.leader = None;
+    }
+
+    /// Appends an entry of the own term.
+    fn append(&mut self, payload: Payload) -> Index {
+        let entry = Entry {
+            index: self.log.last().next(),
+            term: self.hard.term,
+            payload,
+        };
+        let index = entry.index;
+        self.store(vec![entry]);
+        index
+    }
+
+    /// Appends entries to the log and the batch.
+    fn store(&mut self, entries: Vec<Entry>) {
+        for entry in &entries {
+            self.configs.note(entry);
+            self.log.push(entry.clone());
+        }
+        if let Some(Write::Append(batch)) = self.effects.writes.last_mut() {
+            let follows = batch.last().map(|e| e.index.next()) == entries.first().map(|e| e.index);
+            if follows {
+                batch.extend(entries);
+                self.settle_part();
+                return;
+            }
+        }
+        self.effects.writes.push(Write::Append(entries));
+        self.settle_part();
+    }
+
+    fn store_hard(&mut self) {
+        self.effects.writes.push(Write::Hard(self.hard));
+    }
+
+    /// Returns the batch that all state up to now is part of.
+    fn open_seq(&self) -> u64 {
+        if self.effects.writes.is_empty() {
+            self.seq
+        } else {
+            self.seq + 1
+        }
+    }
+
+    /// Sends a message once all state up to now is synced.
+    fn send_synced(&mut self, id: MemberId, name: &Name, message: Message) {
+        let seq = self.open_seq();
+        let unheld = self.breaks(Rule::AckAfterSync);
+        if seq <= self.synced || unheld {
+            self.send(id, name, message);
+            return;
+        }
+        let outgoing = self.outgoing(id, name, message);
+        self.held.push_back(Held { seq, outgoing });
+    }
+
+    /// Sends a message that promises nothing about the disk.
+    fn send(&mut self, id: MemberId, name: &Name, message: Message) {
+        let outgoing = self.outgoing(id, name, message);
+        self.effects.send.push(outgoing);
+    }
+
+    fn outgoing(&self, to: MemberId, name: &Name, message: Message) -> Outgoing {
+        Outgoing {
+            name: Arc::clone(name),
+            mail: Mail {
+                cluster: self.hard.cluster,
+                from: self.options.id,
+                name: Arc::clone(&self.options.name),
+                to,
+                message,
+            },
+        }
+    }
+
+    fn breaks(&self, rule: Rule) -> bool {
+        self.options.broken == Some(rule)
+    }
+
+    fn note(&mut self, text: impl Into<String>) {
+        self.effects.notes.push(text.into());
+    }
+
+    fn reset_timer(&mut self, now: Mono) {
+        let election = self.options.election.as_micros() as u64;
+        let spread = self.rng.random_range(0..=election / 2);
+        self.timer = now + Duration::from_micros(election + spread);
+    }
+}
+
+/// Who sent a message.
+#[derive(Clone, Debug)]
+struct Sender {
+    id: MemberId,
+    name: Name,
+    cluster: u64,
+}
--- /dev/null
+++ b/src/cardamomtally/replica/node/peer.rs
@@ -0,0 +1,80 @@
+//! What a leader knows of another member.
+
+use crate::prelude::*;
+
+/// How entries are sent to a member.
+#[derive(Clone, Debug)]
+pub(super) enum Flow {
+    /// One message at a time, until one matches.
+    Probe {
+        /// Whether an answer is awaited.
+        waiting: bool,
+    },
+    /// As fast as they come.
+    Stream,
+    /// An image, in pieces.
+    Image(Transfer),
+}
+
+/// An image on its way to a member.
+#[derive(Clone, Debug)]
+pub(super) struct Transfer {
+    pub(super) index: Index,
+    pub(super) bytes: Arc<[u8]>,
+    /// What the member has received.
+    pub(super) offset: u64,
+    /// When the piece at the offset was sent.
+    pub(super) sent: Option<Mono>,
+}
+
+/// What a leader knows of another member.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub(super) name: Name,
+    /// The last index known to be on its disk.
+    pub(super) matched: Index,
+    /// The next index to send.
+    pub(super) next: Index,
+    /// The last read round that it answered.
+    pub(super) round: u64,
+    /// When it was last heard.
+    pub(super) heard: Mono,
+    pub(super) flow: Flow,
+}
+
+impl Peer {
+    pub(super) fn new(name: &Name, next: Index, now: Mono) -> Self {
+        Self {
+            name: Arc::clone(name),
+            matched: Index::default(),
+            next,
+            round: 0,
+            heard: now,
+            flow: Flow::Probe { waiting: false },
+        }
+    }
+
+    /// Notes that the member has the log up to an index.
+    pub(super) fn advance(&mut self, index: Index) {
+        self.matched = self.matched.max(index);
+        self.next = self.next.max(self.matched.next());
+        match &self.flow {
+            Flow::Probe { .. } => {
+                self.next = self.matched.next();
+                self.flow = Flow::Stream;
+            }
+            Flow::Image(transfer) if index >= transfer.index => self.flow = Flow::Stream,
+            Flow::Image(_) | Flow::Stream => {}
+        }
+    }
+
+    /// Notes that the member lacks the entry before those sent.
+    pub(super) fn back_up(&mut self, prev: Index, hint: Index) {
+        let stale = prev <= self.matched || prev >= self.next;
+        if stale || matches!(self.flow, Flow::Image(_)) {
+            return;
+        }
+        self.next = prev.min(hint.next()).max(self.matched.next());
+        self.flow = Flow::Probe { waiting: false };
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/replica/node/reads.rs
@@ -0,0 +1,98 @@
+//! Read rounds: proof that this member still led after a read arrived.
+
+use super::{Node, ReadDone, Rule, lead::nth_highest};
+use crate::prelude::*;
+use std::collections::VecDeque;
+
+/// Reads that wait for the same round.
+#[derive(Debug)]
+struct Started {
+    round: u64,
+    index: Index,
+    tokens: Vec<u64>,
+}
+
+/// A leader's reads.
+#[derive(Debug, Default)]
+pub(super) struct Reads {
+    round: u64,
+    queued: Vec<u64>,
+    started: VecDeque<Started>,
+}
+
+impl Reads {
+    /// Returns the latest round.
+    pub(super) const fn round(&self) -> u64 {
+        self.round
+    }
+
+    /// Ends all reads without an index.
+    pub(super) fn fail(self) -> impl Iterator<Item = ReadDone> {
+        let started = self.started.into_iter().flat_map(|s| s.tokens);
+        let tokens = started.chain(self.queued);
+        tokens.map(|token| ReadDone { token, index: None })
+    }
+}
+
+impl Node {
+    /// Queues a read, if this member leads. The read ends in the effects of a
+    /// later flush.
+    pub fn read(&mut self, token: u64) -> bool {
+        let at_once = self.breaks(Rule::RoundBeforeRead);
+        let index = Some(self.commit);
+        let Some(lead) = &mut self.lead else {
+            return false;
+        };
+        if at_once {
+            self.effects.reads.push(ReadDone { token, index });
+        } else {
+            lead.reads.queued.push(token);
+        }
+        true
+    }
+
+    /// Starts a round for the queued reads. Returns whether there are any.
+    pub(super) fn start_reads(&mut self) -> bool {
+        let commit = self.commit;
+        let Some(lead) = &mut self.lead else {
+            return false;
+        };
+        // Before its first commit a leader does not know what is committed.
+        if lead.reads.queued.is_empty() || commit < lead.first {
+            return false;
+        }
+        lead.reads.round += 1;
+        let started = Started {
+            round: lead.reads.round,
+            index: commit,
+            tokens: std::mem::take(&mut lead.reads.queued),
+        };
+        lead.reads.started.push_back(started);
+        // A group of one has no answer to wait for.
+        self.finish_reads();
+        true
+    }
+
+    /// Ends the reads whose round a quorum has answered.
+    pub(super) fn finish_reads(&mut self) {
+        let own = self.options.id;
+        let quorum = self.configs.quorum();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let rounds = self.configs.voters().map(|m| {
+            let peer = lead.peers.get(&m.id).map_or(0, |p| p.round);
+            if m.id == own { lead.reads.round } else { peer }
+        });
+        let confirmed = nth_highest(rounds.collect(), quorum).unwrap_or_default();
+        while let Some(first) = lead.reads.started.front() {
+            if first.round > confirmed {
+                return;
+            }
+            let index = Some(first.index);
+            let ended = first.tokens.iter().map(|&token| ReadDone { token, index });
+            self.effects.reads.extend(ended);
+            lead.reads.started.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/replica/storage/writer.rs
@@ -0,0 +1,94 @@
+//! The thread that writes and syncs, so that a slow disk delays no heartbeat.
+
+use super::{Storage, Write};
+use std::{
+    sync::mpsc::{Receiver, Sender, channel},
+    thread::{self, JoinHandle},
+    time::Instant,
+};
+
+/// Writes of one flush of a node.
+#[derive(Debug)]
+struct Batch {
+    seq: u64,
+    writes: Vec<Write>,
+}
+
+/// What became of batches.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Written {
+    /// All batches up to this number are on disk.
+    Synced(u64),
+    /// A write or sync failed; no batch is written any more.
+    Failed(String),
+}
+
+/// Hands batches to the thread.
+#[derive(Debug)]
+pub struct Writer {
+    queue: Option<Sender<Batch>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Writer {
+    /// Starts the thread, which calls `report` after each sync.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the thread cannot be started.
+    pub fn start(
+        storage: Box<dyn Storage>,
+        report: impl Fn(Written) + Send + 'static,
+    ) -> std::io::Result<Self> {
+        let (queue, batches) = channel();
+        let run = move || run(storage, &batches, &report);
+        let thread = thread::Builder::new().name("storage".into()).spawn(run)?;
+        Ok(Self {
+            queue: Some(queue),
+            thread: Some(thread),
+        })
+    }
+
+    /// Queues a batch.
+    pub fn write(&self, seq: u64, writes: Vec<Write>) {
+        if let Some(queue) = &self.queue {
+            // The thread ends only after it has reported a failure.
+            let _ended = queue.send(Batch { seq, writes });
+        }
+    }
+
+    /// Writes what is queued and ends the thread.
+    pub fn stop(&mut self) {
+        self.queue = None;
+        if let Some(thread) = self.thread.take() {
+            // A panic has been printed already.
+            let _panicked = thread.join();
+        }
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn run(mut storage: Box<dyn Storage>, batches: &Receiver<Batch>, report: &impl Fn(Written)) {
+    while let Ok(first) = batches.recv() {
+        let Batch {
+            mut seq,
+            mut writes,
+        } = first;
+        for more in batches.try_iter() {
+            seq = more.seq;
+            writes.extend(more.writes);
+        }
+        let begin = Instant::now();
+        if let Err(error) = storage.write(&writes) {
+            report(Written::Failed(format!("{error:#}")));
+            return;
+        }
+        metrics::histogram!("cardamomtally_replica_sync_seconds").record(begin.elapsed());
+        report(Written::Synced(seq));
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/replica/tail.rs
@@ -0,0 +1,127 @@
+//! The part of the log that is held in memory.
+
+use super::entry::Entry;
+use crate::prelude::*;
+use std::collections::VecDeque;
+
+/// Entries after a base, without gaps.
+#[derive(Clone, Debug, Default)]
+pub struct Tail {
+    base: Index,
+    base_term: Term,
+    entries: VecDeque<Entry>,
+}
+
+impl Tail {
+    /// Builds a log that begins after a base.
+    #[must_use]
+    pub fn new(base: Index, base_term: Term, entries: Vec<Entry>) -> Self {
+        Self {
+            base,
+            base_term,
+            entries: entries.into(),
+        }
+    }
+
+    /// Returns the index before the first entry.
+    #[must_use]
+    pub const fn base(&self) -> Index {
+        self.base
+    }
+
+    /// Returns the term at the base.
+    #[must_use]
+    pub const fn base_term(&self) -> Term {
+        self.base_term
+    }
+
+    /// Returns the last index.
+    #[must_use]
+    pub fn last(&self) -> Index {
+        Index(self.base.0 + self.entries.len() as u64)
+    }
+
+    /// Returns the term at the last index.
+    #[must_use]
+    pub fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    /// Returns the entry at an index, if it is in memory.
+    #[must_use]
+    pub fn get(&self, index: Index) -> Option<&Entry> {
+        let offset = index.0.checked_sub(self.base.0 + 1)?;
+        self.entries.get(offset as usize)
+    }
+
+    /// Returns the term at an index, if it is known.
+    #[must_use]
+    pub fn term_at(&self, index: Index) -> Option<Term> {
+        if index == self.base {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|e| e.term)
+    }
+
+    /// Returns the first index of the run of entries that share a term.
+    #[must_use]
+    pub fn term_start(&self, index: Index) -> Index {
+        let term = self.term_at(index);
+        let mut first = index;
+        while first > self.base && self.term_at(first.prev()) == term {
+            first = first.prev();
+        }
+        first
+    }
+
+    /// Adds an entry, which must follow the last.
+    pub fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last().next(), "entries have no gaps");
+        self.entries.push_back(entry);
+    }
+
+    /// Removes the entries from an index on.
+    pub fn truncate(&mut self, from: Index) {
+        let keep = from.0.saturating_sub(self.base.0 + 1);
+        self.entries.truncate(keep as usize);
+    }
+
+    /// Removes the entries up to an index.
+    pub fn compact(&mut self, to: Index) {
+        while self.base < to {
+            let Some(entry) = self.entries.pop_front() else {
+                return;
+            };
+            self.base = entry.index;
+            self.base_term = entry.term;
+        }
+    }
+
+    /// Removes all entries and begins after an index.
+    pub fn reset(&mut self, base: Index, base_term: Term) {
+        *self = Self::new(base, base_term, Vec::new());
+    }
+
+    /// Returns entries from an index on, at least one if there is one, within a
+    /// number of bytes.
+    #[must_use]
+    pub fn slice(&self, from: Index, limit_bytes: usize) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        let mut index = from;
+        while let Some(entry) = self.get(index) {
+            bytes += entry.size();
+            if bytes > limit_bytes && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+            index = index.next();
+        }
+        entries
+    }
+
+    /// Iterates over the entries.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter()
+    }
+}
--- a/tests/testsuite/replica.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The replicated log.
--- /dev/null
+++ b/tests/testsuite/replica/mod.rs
@@ -0,0 +1,6 @@
+//! The replicated log.
+
+mod cluster;
+mod disk;
+mod live;
+mod simulation;
--- /dev/null
+++ b/tests/testsuite/replica/simulation.rs
@@ -0,0 +1,505 @@
+//! Nodes on a fake clock, fake disks and a bag of messages.
+//!
+//! Everything follows from one seed: time steps, delays, losses, crashes, wiped
+//! and failing disks. Checks compare what each node applies and answers with
+//! what any node applied or answered before.
+
+use cardamomtally::{
+    prelude::*,
+    replica::{
+        entry::{Entry, Payload},
+        message::Mail,
+        node::{Effects, Node, NodeOptions, Part, ReadDone, Rule},
+        storage::{Loaded, Write},
+    },
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::collections::{BTreeMap, VecDeque};
+
+const STEP_MICROS: u64 = 4_000;
+const IMAGE_ENTRIES: u64 = 24;
+/// Numbers for which commands compete, so that many meet a winner.
+const TICKETS: u64 = 400;
+
+/// A rule that was seen broken.
+pub type Violation = String;
+
+/// What a run does.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub nodes: usize,
+    pub steps: usize,
+    pub broken: Option<Rule>,
+}
+
+#[derive(Debug)]
+struct Batch {
+    seq: u64,
+    writes: Vec<Write>,
+}
+
+/// A disk that syncs late, fails, tears and can be wiped.
+#[derive(Debug, Default)]
+struct Disk {
+    id: MemberId,
+    durable: Loaded,
+    queue: VecDeque<Batch>,
+}
+
+impl Disk {
+    fn sync_one(&mut self) -> Option<u64> {
+        let batch = self.queue.pop_front()?;
+        for write in &batch.writes {
+            self.durable.apply(write);
+        }
+        Some(batch.seq)
+    }
+}
+
+/// First command for a ticket wins.
+#[derive(Clone, Debug, Default)]
+struct Tickets {
+    winners: BTreeMap<u64, u64>,
+}
+
+impl Tickets {
+    fn apply(&mut self, command: &[u8]) -> (u64, u64) {
+        let (ticket, value) = decode(command);
+        (ticket, *self.winners.entry(ticket).or_insert(value))
+    }
+
+    fn image(&self) -> Vec<u8> {
+        let pairs = self.winners.iter();
+        pairs.flat_map(|(t, v)| encode(*t, *v)).collect()
+    }
+
+    fn restore(bytes: &[u8]) -> Self {
+        let winners = bytes.chunks(16).map(decode).collect();
+        Self { winners }
+    }
+}
+
+fn encode(ticket: u64, value: u64) -> Vec<u8> {
+    [ticket.to_le_bytes(), value.to_le_bytes()].concat()
+}
+
+fn decode(bytes: &[u8]) -> (u64, u64) {
+    let (ticket, value) = bytes.split_at(8);
+    let number = |b: &[u8]| u64::from_le_bytes(b.try_into().unwrap());
+    (number(ticket), number(value))
+}
+
+#[derive(Debug)]
+struct Slot {
+    name: Name,
+    node: Option<Node>,
+    disk: Disk,
+    machine: Tickets,
+    /// Commands that this node took as leader.
+    proposed: BTreeMap<Index, Term>,
+    /// Reads under way, with what was accepted when they began.
+    reads: BTreeMap<u64, Index>,
+    down_until: u64,
+    paused_until: u64,
+    clock_ppm: u64,
+}
+
+#[derive(Debug)]
+struct Flying {
+    at: u64,
+    to: usize,
+    mail: Mail,
+}
+
+/// What was ever seen, which must never change.
+#[derive(Debug, Default)]
+struct Truth {
+    chosen: BTreeMap<Index, Entry>,
+    images: BTreeMap<Index, Vec<u8>>,
+    winners: BTreeMap<u64, u64>,
+    accepted: Index,
+}
+
+impl Truth {
+    fn choose(&mut self, entry: &Entry) -> Result<(), Violation> {
+        let known = self
+            .chosen
+            .entry(entry.index)
+            .or_insert_with(|| entry.clone());
+        if known == entry {
+            return Ok(());
+        }
+        Err(format!("two values at one index: {known:?}, {entry:?}"))
+    }
+
+    fn see_image(&mut self, index: Index, bytes: Vec<u8>) -> Result<(), Violation> {
+        let known = self.images.entry(index).or_insert_with(|| bytes.clone());
+        if *known == bytes {
+            return Ok(());
+        }
+        Err(format!("two states at index {index}"))
+    }
+
+    fn accept(&mut self, index: Index, ticket: u64, winner: u64) -> Result<(), Violation> {
+        self.accepted = self.accepted.max(index);
+        let known = *self.winners.entry(ticket).or_insert(winner);
+        if known == winner {
+            return Ok(());
+        }
+        Err(format!("two winners of ticket {ticket}: {known}, {winner}"))
+    }
+}
+
+/// A group under faults.
+#[derive(Debug)]
+pub struct Sim {
+    plan: Plan,
+    rng: SmallRng,
+    micros: u64,
+    slots: Vec<Slot>,
+    bag: Vec<Flying>,
+    blocked: BTreeMap<(usize, usize), u64>,
+    truth: Truth,
+    next: u64,
+}
+
+impl Sim {
+    pub fn new(plan: Plan) -> Self {
+        let mut rng = SmallRng::seed_from_u64(plan.seed);
+        let slots = (0..plan.nodes).map(|i| Slot {
+            name: Name::from(format!("c{i}")),
+            node: None,
+            disk: Disk {
+                id: MemberId(rng.random()),
+                ..Disk::default()
+            },
+            machine: Tickets::default(),
+            proposed: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            down_until: 0,
+            paused_until: 0,
+            clock_ppm: rng.random_range(990_000..=1_010_000),
+        });
+        let slots = slots.collect();
+        Self {
+            plan,
+            rng,
+            micros: 1_000_000,
+            slots,
+            bag: Vec::new(),
+            blocked: BTreeMap::new(),
+            truth: Truth::default(),
+            next: 0,
+        }
+    }
+
+    /// Runs with faults, then without, and checks that the group goes on.
+    pub fn run(&mut self) -> Result<(), Violation> {
+        for _ in 0..self.plan.steps {
+            self.add_faults();
+            self.step()?;
+        }
+        self.heal();
+        let before = self.truth.accepted;
+        for _ in 0..6_000 {
+            self.step()?;
+            if self.truth.accepted > before && self.all_caught_up() {
+                return Ok(());
+            }
+        }
+        Err(format!(
+            "no progress after all faults ended: {}",
+            self.describe()
+        ))
+    }
+
+    fn describe(&self) -> String {
+        let nodes = self.slots.iter().map(|s| {
+            let node = s.node.as_ref().map(|n| {
+                (
+                    n.part(),
+                    n.term(),
+                    n.commit(),
+                    n.last(),
+                    n.members().to_vec(),
+                )
+            });
+            format!("{} {:?}: {node:?}", s.name, s.disk.id)
+        });
+        nodes.collect::<Vec<_>>().join("\n")
+    }
+
+    fn all_caught_up(&self) -> bool {
+        let full = self.plan.nodes;
+        self.slots.iter().all(|s| {
+            s.node.as_ref().is_some_and(|n| {
+                let voters = n.members().iter().filter(|m| m.voter).count();
+                n.applied() >= self.truth.accepted && voters == full
+            })
+        })
+    }
+
+    fn chance(&mut self, per_mille: u32) -> bool {
+        self.rng.random_ratio(per_mille.min(10_000), 10_000)
+    }
+
+    fn now(&self, slot: usize) -> Mono {
+        Mono(self.micros / 1_000 * self.slots[slot].clock_ppm / 1_000)
+    }
+
+    fn step(&mut self) -> Result<(), Violation> {
+        self.micros += self.rng.random_range(1..=STEP_MICROS);
+        for i in 0..self.slots.len() {
+            if self.slots[i].node.is_none() && self.slots[i].down_until <= self.micros {
+                self.start(i);
+            }
+            if self.slots[i].node.is_some() && self.slots[i].paused_until <= self.micros {
+                self.sync(i);
+                self.deliver(i);
+                self.use_node(i);
+                self.flush(i)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn start(&mut self, i: usize) {
+        let now = self.now(i);
+        let names = self.slots.iter().map(|s| Arc::clone(&s.name)).collect();
+        let seed = self.rng.random();
+        let slot = &mut self.slots[i];
+        let options = NodeOptions {
+            id: slot.disk.id,
+            name: Arc::clone(&slot.name),
+            members: names,
+            keep_entries: 6,
+            seed,
+            broken: self.plan.broken,
+            ..NodeOptions::default()
+        };
+        slot.machine = Tickets::default();
+        slot.node = Node::new(options, slot.disk.durable.clone(), now).ok();
+    }
+
+    fn sync(&mut self, i: usize) {
+        let now = self.now(i);
+        let mut count = self.rng.random_range(0..=2);
+        while count > 0 && self.chance(7_000) {
+            count -= 1;
+            let slot = &mut self.slots[i];
+            if let (Some(seq), Some(node)) = (slot.disk.sync_one(), &mut slot.node) {
+                node.synced(now, seq);
+            }
+        }
+    }
+
+    fn deliver(&mut self, i: usize) {
+        let now = self.now(i);
+        let micros = self.micros;
+        let due = self.bag.extract_if(.., |f| f.to == i && f.at <= micros);
+        let mut due: Vec<Flying> = due.collect();
+        due.sort_by_key(|f| f.at);
+        if let Some(node) = &mut self.slots[i].node {
+            due.into_iter().for_each(|f| node.receive(now, f.mail));
+        }
+    }
+
+    fn use_node(&mut self, i: usize) {
+        let now = self.now(i);
+        let propose = self.chance(800);
+        let read = self.chance(800);
+        let ticket = self.rng.random_range(0..TICKETS);
+        self.next += 1;
+        let value = self.next;
+        let accepted = self.truth.accepted;
+        let slot = &mut self.slots[i];
+        let Some(node) = &mut slot.node else {
+            return;
+        };
+        node.tick(now);
+        if propose && let Some((term, index)) = node.propose(encode(ticket, value)) {
+            slot.proposed.insert(index, term);
+        }
+        if read && node.read(value) {
+            slot.reads.insert(value, accepted);
+        }
+    }
+
+    fn flush(&mut self, i: usize) -> Result<(), Violation> {
+        let now = self.now(i);
+        let Some(node) = &mut self.slots[i].node else {
+            return Ok(());
+        };
+        let effects = node.flush(now);
+        self.carry_out(i, effects)?;
+        let slot = &mut self.slots[i];
+        let Some(node) = &mut slot.node else {
+            return Ok(());
+        };
+        let applied = node.applied();
+        if applied.0 >= node.image_index().0 + IMAGE_ENTRIES && node.part() != Part::Failed {
+            node.compact(applied, slot.machine.image());
+        }
+        Ok(())
+    }
+
+    fn carry_out(&mut self, i: usize, effects: Effects) -> Result<(), Violation> {
+        for outgoing in effects.send {
+            let to = self.slots.iter().position(|s| s.name == outgoing.name);
+            if let Some(to) = to {
+                self.post(i, to, outgoing.mail);
+            }
+        }
+        let slot = &mut self.slots[i];
+        if !effects.writes.is_empty() {
+            let (seq, writes) = (effects.seq, effects.writes);
+            slot.disk.queue.push_back(Batch { seq, writes });
+        }
+        if let Some(image) = effects.restore {
+            slot.machine = Tickets::restore(&image.state);
+            self.truth.see_image(image.index, slot.machine.image())?;
+        }
+        for entry in effects.apply {
+            self.apply(i, &entry)?;
+        }
+        effects
+            .reads
+            .into_iter()
+            .try_for_each(|r| self.end_read(i, r))
+    }
+
+    fn apply(&mut self, i: usize, entry: &Entry) -> Result<(), Violation> {
+        self.truth.choose(entry)?;
+        let slot = &mut self.slots[i];
+        let term = slot.proposed.remove(&entry.index);
+        if let Payload::Command(command) = &entry.payload {
+            let (ticket, winner) = slot.machine.apply(command);
+            if term == Some(entry.term) {
+                self.truth.accept(entry.index, ticket, winner)?;
+            }
+        }
+        self.truth
+            .see_image(entry.index, self.slots[i].machine.image())
+    }
+
+    fn end_read(&mut self, i: usize, read: ReadDone) -> Result<(), Violation> {
+        let floor = self.slots[i].reads.remove(&read.token);
+        match (floor, read.index) {
+            (Some(floor), Some(index)) if index < floor => Err(format!(
+                "a read at index {index} began when {floor} was accepted"
+            )),
+            _ => Ok(()),
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, mail: Mail) {
+        let blocked = self.blocked.get(&(from, to));
+        if blocked.is_some_and(|until| *until > self.micros) || self.chance(300) {
+            return;
+        }
+        let copies = if self.chance(200) { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = if self.chance(200) { 300_000 } else { 6_000 };
+            let at = self.micros + self.rng.random_range(200..late);
+            let mail = mail.clone();
+            self.bag.push(Flying { at, to, mail });
+        }
+    }
+
+    fn add_faults(&mut self) {
+        let i = self.rng.random_range(0..self.slots.len());
+        let j = self.rng.random_range(0..self.slots.len());
+        let until = self.micros + self.rng.random_range(10_000..2_500_000);
+        match self.rng.random_range(0..2_500) {
+            0..6 => self.crash(i, until),
+            6..9 if self.may_wipe(i) => self.wipe(i, until),
+            9..12 => self.slots[i].paused_until = until,
+            12..17 => drop(self.blocked.insert((i, j), until)),
+            17..19 => self.isolate(i, until),
+            19..21 => self.fail_disk(i),
+            21..23 => self.stop(i, until),
+            _ => {}
+        }
+    }
+
+    /// Loses what is not synced; a batch that was being written is torn.
+    fn crash(&mut self, i: usize, until: u64) {
+        let synced = self.rng.random_range(0..=self.slots[i].disk.queue.len());
+        let slot = &mut self.slots[i];
+        slot.node = None;
+        slot.down_until = until;
+        for _ in 0..synced {
+            slot.disk.sync_one();
+        }
+        slot.disk.queue.clear();
+        slot.proposed.clear();
+        slot.reads.clear();
+    }
+
+    fn wipe(&mut self, i: usize, until: u64) {
+        self.crash(i, until);
+        self.slots[i].disk = Disk {
+            id: MemberId(self.rng.random()),
+            ..Disk::default()
+        };
+    }
+
+    /// A wipe may come right after a repair, but never cost the quorum.
+    fn may_wipe(&self, i: usize) -> bool {
+        let nodes = self.slots.iter().filter_map(|s| s.node.as_ref());
+        let Some(best) = nodes.max_by_key(|n| (n.commit(), n.term())) else {
+            return false;
+        };
+        let voters = best.members().iter().filter(|m| m.voter);
+        let ids: Vec<MemberId> = voters.map(|m| m.id).collect();
+        let left = self.slots.iter().enumerate().filter(|(k, _)| *k != i);
+        let kept = left.filter(|(_, s)| ids.contains(&s.disk.id)).count();
+        kept > ids.len() / 2 && ids.len() == self.plan.nodes
+    }
+
+    fn isolate(&mut self, i: usize, until: u64) {
+        for j in 0..self.slots.len() {
+            self.blocked.insert((i, j), until);
+            self.blocked.insert((j, i), until);
+        }
+    }
+
+    fn fail_disk(&mut self, i: usize) {
+        let synced = self.rng.random_range(0..=self.slots[i].disk.queue.len());
+        let slot = &mut self.slots[i];
+        for _ in 0..synced {
+            slot.disk.sync_one();
+        }
+        slot.disk.queue.clear();
+        if let Some(node) = &mut slot.node {
+            node.fail();
+        }
+    }
+
+    fn stop(&mut self, i: usize, until: u64) {
+        let now = self.now(i);
+        let Some(node) = &mut self.slots[i].node else {
+            return;
+        };
+        node.stop();
+        for outgoing in node.flush(now).send {
+            let to = self.slots.iter().position(|s| s.name == outgoing.name);
+            self.post(i, to.unwrap_or(i), outgoing.mail);
+        }
+        self.crash(i, until);
+    }
+
+    /// Ends all faults. A member whose disk failed is restarted.
+    fn heal(&mut self) {
+        self.blocked.clear();
+        for i in 0..self.slots.len() {
+            self.slots[i].paused_until = 0;
+            self.slots[i].down_until = 0;
+            let node = self.slots[i].node.as_ref();
+            if node.is_some_and(|n| n.part() == Part::Failed) {
+                self.crash(i, 0);
+            }
+        }
+    }
+}
