--- a/src/cardamomtally/net/mod.rs
+++ b/src/cardamomtally/net/mod.rs
@@ -4,6 +4,7 @@
 //! from entry to agent over HTTP ([`run`]), answered as a stream of frames.
 
 pub mod codec;
+pub mod packed;
 pub mod run;
 pub mod transport;
 pub mod wire;
--- a/src/cardamomtally/net/wire.rs
+++ b/src/cardamomtally/net/wire.rs
@@ -129,7 +129,7 @@
     #[serde(rename = "p")]
     Poll(Poll),
     /// Apply operations to the ledger.
-    #[serde(rename = "c")]
+    #[serde(rename = "c", with = "super::packed")]
     Claims(Vec<ClaimOp>),
 }
 
