Add the ledger of claims, sessions and bills

Claims are write-once with compare-and-set of attempts. Time is the sum of what leaders' monotonic clocks advanced, carried in commands.

--- /dev/null
+++ b/src/cardamomtally/ledger/client.rs
@@ -0,0 +1,191 @@
+//! The ledger as a process far from it sees it.
+//!
+//! Concurrent operations are gathered into one request to a control member. If
+//! the member does not answer in time, the same batch goes to the next one:
+//! operations are idempotent. What still has no answer at its deadline ends as
+//! an error.
+
+use crate::{
+    core::claim::{ClaimError, ClaimOp, ClaimReply, ClaimStore},
+    net::{
+        transport::Transport,
+        wire::{Request, Response},
+    },
+    settings::common::PollSettings,
+};
+use futures::future::BoxFuture;
+use std::{
+    fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+
+/// Most operations in one request.
+const BATCH_LIMIT: usize = 256;
+
+/// Most requests in flight at once; operations gather meanwhile.
+const FLIGHT_LIMIT: usize = 4;
+
+/// Most operations that wait to be sent.
+const QUEUE_LIMIT: usize = 8_192;
+
+/// Rounds over all members before an operation fails.
+const ROUNDS: u32 = 3;
+
+/// Shortest pause between two rounds.
+const PAUSE_MS: u64 = 40;
+
+/// A claim store behind control members.
+pub struct Client {
+    queue: mpsc::Sender<Job>,
+}
+
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Client").finish_non_exhaustive()
+    }
+}
+
+#[derive(Debug)]
+struct Job {
+    op: ClaimOp,
+    reply: oneshot::Sender<Result<ClaimReply, ClaimError>>,
+}
+
+#[derive(Debug)]
+struct Sender {
+    members: Vec<String>,
+    preferred: AtomicUsize,
+    timeout: Duration,
+    transport: Arc<dyn Transport>,
+}
+
+impl Client {
+    /// Starts a client on the current runtime.
+    #[must_use]
+    pub fn start(settings: &PollSettings, transport: Arc<dyn Transport>) -> Self {
+        let (queue, jobs) = mpsc::channel(QUEUE_LIMIT);
+        let sender = Sender {
+            members: settings.members.clone(),
+            preferred: AtomicUsize::new(0),
+            timeout: settings.timeout.0,
+            transport,
+        };
+        tokio::spawn(gather(jobs, Arc::new(sender)));
+        Self { queue }
+    }
+}
+
+impl ClaimStore for Client {
+    fn apply(&self, op: ClaimOp) -> BoxFuture<'_, Result<ClaimReply, ClaimError>> {
+        Box::pin(async move {
+            let (reply, answer) = oneshot::channel();
+            let job = Job { op, reply };
+            if self.queue.try_send(job).is_err() {
+                return Err(ClaimError {
+                    reason: "too many operations wait for the ledger".to_owned(),
+                    refused: true,
+                });
+            }
+            answer.await.unwrap_or_else(|_closed| {
+                Err(ClaimError {
+                    reason: "the process is stopping".to_owned(),
+                    refused: false,
+                })
+            })
+        })
+    }
+}
+
+async fn gather(mut jobs: mpsc::Receiver<Job>, sender: Arc<Sender>) {
+    let flights = Arc::new(Semaphore::new(FLIGHT_LIMIT));
+    loop {
+        let Ok(permit) = Arc::clone(&flights).acquire_owned().await else {
+            return;
+        };
+        let mut batch = Vec::new();
+        if jobs.recv_many(&mut batch, BATCH_LIMIT).await == 0 {
+            return;
+        }
+        let sender = Arc::clone(&sender);
+        tokio::spawn(async move {
+            sender.send(batch).await;
+            drop(permit);
+        });
+    }
+}
+
+impl Sender {
+    async fn send(&self, batch: Vec<Job>) {
+        let (ops, waiting): (Vec<ClaimOp>, Vec<_>) =
+            batch.into_iter().map(|job| (job.op, job.reply)).unzip();
+        match self.ask_all(ops).await {
+            Ok(replies) => {
+                for (reply, answer) in waiting.into_iter().zip(replies) {
+                    // A caller that has gone needs no answer.
+                    let _gone = reply.send(Ok(answer));
+                }
+            }
+            Err(error) => {
+                for reply in waiting {
+                    let _gone = reply.send(Err(error.clone()));
+                }
+            }
+        }
+    }
+
+    /// Asks each member in turn, from the one that answered last.
+    async fn ask_all(&self, ops: Vec<ClaimOp>) -> Result<Vec<ClaimReply>, ClaimError> {
+        let mut last = ClaimError {
+            reason: "no control member is configured".to_owned(),
+            refused: true,
+        };
+        let mut refused = true;
+        for round in 0..ROUNDS {
+            let start = self.preferred.load(Ordering::Relaxed);
+            for step in 0..self.members.len() {
+                let at = (start + step) % self.members.len();
+                match self.ask(&self.members[at], ops.clone()).await {
+                    Ok(replies) => {
+                        self.preferred.store(at, Ordering::Relaxed);
+                        return Ok(replies);
+                    }
+                    Err(error) => {
+                        refused &= error.refused;
+                        last = error;
+                    }
+                }
+            }
+            tokio::time::sleep(pause(round)).await;
+        }
+        Err(ClaimError { refused, ..last })
+    }
+
+    async fn ask(&self, member: &str, ops: Vec<ClaimOp>) -> Result<Vec<ClaimReply>, ClaimError> {
+        let expected = ops.len();
+        let request = Request::Claims(ops);
+        let answer = self.transport.call(member, request, self.timeout).await;
+        match answer {
+            Ok(Response::Claims(replies)) if replies.len() == expected => Ok(replies),
+            Ok(Response::Unavailable { reason, refused }) => Err(ClaimError { reason, refused }),
+            Ok(_) => Err(ClaimError {
+                reason: format!("{member} sent an answer of another kind"),
+                refused: false,
+            }),
+            Err(error) => Err(ClaimError {
+                reason: error.reason,
+                refused: false,
+            }),
+        }
+    }
+}
+
+/// Returns a pause that grows with the rounds, with jitter.
+fn pause(round: u32) -> Duration {
+    let base_ms = PAUSE_MS << round;
+    Duration::from_millis(rand::random_range(base_ms..=base_ms * 2))
+}
--- /dev/null
+++ b/src/cardamomtally/ledger/local.rs
@@ -0,0 +1,44 @@
+//! A claim store that stands directly on a log, for tests and benches.
+
+use super::shards::Shards;
+use crate::core::{
+    claim::{ClaimError, ClaimOp, ClaimReply, ClaimStore},
+    clock::{Clock, SystemClock},
+    log::Log,
+};
+use futures::future::BoxFuture;
+use std::sync::Arc;
+
+/// A claim store in the process of the log.
+#[derive(Debug)]
+pub struct Local {
+    shards: Shards,
+}
+
+impl Local {
+    /// Builds a store over the shards 1 to `count` of a log.
+    #[must_use]
+    pub fn new(log: Arc<dyn Log>, count: u16) -> Self {
+        Self::with_clock(log, count, Arc::new(SystemClock::default()))
+    }
+
+    /// Builds a store whose time is read from `clock`.
+    #[must_use]
+    pub fn with_clock(log: Arc<dyn Log>, count: u16, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            shards: Shards::new(log, count, clock),
+        }
+    }
+}
+
+impl ClaimStore for Local {
+    fn apply(&self, op: ClaimOp) -> BoxFuture<'_, Result<ClaimReply, ClaimError>> {
+        Box::pin(async move {
+            let mut replies = self.shards.apply(vec![op]).await?;
+            replies.pop().ok_or_else(|| ClaimError {
+                reason: "the shard gave no reply".to_owned(),
+                refused: false,
+            })
+        })
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/ledger/machine.rs
@@ -0,0 +1,180 @@
+//! The state machine of one shard.
+
+use super::{
+    bills::{BillState, Bills},
+    breach::Breach,
+    command::{Command, Tick},
+    requests::{Kept, Requests},
+    sessions::{SessionState, Sessions},
+};
+use crate::{
+    core::{
+        claim::{ClaimOp, ClaimReply},
+        id::Index,
+        log::Machine,
+    },
+    net::codec,
+};
+use serde::{Deserialize, Serialize};
+
+/// Ledger time between two purges.
+const PURGE_EVERY_MS: u64 = 10_000;
+
+/// Claims and bills of one shard.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// The last command that was applied.
+    index: Index,
+    now_ms: u64,
+    tick: Tick,
+    purged_ms: u64,
+    requests: Requests,
+    sessions: Sessions,
+    bills: Bills,
+    breach: Breach,
+}
+
+/// A snapshot of a shard.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct State {
+    #[serde(rename = "x")]
+    index: Index,
+    #[serde(rename = "n")]
+    now_ms: u64,
+    #[serde(rename = "t")]
+    tick: Tick,
+    #[serde(rename = "p")]
+    purged_ms: u64,
+    #[serde(rename = "r")]
+    requests: Vec<Kept>,
+    #[serde(rename = "s")]
+    sessions: SessionState,
+    #[serde(rename = "b")]
+    bills: BillState,
+}
+
+/// What a shard holds, for metrics and benches.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Claims of requests.
+    pub requests: usize,
+    /// Sessions.
+    pub sessions: usize,
+    /// Time of the ledger in milliseconds.
+    pub now_ms: u64,
+}
+
+impl Ledger {
+    /// Builds an empty shard in which tests may break a rule.
+    #[must_use]
+    pub fn with_breach(breach: Breach) -> Self {
+        Self {
+            requests: Requests::new(Vec::new(), breach),
+            sessions: Sessions::new(SessionState::default(), breach),
+            bills: Bills::new(BillState::default(), breach),
+            breach,
+            ..Self::default()
+        }
+    }
+
+    /// Returns what the shard holds.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        Counts {
+            requests: self.requests.len(),
+            sessions: self.sessions.len(),
+            now_ms: self.now_ms,
+        }
+    }
+
+    /// Applies one operation.
+    pub fn apply_op(&mut self, op: ClaimOp) -> ClaimReply {
+        let now_ms = self.now_ms;
+        match op {
+            ClaimOp::Begin { key, claim, ttl } => self.requests.begin(key, claim, ttl, now_ms),
+            ClaimOp::Reassign { key, from, claim } => {
+                self.requests.reassign(key, from, claim, now_ms)
+            }
+            ClaimOp::Settle {
+                key,
+                attempt,
+                progress,
+            } => self.requests.settle(key, attempt, progress, now_ms),
+            ClaimOp::Look { key } => self.requests.look(key, now_ms),
+            ClaimOp::Session {
+                key,
+                from,
+                version,
+                ttl,
+            } => self.sessions.set(key, from.as_ref(), &version, ttl, now_ms),
+            ClaimOp::Bill(bill) => ClaimReply::Bill {
+                first: self.bills.record(bill, now_ms),
+            },
+            ClaimOp::Bills => ClaimReply::Bills(self.bills.sums()),
+        }
+    }
+
+    /// Advances the ledger's time by what one leader's clock has advanced. The
+    /// first reading of a new leader only sets the base.
+    fn advance(&mut self, tick: Tick) {
+        if tick.ticker == self.tick.ticker {
+            let step_ms = tick.elapsed_ms.saturating_sub(self.tick.elapsed_ms);
+            self.now_ms += step_ms;
+            self.tick.elapsed_ms += step_ms;
+        } else {
+            self.tick = tick;
+        }
+        if self.now_ms >= self.purged_ms + PURGE_EVERY_MS {
+            self.purge();
+        }
+    }
+
+    fn purge(&mut self) {
+        self.purged_ms = self.now_ms;
+        self.requests.purge(self.now_ms);
+        self.sessions.purge(self.now_ms);
+        self.bills.purge(self.now_ms);
+    }
+}
+
+impl Machine for Ledger {
+    fn apply(&mut self, index: Index, command: &[u8]) -> Vec<u8> {
+        self.index = index;
+        let Ok(command) = Command::decode(command) else {
+            return codec::encode(&Vec::<ClaimReply>::new());
+        };
+        if let Some(tick) = command.tick {
+            self.advance(tick);
+        }
+        let ops = command.ops.into_iter();
+        let replies: Vec<ClaimReply> = ops.map(|op| self.apply_op(op)).collect();
+        codec::encode(&replies)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        codec::encode(&State {
+            index: self.index,
+            now_ms: self.now_ms,
+            tick: self.tick,
+            purged_ms: self.purged_ms,
+            requests: self.requests.to_sorted(),
+            sessions: self.sessions.to_state(),
+            bills: self.bills.to_state(),
+        })
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> eyre::Result<()> {
+        let state: State = codec::decode(bytes)?;
+        *self = Self {
+            index: state.index,
+            now_ms: state.now_ms,
+            tick: state.tick,
+            purged_ms: state.purged_ms,
+            requests: Requests::new(state.requests, self.breach),
+            sessions: Sessions::new(state.sessions, self.breach),
+            bills: Bills::new(state.bills, self.breach),
+            breach: self.breach,
+        };
+        Ok(())
+    }
+}
