--- a/src/cardamomtally/core/engine.rs
+++ b/src/cardamomtally/core/engine.rs
@@ -1,6 +1,9 @@
 //! The border to a backend server: a model engine or a plain service.
 
-use crate::core::{id::RequestId, order::Order};
+use crate::core::{
+    id::{AttemptId, RequestId},
+    order::Order,
+};
 use bytes::Bytes;
 use futures::{future::BoxFuture, stream::BoxStream};
 use serde::{Deserialize, Serialize};
@@ -11,6 +14,8 @@
 pub struct EngineCall {
     /// The request, which the backend server echoes.
     pub request: RequestId,
+    /// The attempt, which a plain service gets as its idempotency key.
+    pub attempt: AttemptId,
     /// HTTP method.
     pub method: String,
     /// Path and query.
--- a/src/cardamomtally/lease/mod.rs
+++ b/src/cardamomtally/lease/mod.rs
@@ -38,6 +38,9 @@
 
     /// Adds a crash of a backend server to the next poll, and polls at once.
     fn crash(&self, crash: CrashReport);
+
+    /// Polls at once, if the process polls at all.
+    fn poll_now(&self) {}
 }
 
 /// A lease that is set by hand, for tests and benches.
--- a/src/cardamomtally/net/run.rs
+++ b/src/cardamomtally/net/run.rs
@@ -28,6 +28,10 @@
 /// Header: JSON of [`Load`], on each rejection and answer of an agent.
 pub const LOAD_HEADER: &str = "x-cardamomtally-load";
 
+/// Reason of a failed answer whose backend server crashed. Its entry repeats the
+/// request, if at all, as a suspect.
+pub const CRASH_REASON: &str = "the backend server crashed";
+
 /// Longest frame in bytes.
 pub const FRAME_LIMIT_BYTES: usize = 1 << 20;
 
@@ -60,6 +64,10 @@
     pub claim: Option<crate::core::claim::ClaimKey>,
     /// The agent's incarnation that the claim names; another one rejects it.
     pub agent: Option<Incarnation>,
+    /// Whether an earlier attempt of this request ended with a crash of its
+    /// backend server.
+    #[serde(default)]
+    pub suspect: bool,
 }
 
 /// What runs an attempt.
