--- a/src/cardamomtally/core/arena.rs
+++ b/src/cardamomtally/core/arena.rs
@@ -68,6 +68,14 @@
             .map(|(i, item)| (K::from_index(i), item))
     }
 
+    /// Iterates over keys and items that may be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (K, &mut V)> {
+        self.items
+            .iter_mut()
+            .enumerate()
+            .map(|(i, item)| (K::from_index(i), item))
+    }
+
     /// Returns the number of items.
     #[must_use]
     pub fn len(&self) -> usize {
