--- /dev/null
+++ b/crates/cardamomtally-standin/src/vms.rs
@@ -0,0 +1,87 @@
+//! The platform's list of VMs, which lags behind the truth.
+
+use crate::host::Host;
+use rocket::{State, get, http::Status, put, routes, serde::json::Json};
+use serde::{Deserialize, Serialize};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+/// One VM of the list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Vm {
+    /// Its name.
+    pub name: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+#[derive(Debug)]
+struct Shared {
+    lag: Duration,
+    lists: Mutex<Vec<(Instant, Vec<Vm>)>>,
+}
+
+/// A running platform list.
+#[derive(Debug)]
+pub struct Vms {
+    host: Host,
+    shared: Arc<Shared>,
+}
+
+impl Vms {
+    /// Starts an empty list that shows changes after `lag`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn start(listen: SocketAddr, lag: Duration) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            lag,
+            lists: Mutex::default(),
+        });
+        let state = Arc::clone(&shared);
+        let host = Host::start(listen, 1, |_killer| {
+            Arc::new(move |config| {
+                rocket::custom(config)
+                    .manage(Arc::clone(&state))
+                    .mount("/", routes![vms, set_vms])
+            })
+        })?;
+        Ok(Self { host, shared })
+    }
+
+    /// Returns its address.
+    pub const fn addr(&self) -> SocketAddr {
+        self.host.addr()
+    }
+
+    /// Replaces the list; callers see it after the lag.
+    pub fn set(&self, vms: Vec<Vm>) {
+        self.shared.set(vms);
+    }
+}
+
+impl Shared {
+    fn set(&self, vms: Vec<Vm>) {
+        let mut lists = self.lists.lock().unwrap_or_else(PoisonError::into_inner);
+        lists.push((Instant::now() + self.lag, vms));
+    }
+}
+
+#[get("/vms")]
+fn vms(shared: &State<Arc<Shared>>) -> Json<Vec<Vm>> {
+    let now = Instant::now();
+    let lists = shared.lists.lock().unwrap_or_else(PoisonError::into_inner);
+    let seen = lists.iter().rev().find(|(from, _)| *from <= now);
+    Json(seen.map(|(_, vms)| vms.clone()).unwrap_or_default())
+}
+
+#[put("/vms", data = "<vms>")]
+fn set_vms(vms: Json<Vec<Vm>>, shared: &State<Arc<Shared>>) -> Status {
+    shared.set(vms.into_inner());
+    Status::NoContent
+}
