Append events to a file where the settings name one

Cause: the ring forgets; an operator may want a longer record. Conclusion: events reach the file as JSON lines in their order, written by a thread of its own.

--- a/src/cardamomtally/daemon/launch.rs
+++ b/src/cardamomtally/daemon/launch.rs
@@ -100,7 +100,7 @@
         settings.log(),
         settings.timeline(),
         metrics,
-    );
+    )?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.http().threads)
         .thread_name("traffic")
--- a/src/cardamomtally/daemon/mod.rs
+++ b/src/cardamomtally/daemon/mod.rs
@@ -42,22 +42,29 @@
 
 impl Context {
     /// Builds a context from settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the event file cannot be opened.
     pub fn new(
         process: &ProcessSettings,
         log: &LogSettings,
         timeline: &TimelineSettings,
         metrics: PrometheusHandle,
-    ) -> Self {
+    ) -> eyre::Result<Self> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
-        let events = Recorder::new(&process.name, Arc::clone(&clock), timeline.events);
-        Self {
+        let mut events = Recorder::new(&process.name, Arc::clone(&clock), timeline.events);
+        if let Some(path) = &timeline.file {
+            events = events.with_file(path)?;
+        }
+        Ok(Self {
             log: log::root(log, &process.name),
             clock,
             events: Arc::new(events),
             gate: Arc::default(),
             ready: Arc::default(),
             metrics,
-        }
+        })
     }
 }
 
--- a/src/cardamomtally/timeline/recorder.rs
+++ b/src/cardamomtally/timeline/recorder.rs
@@ -1,13 +1,27 @@
-//! A process's bounded ring of events.
+//! A process's bounded ring of events, and optionally a file of them.
+//!
+//! The file is written by a thread of its own behind a bounded queue. When the
+//! queue is full, events are left out of the file, so that recording never
+//! blocks traffic.
 
 use super::hlc::{Hlc, Stamp};
 use crate::core::{clock::Clock, id::Name};
+use eyre::WrapErr as _;
 use serde::{Deserialize, Serialize};
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, PoisonError},
+    fs::{File, OpenOptions},
+    io::{BufWriter, Write as _},
+    path::Path,
+    sync::{
+        Arc, Mutex, PoisonError,
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
 };
 
+/// Events that may wait to be written to the file.
+const QUEUE_EVENTS: usize = 4_096;
+
 /// Something that happened in a process.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Event {
@@ -31,6 +45,7 @@
     hlc: Hlc,
     limit: usize,
     ring: Mutex<VecDeque<Event>>,
+    file: Option<SyncSender<Event>>,
 }
 
 impl Recorder {
@@ -43,9 +58,30 @@
             hlc: Hlc::default(),
             limit,
             ring: Mutex::default(),
+            file: None,
         }
     }
 
+    /// Appends events to a file, too, as JSON lines.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be opened or the thread not started.
+    pub fn with_file(mut self, path: &Path) -> eyre::Result<Self> {
+        let file = OpenOptions::new()
+            .append(true)
+            .create(true)
+            .open(path)
+            .wrap_err_with(|| format!("failed to open event file `{}`", path.display()))?;
+        let (sender, receiver) = sync_channel(QUEUE_EVENTS);
+        std::thread::Builder::new()
+            .name("events".to_owned())
+            .spawn(move || write_events(file, &receiver))
+            .wrap_err("failed to start the thread that writes events")?;
+        self.file = Some(sender);
+        Ok(self)
+    }
+
     /// Records an event.
     pub fn record(&self, part: &str, subject: &impl ToString, text: impl Into<String>) {
         if self.limit == 0 {
@@ -58,6 +94,10 @@
             subject: subject.to_string(),
             text: text.into(),
         };
+        if let Some(file) = &self.file {
+            // A full queue leaves the event out of the file; the ring has it.
+            let _ignored = file.try_send(event.clone());
+        }
         let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
         if ring.len() == self.limit {
             ring.pop_front();
@@ -82,3 +122,20 @@
         ring.iter().cloned().collect()
     }
 }
+
+/// Writes events until the recorder is dropped or the file fails.
+fn write_events(file: File, events: &Receiver<Event>) {
+    let mut out = BufWriter::new(file);
+    while let Ok(event) = events.recv() {
+        let mut next = Some(event);
+        while let Some(event) = next {
+            if serde_json::to_writer(&mut out, &event).is_err() || out.write_all(b"\n").is_err() {
+                return;
+            }
+            next = events.try_recv().ok();
+        }
+        if out.flush().is_err() {
+            return;
+        }
+    }
+}
--- a/tests/testsuite/timeline.rs
+++ b/tests/testsuite/timeline.rs
@@ -4,9 +4,12 @@
     core::clock::{Clock, Mono},
     timeline::{Event, Recorder, Stamp, merge::merge, render},
 };
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 /// A clock that is set by hand.
@@ -100,3 +103,34 @@
     assert!(html.contains("&lt;script&gt;"), "{html}");
     assert!(!html.contains("<script>"), "{html}");
 }
+
+#[test]
+fn the_file_gets_each_event_as_a_json_line() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let path = folder.path().join("events");
+    let recorder = recorder("entry", 5_000, 8)
+        .with_file(&path)
+        .expect("a file");
+
+    recorder.record("request", &"request 1", "one");
+    recorder.record("request", &"request 2", "two");
+
+    let lines = wait_for_lines(&path, 2);
+    let events: Vec<Event> = lines
+        .iter()
+        .map(|line| serde_json::from_str(line).expect("an event"))
+        .collect();
+    assert_eq!(events, recorder.events());
+}
+
+fn wait_for_lines(path: &std::path::Path, count: usize) -> Vec<String> {
+    let deadline = Instant::now() + Duration::from_secs(30);
+    loop {
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let lines: Vec<String> = text.lines().map(str::to_owned).collect();
+        if lines.len() >= count || Instant::now() > deadline {
+            return lines;
+        }
+        std::thread::yield_now();
+    }
+}
