--- /dev/null
+++ b/src/cardamomtally/control/processes.rs
@@ -0,0 +1,101 @@
+//! Which processes hold what, as this member has learnt from their polls.
+
+use crate::{
+    core::{
+        clock::Mono,
+        digest::Digest,
+        id::{Incarnation, Index, Name},
+        map::FastMap,
+    },
+    net::{
+        status::{ProcessView, Standing},
+        wire::{Identity, Poll},
+    },
+};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+/// How long a process that has fallen silent is remembered.
+const FORGET: Duration = Duration::from_secs(3_600);
+
+/// Processes that are remembered at most.
+const PROCESSES_MAX: usize = 20_000;
+
+#[derive(Clone, Debug)]
+struct Process {
+    identity: Identity,
+    holds: Index,
+    digest: Digest,
+    polled: Mono,
+}
+
+/// The processes that poll this member.
+#[derive(Debug, Default)]
+pub struct Processes {
+    known: FastMap<Incarnation, Process>,
+}
+
+impl Processes {
+    /// Takes note of a poll. Returns whether the process's identity is known.
+    pub fn note(&mut self, poll: &Poll, now: Mono) -> bool {
+        if let Some(identity) = &poll.identity {
+            self.forget(now);
+            self.known.insert(
+                poll.incarnation,
+                Process {
+                    identity: identity.clone(),
+                    holds: poll.holds,
+                    digest: poll.digest,
+                    polled: now,
+                },
+            );
+            return true;
+        }
+        let Some(process) = self.known.get_mut(&poll.incarnation) else {
+            return false;
+        };
+        process.holds = poll.holds;
+        process.digest = poll.digest;
+        process.polled = now;
+        true
+    }
+
+    /// Returns all processes.
+    pub fn views(&self, now: Mono) -> Vec<ProcessView> {
+        let view = |(incarnation, process): (&Incarnation, &Process)| ProcessView {
+            name: Arc::clone(&process.identity.name),
+            role: process.identity.role,
+            centre: Arc::clone(&process.identity.centre),
+            http: Arc::clone(&process.identity.http),
+            incarnation: *incarnation,
+            holds: process.holds,
+            digest: process.digest,
+            age_ms: now.since(process.polled).as_millis() as u64,
+            standing: Standing::default(),
+        };
+        self.known.iter().map(view).collect()
+    }
+
+    fn forget(&mut self, now: Mono) {
+        self.known.retain(|_, p| now.since(p.polled) < FORGET);
+        if self.known.len() >= PROCESSES_MAX {
+            let oldest = self.known.iter().min_by_key(|(_, p)| p.polled);
+            let oldest = oldest.map(|(incarnation, _)| *incarnation);
+            oldest.and_then(|incarnation| self.known.remove(&incarnation));
+        }
+    }
+}
+
+/// Merges what members know: of each name the run that polled last.
+#[must_use]
+pub fn merge(views: impl IntoIterator<Item = ProcessView>) -> Vec<ProcessView> {
+    let mut merged = BTreeMap::<Name, ProcessView>::new();
+    for view in views {
+        let newer = merged
+            .get(&view.name)
+            .is_none_or(|held| view.age_ms < held.age_ms);
+        if newer {
+            merged.insert(Arc::clone(&view.name), view);
+        }
+    }
+    merged.into_values().collect()
+}
--- /dev/null
+++ b/src/cardamomtally/control/rounds.rs
@@ -0,0 +1,179 @@
+//! Quorum rounds that answer polls.
+//!
+//! Polls that arrive wait for the next round. A round takes all that wait,
+//! confirms the log with a quorum once, and answers them from the state that is
+//! applied then. So each answer rests on a confirmation that began after its
+//! poll had arrived, whatever the number of polls.
+
+use super::{
+    machine::{Store, View},
+    processes::Processes,
+};
+use crate::{
+    core::{
+        clock::Clock,
+        digest::Digest,
+        id::GroupId,
+        log::Log,
+    },
+    net::{
+        nng::Call,
+        status::ProcessView,
+        wire::{Poll, PollReply, Response, Update},
+    },
+    settings::control::LeaseSettings,
+    timeline::Recorder,
+};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::sync::Notify;
+
+/// Polls that may wait for a round; more are refused.
+const WAITING_MAX: usize = 20_000;
+
+/// A poll that waits for its round.
+#[derive(Debug)]
+struct Waiting {
+    call: Call,
+    digest: Digest,
+    known: bool,
+}
+
+/// Answers polls in quorum rounds.
+#[derive(Debug)]
+pub struct Rounds {
+    settings: LeaseSettings,
+    log: Arc<dyn Log>,
+    store: Arc<Store>,
+    clock: Arc<dyn Clock>,
+    events: Arc<Recorder>,
+    processes: Mutex<Processes>,
+    waiting: Mutex<Vec<Waiting>>,
+    wake: Notify,
+}
+
+impl Rounds {
+    /// Builds the rounds of a member.
+    #[must_use]
+    pub fn new(
+        settings: LeaseSettings,
+        log: Arc<dyn Log>,
+        store: Arc<Store>,
+        clock: Arc<dyn Clock>,
+        events: Arc<Recorder>,
+    ) -> Self {
+        Self {
+            settings,
+            log,
+            store,
+            clock,
+            events,
+            processes: Mutex::default(),
+            waiting: Mutex::default(),
+            wake: Notify::new(),
+        }
+    }
+
+    /// Takes a poll that has just arrived.
+    pub fn take(&self, poll: &Poll, call: Call) {
+        let known = lock(&self.processes).note(poll, self.clock.now());
+        let mut waiting = lock(&self.waiting);
+        if waiting.len() >= WAITING_MAX {
+            drop(waiting);
+            refuse(call, "too many polls wait for a quorum round");
+            return;
+        }
+        waiting.push(Waiting {
+            call,
+            digest: poll.digest,
+            known,
+        });
+        drop(waiting);
+        self.wake.notify_one();
+    }
+
+    /// Returns the processes that poll this member.
+    pub fn processes(&self) -> Vec<ProcessView> {
+        lock(&self.processes).views(self.clock.now())
+    }
+
+    /// Runs rounds for ever.
+    pub async fn run(&self) {
+        loop {
+            self.wake.notified().await;
+            tokio::time::sleep(self.settings.round.0).await;
+            let polls = std::mem::take(&mut *lock(&self.waiting));
+            if !polls.is_empty() {
+                self.round(polls).await;
+            }
+        }
+    }
+
+    async fn round(&self, polls: Vec<Waiting>) {
+        metrics::histogram!("cardamomtally_control_round_polls").record(polls.len() as f64);
+        let begun = self.clock.now();
+        // An answer later than the lease is worth nothing.
+        let limit = self.settings.length.0 / 2;
+        let confirmed = tokio::time::timeout(limit, self.log.barrier(GroupId::CONFIG)).await;
+        match confirmed {
+            Ok(Ok(_index)) => {}
+            Ok(Err(error)) => return refuse_all(polls, &error.to_string()),
+            Err(_elapsed) => return refuse_all(polls, "no quorum confirmed the log in time"),
+        }
+        let took = self.clock.now().since(begun);
+        metrics::histogram!("cardamomtally_control_round_seconds").record(took.as_secs_f64());
+        let view = self.store.view();
+        for poll in polls {
+            let reply = self.reply(&view, poll.digest, poll.known);
+            poll.call.answer(&Response::Poll(Box::new(reply)));
+        }
+    }
+
+    fn reply(&self, view: &View, digest: Digest, known: bool) -> PollReply {
+        let update = update(view, digest);
+        let same = update.is_same();
+        PollReply {
+            index: view.config.index,
+            lease: self.lease(),
+            update,
+            digest: (!same).then_some(view.digest),
+            unknown: !known,
+            stamp: (!same).then(|| self.events.stamp()),
+        }
+    }
+
+    const fn lease(&self) -> Duration {
+        self.settings.length.0
+    }
+}
+
+/// Returns what a process that holds the configuration with a digest needs.
+#[must_use]
+pub fn update(view: &View, digest: Digest) -> Update {
+    if digest == view.digest {
+        return Update::Same;
+    }
+    match view.delta_from(digest) {
+        Some(patch) => Update::Delta(serde_bytes::ByteBuf::from(patch)),
+        None => Update::Whole(Arc::clone(&view.config)),
+    }
+}
+
+fn refuse_all(polls: Vec<Waiting>, reason: &str) {
+    for poll in polls {
+        refuse(poll.call, reason);
+    }
+}
+
+fn refuse(call: Call, reason: &str) {
+    call.answer(&Response::Unavailable {
+        reason: reason.to_owned(),
+        refused: true,
+    });
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/cardamomtally/control/status.rs
@@ -0,0 +1,113 @@
+//! The whole picture for operators, from what the members tell each other.
+
+use super::{machine::View, processes::merge};
+use crate::{
+    core::id::Name,
+    net::status::{
+        LocalStatus, MemberView, OrderView, ProcessView, Standing, Status, SuspensionView,
+        TicketView,
+    },
+};
+use std::{sync::Arc, time::Duration};
+
+/// By how much a process's clock may run slow, in hundredths.
+const CLOCK_DRIFT_PERCENT: u32 = 1;
+
+/// Builds the picture from the configuration in force and what each member
+/// answered; a member that gave no answer has only its name.
+#[must_use]
+pub fn build(
+    member: Name,
+    confirmed: bool,
+    view: &View,
+    answers: Vec<Result<LocalStatus, Name>>,
+    lease: Duration,
+) -> Status {
+    let mut status = Status {
+        member,
+        confirmed,
+        index: view.config.index,
+        digest: view.digest,
+        ..Status::default()
+    };
+    let mut processes = Vec::new();
+    for answer in answers {
+        match answer {
+            Ok(local) => {
+                processes.extend(local.processes);
+                status.members.push(local.member);
+                status.kept.extend(local.kept);
+            }
+            Err(name) => status.members.push(MemberView {
+                name,
+                ..MemberView::default()
+            }),
+        }
+    }
+    let lease = lease + lease * CLOCK_DRIFT_PERCENT / 100;
+    status.processes = merge(processes);
+    for process in &mut status.processes {
+        process.standing = standing(process, view, lease);
+    }
+    add_tickets(&mut status, view);
+    add_verdicts(&mut status, view);
+    status
+}
+
+fn standing(process: &ProcessView, view: &View, lease: Duration) -> Standing {
+    if u128::from(process.age_ms) > lease.as_millis() {
+        Standing::Silent
+    } else if process.holds < view.config.index {
+        Standing::Lags
+    } else {
+        Standing::Holds
+    }
+}
+
+fn add_tickets(status: &mut Status, view: &View) {
+    for (partner, state) in &view.config.partners {
+        let mut ticket = TicketView {
+            partner: Arc::clone(partner),
+            ticket: state.ticket,
+            holders: 0,
+            laggards: Vec::new(),
+            silent: Vec::new(),
+        };
+        for process in &status.processes {
+            let name = Arc::clone(&process.name);
+            if process.standing == Standing::Silent {
+                ticket.silent.push(name);
+            } else if process.holds < state.ticket.index {
+                ticket.laggards.push(name);
+            } else {
+                ticket.holders += 1;
+            }
+        }
+        status.tickets.push(ticket);
+    }
+}
+
+fn add_verdicts(status: &mut Status, view: &View) {
+    for (version, suspension) in &view.config.suspended {
+        status.suspensions.push(SuspensionView {
+            version: version.to_string(),
+            reason: Arc::clone(&suspension.reason),
+            ttl_secs: suspension.ttl.as_secs(),
+            count: suspension.count,
+        });
+    }
+    for (digest, suspect) in &view.config.suspects {
+        if suspect.quarantined {
+            status.quarantined.push(*digest);
+        } else {
+            status.suspects.push(*digest);
+        }
+    }
+    for (backend, orders) in &view.config.orders {
+        let views = orders.iter().map(|order| OrderView {
+            backend: Arc::clone(backend),
+            order: order.clone(),
+        });
+        status.orders.extend(views);
+    }
+}
--- a/src/cardamomtally/lease/mod.rs
+++ b/src/cardamomtally/lease/mod.rs
@@ -4,8 +4,15 @@
 //! configuration as a [`Held`]. Traffic threads load it without a lock and
 //! check its lease at the moment of use.
 
+pub mod poller;
+pub mod reports;
+pub mod rotation;
+pub mod state;
+
+pub use poller::{Identity, Poller};
+
 use crate::{
-    core::{clock::Mono, config::ConfigRef, snapshot::Snapshot},
+    core::{clock::Mono, config::ConfigRef, digest::Digest, snapshot::Snapshot},
     net::wire::{CrashReport, HealthReport},
 };
 use std::{fmt::Debug, sync::Arc};
@@ -38,6 +45,11 @@
 
     /// Adds a crash of a backend server to the next poll, and polls at once.
     fn crash(&self, crash: CrashReport);
+
+    /// Tells that a suspected request has ended without a crash.
+    fn cleared(&self, digest: Digest) {
+        let _not_told = digest;
+    }
 }
 
 /// A lease that is set by hand, for tests and benches.
--- /dev/null
+++ b/src/cardamomtally/lease/poller.rs
@@ -0,0 +1,362 @@
+//! The thread that polls control members and publishes what they confirm.
+//!
+//! Each turn sends one poll, waits for its answer and publishes the result as a
+//! [`Held`]. A member that does not answer in time is passed over for another
+//! at once. All rules about leases are in [`LeaseState`].
+
+use super::{
+    Held, Lease,
+    reports::Reports,
+    rotation::Rotation,
+    state::{Breaks, LeaseState, Outcome},
+};
+use crate::{
+    core::{
+        clock::Mono,
+        config::Config,
+        digest::Digest,
+        id::{Incarnation, Name},
+        snapshot::Snapshot,
+    },
+    daemon::Context,
+    net::{
+        transport::Transport,
+        wire::{self, CrashReport, HealthReport, Poll, PollReply, Request, Response, Role},
+    },
+    settings::common::PollSettings,
+};
+use arc_swap::ArcSwap;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use std::{
+    collections::BTreeSet,
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+    thread,
+    time::Duration,
+};
+use tokio::sync::Notify;
+
+/// Shortest wait after a failed poll.
+const BACKOFF_MIN: Duration = Duration::from_millis(20);
+
+/// Share by which the time between polls varies, either way.
+const JITTER: f64 = 0.1;
+
+/// Who the process is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its name.
+    pub name: Name,
+    /// Its role.
+    pub role: Role,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its data centre.
+    pub centre: Name,
+    /// Its HTTP address.
+    pub http: Name,
+}
+
+/// Polls control members on a thread of its own.
+pub struct Poller {
+    shared: Arc<Shared>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+/// What the thread and the process share.
+struct Shared {
+    held: ArcSwap<Held>,
+    reports: Mutex<Reports>,
+    http: Mutex<Name>,
+    wake: Notify,
+    stop: Notify,
+}
+
+impl Poller {
+    /// Starts to poll.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system starts no thread.
+    pub fn start(
+        settings: PollSettings,
+        identity: Identity,
+        transport: Arc<dyn Transport>,
+        context: Context,
+    ) -> Arc<Self> {
+        let shared = Arc::new(Shared {
+            held: ArcSwap::default(),
+            reports: Mutex::default(),
+            http: Mutex::new(Arc::clone(&identity.http)),
+            wake: Notify::new(),
+            stop: Notify::new(),
+        });
+        let mut turn = Turn::new(settings, identity, transport, context, Arc::clone(&shared));
+        let thread = thread::Builder::new()
+            .name("control poller".to_owned())
+            .spawn(move || turn.run())
+            .expect("the system starts a thread");
+        Arc::new(Self {
+            shared,
+            thread: Some(thread),
+        })
+    }
+
+    /// Sets the process's HTTP address, once it is bound.
+    pub fn advertise(&self, http: &str) {
+        *lock(&self.shared.http) = http.into();
+        self.shared.wake.notify_one();
+    }
+}
+
+impl Lease for Poller {
+    fn held(&self) -> Arc<Held> {
+        self.shared.held.load_full()
+    }
+
+    fn report(&self, health: HealthReport) {
+        lock(&self.shared.reports).add_health(health);
+    }
+
+    fn crash(&self, crash: CrashReport) {
+        lock(&self.shared.reports).add_crash(crash);
+        self.shared.wake.notify_one();
+    }
+
+    fn cleared(&self, digest: Digest) {
+        lock(&self.shared.reports).add_cleared(digest);
+    }
+}
+
+impl fmt::Debug for Poller {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Poller").finish_non_exhaustive()
+    }
+}
+
+impl Drop for Poller {
+    fn drop(&mut self) {
+        self.shared.stop.notify_one();
+        if let Some(thread) = self.thread.take() {
+            // A poller that panicked has said so already.
+            let _ignored = thread.join();
+        }
+    }
+}
+
+/// The thread's own state.
+struct Turn {
+    settings: PollSettings,
+    identity: Identity,
+    transport: Arc<dyn Transport>,
+    context: Context,
+    shared: Arc<Shared>,
+    rng: SmallRng,
+    state: LeaseState,
+    rotation: Rotation,
+    /// Members that asked who the process is.
+    asked: BTreeSet<String>,
+    backoff: Duration,
+}
+
+impl Turn {
+    fn new(
+        settings: PollSettings,
+        identity: Identity,
+        transport: Arc<dyn Transport>,
+        context: Context,
+        shared: Arc<Shared>,
+    ) -> Self {
+        let mut rng = SmallRng::from_rng(&mut rand::rng());
+        let rotation = Rotation::new(&settings.members, context.clock.now(), &mut rng);
+        Self {
+            settings,
+            identity,
+            transport,
+            context,
+            shared,
+            rng,
+            state: LeaseState::new(Breaks::default()),
+            rotation,
+            asked: BTreeSet::new(),
+            backoff: BACKOFF_MIN,
+        }
+    }
+
+    fn run(&mut self) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .build()
+            .expect("a runtime without I/O starts");
+        let shared = Arc::clone(&self.shared);
+        runtime.block_on(async {
+            tokio::select! {
+                () = shared.stop.notified() => {}
+                () = self.poll_forever() => {}
+            }
+        });
+    }
+
+    async fn poll_forever(&mut self) {
+        loop {
+            let wait = self.poll_once().await;
+            self.show_ready();
+            let shared = Arc::clone(&self.shared);
+            tokio::select! {
+                () = shared.wake.notified() => {}
+                () = tokio::time::sleep(wait) => {}
+            }
+        }
+    }
+
+    /// Sends one poll and returns how long to wait until the next.
+    async fn poll_once(&mut self) -> Duration {
+        let now = self.context.clock.now();
+        let Some(member) = self.rotation.current(now, &mut self.rng) else {
+            return self.settings.interval.0;
+        };
+        let poll = self.build_poll(&member);
+        let polled = poll.holds;
+        let report = poll.report;
+        let sent = self.context.clock.now();
+        let timeout = self.settings.timeout.0;
+        let answer = self
+            .transport
+            .call(&member, Request::Poll(poll), timeout)
+            .await;
+        let reason = match answer {
+            Ok(Response::Poll(reply)) => {
+                lock(&self.shared.reports).taken(report);
+                return self.take_reply(&member, polled, sent, &reply);
+            }
+            Ok(Response::Unavailable { reason, .. }) => reason,
+            Ok(_) => "the member answered something else".to_owned(),
+            Err(error) => error.reason,
+        };
+        self.fail(&member, &reason)
+    }
+
+    fn build_poll(&mut self, member: &str) -> Poll {
+        let mut poll = Poll {
+            incarnation: self.identity.incarnation,
+            ..Poll::default()
+        };
+        self.state.describe(&mut poll);
+        lock(&self.shared.reports).fill(&mut poll);
+        let http = Arc::clone(&lock(&self.shared.http));
+        if http != self.identity.http {
+            self.identity.http = http;
+            self.asked.insert(member.to_owned());
+        }
+        if self.asked.contains(member) {
+            poll.identity = Some(self.wire_identity());
+        }
+        poll
+    }
+
+    fn wire_identity(&self) -> wire::Identity {
+        wire::Identity {
+            name: Arc::clone(&self.identity.name),
+            role: self.identity.role,
+            centre: Arc::clone(&self.identity.centre),
+            http: Arc::clone(&self.identity.http),
+        }
+    }
+
+    fn take_reply(
+        &mut self,
+        member: &str,
+        polled: crate::core::id::Index,
+        sent: Mono,
+        reply: &PollReply,
+    ) -> Duration {
+        let before = Arc::clone(self.state.config());
+        let received = self.context.clock.now();
+        let outcome = self.state.answer(polled, sent, received, reply);
+        if let Some(stamp) = reply.stamp {
+            self.context.events.observe(stamp);
+        }
+        self.publish(outcome);
+        if outcome == Outcome::Changed {
+            self.record_tickets(&before);
+        }
+        metrics::counter!("cardamomtally_lease_polls_total").increment(1);
+        metrics::gauge!("cardamomtally_lease_index_entries").set(self.state.index().0 as f64);
+        self.backoff = BACKOFF_MIN;
+        if reply.unknown {
+            self.asked.insert(member.to_owned());
+            return BACKOFF_MIN;
+        }
+        self.asked.remove(member);
+        match outcome {
+            // The next poll tells the member that the change is held.
+            Outcome::Changed | Outcome::Unfit => BACKOFF_MIN,
+            Outcome::Renewed | Outcome::Stale => self.interval(sent),
+        }
+    }
+
+    fn publish(&self, outcome: Outcome) {
+        let held = self.shared.held.load();
+        let next = match outcome {
+            Outcome::Changed => Held {
+                snapshot: Arc::new(Snapshot::compile(self.state.config())),
+                config: Arc::clone(self.state.config()),
+                until: self.state.until(),
+            },
+            Outcome::Renewed => Held {
+                until: self.state.until(),
+                ..Held::clone(&held)
+            },
+            Outcome::Stale | Outcome::Unfit => return,
+        };
+        self.shared.held.store(Arc::new(next));
+    }
+
+    fn record_tickets(&self, before: &Config) {
+        let config = self.state.config();
+        for (partner, state) in &config.partners {
+            let held = before.partners.get(partner).map(|p| p.ticket);
+            if held != Some(state.ticket) {
+                let subject = format!("ticket {partner}/{}", state.ticket.number);
+                self.context.events.record("config", &subject, "held here");
+            }
+        }
+        slog::debug!(self.context.log, "config: another configuration is held";
+            "index" => config.index.0);
+    }
+
+    fn fail(&mut self, member: &str, reason: &str) -> Duration {
+        slog::debug!(self.context.log, "config: poll failed";
+            "member" => member, "reason" => reason);
+        metrics::counter!("cardamomtally_lease_failures_total").increment(1);
+        let now = self.context.clock.now();
+        self.rotation.failed(now, &mut self.rng);
+        let wait = self.backoff.mul_f64(self.rng.random_range(0.5..1.0));
+        self.backoff = (self.backoff * 2).min(self.settings.interval.0);
+        wait
+    }
+
+    /// Returns the time left of an interval that began when the poll was sent.
+    fn interval(&mut self, sent: Mono) -> Duration {
+        let factor = self.rng.random_range(1.0 - JITTER..1.0 + JITTER);
+        let interval = self.settings.interval.0.mul_f64(factor);
+        interval.saturating_sub(self.context.clock.now().since(sent))
+    }
+
+    fn show_ready(&self) {
+        let valid = self.state.is_valid(self.context.clock.now());
+        let ready = valid && !self.context.gate.is_closed();
+        let before = self.context.ready.swap(ready, Ordering::AcqRel);
+        if before && !valid {
+            slog::warn!(self.context.log, "config: lease ran out; no new work is taken");
+            let subject = format!("index {}", self.state.index());
+            self.context
+                .events
+                .record("config", &subject, "lease ran out");
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/cardamomtally/lease/rotation.rs
@@ -0,0 +1,77 @@
+//! Which member a process polls, as pure logic.
+//!
+//! A process keeps to one member, drawn at random, so that each member hears
+//! from an equal share and knows who polls it. After a failure it draws another
+//! one that has not failed lately; after a while it draws again in any case, so
+//! that shares become equal again when a member has come back.
+
+use crate::core::clock::Mono;
+use rand::{Rng, seq::IteratorRandom as _};
+use std::time::Duration;
+
+/// How long a member that failed is passed over.
+const AVOID: Duration = Duration::from_secs(5);
+
+/// Shortest time that a process keeps to one member.
+const KEEP_MIN: Duration = Duration::from_secs(60);
+
+/// Longest time that a process keeps to one member.
+const KEEP_MAX: Duration = Duration::from_secs(120);
+
+/// The choice of one process among the members.
+#[derive(Clone, Debug)]
+pub struct Rotation {
+    members: Vec<Member>,
+    current: usize,
+    until: Mono,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    address: String,
+    avoid_until: Mono,
+}
+
+impl Rotation {
+    /// Builds the choice and draws the first member.
+    #[must_use]
+    pub fn new(addresses: &[String], now: Mono, rng: &mut impl Rng) -> Self {
+        let member = |address: &String| Member {
+            address: address.clone(),
+            avoid_until: Mono::default(),
+        };
+        let mut rotation = Self {
+            members: addresses.iter().map(member).collect(),
+            current: 0,
+            until: Mono::default(),
+        };
+        rotation.draw(now, rng);
+        rotation
+    }
+
+    /// Returns the member to poll now, if there is one.
+    pub fn current(&mut self, now: Mono, rng: &mut impl Rng) -> Option<String> {
+        if now >= self.until {
+            self.draw(now, rng);
+        }
+        let member = self.members.get(self.current)?;
+        Some(member.address.clone())
+    }
+
+    /// Draws another member after a failure of the current one.
+    pub fn failed(&mut self, now: Mono, rng: &mut impl Rng) {
+        if let Some(member) = self.members.get_mut(self.current) {
+            member.avoid_until = now + AVOID;
+        }
+        self.draw(now, rng);
+    }
+
+    fn draw(&mut self, now: Mono, rng: &mut impl Rng) {
+        let good = |i: &usize| self.members[*i].avoid_until <= now;
+        let drawn = (0..self.members.len()).filter(good).choose(rng);
+        // With none left, the one that failed first is asked again.
+        let oldest = || (0..self.members.len()).min_by_key(|i| self.members[*i].avoid_until);
+        self.current = drawn.or_else(oldest).unwrap_or_default();
+        self.until = now + rng.random_range(KEEP_MIN..KEEP_MAX);
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/net/delta.rs
@@ -0,0 +1,108 @@
+//! The difference of two configurations, as polls carry it.
+//!
+//! Both are taken as CBOR trees and compared map by map, so that the patch of a
+//! ticket that changes one field of one object is a few dozen bytes, whatever
+//! the type. Lists are replaced whole. The receiver verifies the digest of the
+//! result, so a patch that was made for another base is never applied.
+
+use crate::{core::config::Config, net::codec};
+use ciborium::Value;
+use eyre::WrapErr as _;
+use serde::{Deserialize, Serialize};
+
+/// How to turn one tree into another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+enum Patch {
+    /// Replace the node.
+    #[serde(rename = "s")]
+    Set(Value),
+    /// Change a map in place.
+    #[serde(rename = "m")]
+    Map(MapPatch),
+}
+
+/// How to turn one map into another.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+struct MapPatch {
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    changed: Vec<(Value, Patch)>,
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    removed: Vec<Value>,
+}
+
+/// Returns the patch that turns `from` into `to`.
+///
+/// # Errors
+///
+/// Returns an error if a configuration cannot be encoded.
+pub fn diff(from: &Config, to: &Config) -> eyre::Result<Vec<u8>> {
+    let from = tree(from)?;
+    let to = tree(to)?;
+    let patch = diff_nodes(&from, &to).unwrap_or_else(|| Patch::Map(MapPatch::default()));
+    Ok(codec::encode(&patch))
+}
+
+/// Applies a patch.
+///
+/// # Errors
+///
+/// Returns an error if the patch does not decode or does not fit.
+pub fn apply(from: &Config, patch: &[u8]) -> eyre::Result<Config> {
+    let patch: Patch = codec::decode(patch)?;
+    let mut node = tree(from)?;
+    patch_node(&mut node, patch)?;
+    node.deserialized()
+        .wrap_err("a patched configuration does not decode")
+}
+
+fn tree(config: &Config) -> eyre::Result<Value> {
+    Value::serialized(config).wrap_err("failed to encode a configuration")
+}
+
+fn diff_nodes(from: &Value, to: &Value) -> Option<Patch> {
+    if from == to {
+        return None;
+    }
+    let (Value::Map(from), Value::Map(to)) = (from, to) else {
+        return Some(Patch::Set(to.clone()));
+    };
+    let find = |map: &[(Value, Value)], key: &Value| {
+        map.iter()
+            .find(|(k, _)| k == key)
+            .map(|(_, value)| value.clone())
+    };
+    let mut patch = MapPatch::default();
+    for (key, value) in to {
+        let change = match find(from, key) {
+            Some(old) => diff_nodes(&old, value),
+            None => Some(Patch::Set(value.clone())),
+        };
+        patch.changed.extend(change.map(|c| (key.clone(), c)));
+    }
+    let gone = from.iter().filter(|(key, _)| find(to, key).is_none());
+    patch.removed.extend(gone.map(|(key, _)| key.clone()));
+    Some(Patch::Map(patch))
+}
+
+fn patch_node(node: &mut Value, patch: Patch) -> eyre::Result<()> {
+    let patch = match patch {
+        Patch::Set(value) => {
+            *node = value;
+            return Ok(());
+        }
+        Patch::Map(patch) => patch,
+    };
+    let Value::Map(entries) = node else {
+        return Err(eyre::eyre!("a patch of a map met another node"));
+    };
+    entries.retain(|(key, _)| !patch.removed.contains(key));
+    for (key, change) in patch.changed {
+        let at = entries.iter().position(|(k, _)| *k == key);
+        let at = at.unwrap_or_else(|| {
+            entries.push((key, Value::Null));
+            entries.len() - 1
+        });
+        patch_node(&mut entries[at].1, change)?;
+    }
+    Ok(())
+}
--- a/src/cardamomtally/net/mod.rs
+++ b/src/cardamomtally/net/mod.rs
@@ -4,6 +4,9 @@
 //! from entry to agent over HTTP ([`run`]), answered as a stream of frames.
 
 pub mod codec;
+pub mod delta;
+pub mod nng;
 pub mod run;
+pub mod status;
 pub mod transport;
 pub mod wire;
--- /dev/null
+++ b/src/cardamomtally/net/nng/server.rs
@@ -0,0 +1,153 @@
+//! The member's end: requests come in on one thread and are answered from any.
+
+use super::{MESSAGE_LIMIT_BYTES, OVERHEAD_BYTES, QUEUE_MESSAGES};
+use crate::net::{
+    codec,
+    wire::{Request, Response},
+};
+use eyre::WrapErr as _;
+use nng::{
+    Listener, Message, Protocol, RawSocket, Socket, SocketAddr,
+    options::{LocalAddr, Options as _, RecvMaxSize, SendBufferSize},
+};
+use std::{
+    fmt, net,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+};
+
+/// Bytes that a server has carried, with an estimate of all headers.
+#[derive(Debug, Default)]
+struct Traffic {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+/// Listens for requests of processes.
+pub struct Server {
+    socket: Socket,
+    bound: net::SocketAddr,
+    traffic: Arc<Traffic>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+/// A request that waits for its answer.
+pub struct Call {
+    socket: Socket,
+    message: Message,
+    traffic: Arc<Traffic>,
+}
+
+impl Server {
+    /// Listens at `IP:PORT`, port 0 for a free one, and hands each request to
+    /// `handle` on the receiver's thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn start(
+        address: &str,
+        handle: impl Fn(Request, Call) + Send + 'static,
+    ) -> eyre::Result<Self> {
+        let socket = RawSocket::new(Protocol::Rep0)
+            .wrap_err("failed to open a reply socket")?
+            .socket;
+        socket.set_opt::<SendBufferSize>(QUEUE_MESSAGES)?;
+        socket.set_opt::<RecvMaxSize>(MESSAGE_LIMIT_BYTES)?;
+        let listener = Listener::new(&socket, &format!("tcp://{address}"))
+            .wrap_err_with(|| format!("failed to listen for polls at {address}"))?;
+        let bound = bound_address(&listener)?;
+        let traffic = Arc::<Traffic>::default();
+        let receiver = (socket.clone(), Arc::clone(&traffic));
+        let thread = thread::Builder::new()
+            .name("control requests".to_owned())
+            .spawn(move || receive(&receiver.0, &receiver.1, &handle))
+            .wrap_err("failed to start the receiver thread")?;
+        Ok(Self {
+            socket,
+            bound,
+            traffic,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns the bound address.
+    pub const fn bound(&self) -> net::SocketAddr {
+        self.bound
+    }
+
+    /// Returns the bytes sent and received so far, headers included.
+    pub fn traffic(&self) -> (u64, u64) {
+        let sent = self.traffic.sent.load(Ordering::Relaxed);
+        let received = self.traffic.received.load(Ordering::Relaxed);
+        (sent, received)
+    }
+}
+
+impl fmt::Debug for Server {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Server")
+            .field("bound", &self.bound)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.socket.close();
+        if let Some(thread) = self.thread.take() {
+            // A receiver that panicked has said so already.
+            let _ignored = thread.join();
+        }
+    }
+}
+
+impl Call {
+    /// Sends the answer. If it gets lost, the process asks again.
+    pub fn answer(mut self, response: &Response) {
+        let body = codec::encode(response);
+        let size = body.len() as u64 + OVERHEAD_BYTES;
+        self.message.clear();
+        self.message.push_back(&body);
+        if self.socket.try_send(self.message).is_ok() {
+            self.traffic.sent.fetch_add(size, Ordering::Relaxed);
+        }
+    }
+}
+
+impl fmt::Debug for Call {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Call").finish_non_exhaustive()
+    }
+}
+
+fn receive(socket: &Socket, traffic: &Arc<Traffic>, handle: &impl Fn(Request, Call)) {
+    while let Ok(message) = socket.recv() {
+        let size = message.len() as u64 + OVERHEAD_BYTES;
+        traffic.received.fetch_add(size, Ordering::Relaxed);
+        let request = codec::decode::<Request>(message.as_slice());
+        let call = Call {
+            socket: socket.clone(),
+            message,
+            traffic: Arc::clone(traffic),
+        };
+        match request {
+            Ok(request) => handle(request, call),
+            Err(error) => call.answer(&Response::Unavailable {
+                reason: format!("{error:#}"),
+                refused: true,
+            }),
+        }
+    }
+}
+
+fn bound_address(listener: &Listener) -> eyre::Result<net::SocketAddr> {
+    match listener.get_opt::<LocalAddr>()? {
+        SocketAddr::Inet(address) => Ok(address.into()),
+        SocketAddr::Inet6(address) => Ok(address.into()),
+        other => Err(eyre::eyre!("the poll listener has no IP address: {other}")),
+    }
+}
--- a/src/cardamomtally/net/wire.rs
+++ b/src/cardamomtally/net/wire.rs
@@ -1,12 +1,18 @@
 //! Messages between a process and a control member.
 //!
-//! Short field names keep polls small: 930 processes poll every second.
+//! Short field names keep polls small, and a field that says nothing new is
+//! left out: hundreds of processes poll all the time, mostly to hear that
+//! nothing has changed. A process tells who it is once to each member.
 
-use crate::core::{
-    claim::{ClaimOp, ClaimReply},
-    config::{ConfigRef, VersionId},
-    digest::Digest,
-    id::{Incarnation, Index, Name},
+use super::status::LocalStatus;
+use crate::{
+    core::{
+        claim::{ClaimOp, ClaimReply},
+        config::{ConfigRef, VersionId},
+        digest::Digest,
+        id::{Incarnation, Index, Name},
+    },
+    timeline::Stamp,
 };
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -59,42 +65,57 @@
     pub digests: Vec<Digest>,
 }
 
-/// A process asks for the configuration and confirms its lease.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Poll {
+/// Who a process is, told to a member that does not know it yet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Identity {
     /// The process's name.
     #[serde(rename = "n")]
     pub name: Name,
     /// Its role.
     #[serde(rename = "r")]
     pub role: Role,
-    /// Its run.
-    #[serde(rename = "i")]
-    pub incarnation: Incarnation,
     /// Its data centre.
     #[serde(rename = "z")]
     pub centre: Name,
     /// Its HTTP address, for `timeline` and `status`.
     #[serde(rename = "a")]
     pub http: Name,
+}
+
+/// A process asks for the configuration and confirms its lease.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Poll {
+    /// The process's run.
+    #[serde(rename = "i")]
+    pub incarnation: Incarnation,
     /// The index of the configuration that it holds; 0 for none.
     #[serde(rename = "h")]
     pub holds: Index,
-    /// Digest of that configuration's encoding.
+    /// Digest of that configuration's encoding; zero asks for the whole.
     #[serde(rename = "d")]
     pub digest: Digest,
+    /// Who the process is, if the member may not know it.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub identity: Option<Identity>,
+    /// Number of the reports below, so that a resent poll counts once.
+    #[serde(rename = "q", default, skip_serializing_if = "is_zero")]
+    pub report: u64,
     /// Outcomes by version since the last poll.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub health: Vec<HealthReport>,
     /// Crashes seen since the last poll.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<CrashReport>,
+    /// Digests of suspected requests that have ended without a crash.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub cleared: Vec<Digest>,
 }
 
 /// What a poll's answer carries of the configuration.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub enum Update {
     /// The process holds what is in force.
+    #[default]
     #[serde(rename = "s")]
     Same,
     /// The whole configuration.
@@ -105,21 +126,61 @@
     Delta(serde_bytes::ByteBuf),
 }
 
+impl Update {
+    /// Tells whether nothing has changed.
+    #[must_use]
+    pub const fn is_same(&self) -> bool {
+        matches!(self, Self::Same)
+    }
+}
+
 /// Answer to a poll, after a quorum round that began when the poll had arrived.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct PollReply {
     /// The index in force.
     #[serde(rename = "x")]
     pub index: Index,
-    /// Digest of its encoding.
-    #[serde(rename = "d")]
-    pub digest: Digest,
-    /// The change to apply.
-    #[serde(rename = "u")]
-    pub update: Update,
     /// How long the process may use it, from when it sent the poll.
-    #[serde(rename = "l")]
+    #[serde(rename = "l", with = "millis")]
     pub lease: Duration,
+    /// The change to apply.
+    #[serde(rename = "u", default, skip_serializing_if = "Update::is_same")]
+    pub update: Update,
+    /// Digest of the configuration after the change.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub digest: Option<Digest>,
+    /// Whether the member does not know the process's identity.
+    #[serde(rename = "w", default, skip_serializing_if = "is_false")]
+    pub unknown: bool,
+    /// The member's stamp, with a change, so that the time line shows the
+    /// ticket before its effect.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub stamp: Option<Stamp>,
+}
+
+/// Serde's `skip_serializing_if` passes a reference.
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde's signature")]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde's signature")]
+const fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
+/// Durations as whole milliseconds, which are shorter than serde's form.
+mod millis {
+    use serde::{Deserialize as _, Deserializer, Serializer};
+    use std::time::Duration;
+
+    pub fn serialize<S: Serializer>(value: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u64(value.as_millis() as u64)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+        u64::deserialize(deserializer).map(Duration::from_millis)
+    }
 }
 
 /// A request to a control member. Each is idempotent.
@@ -131,6 +192,12 @@
     /// Apply operations to the ledger.
     #[serde(rename = "c")]
     Claims(Vec<ClaimOp>),
+    /// Ask for what the member knows by itself, between members.
+    #[serde(rename = "s")]
+    Status,
+    /// Outcomes that processes have reported, from a member to the leader.
+    #[serde(rename = "h")]
+    Health(Vec<HealthReport>),
 }
 
 /// A control member's answer.
@@ -142,6 +209,12 @@
     /// Answers to ledger operations, in their order.
     #[serde(rename = "c")]
     Claims(Vec<ClaimReply>),
+    /// What the member knows by itself.
+    #[serde(rename = "s")]
+    Status(Box<LocalStatus>),
+    /// The member has taken the reports.
+    #[serde(rename = "h")]
+    Taken,
     /// The member cannot answer. Another may.
     #[serde(rename = "n")]
     Unavailable {
