Accept tickets and answer polls at a control member

A member reads tickets with all findings, applies them through the log, answers polls in quorum rounds over raw nng sockets, and shows its state.

--- a/src/cardamomtally/control/member.rs
+++ b/src/cardamomtally/control/member.rs
@@ -9,12 +9,13 @@
 };
 use crate::{
     core::{
-        claim::{ClaimOp, ClaimReply},
+        claim::ClaimOp,
         finding::Findings,
         id::{GroupId, Name},
         log::{Log, LogError},
     },
     daemon::Context,
+    ledger::shards::Shards,
     net::{
         codec,
         status::{LocalStatus, MemberView, Status},
@@ -65,6 +66,8 @@
     pub rounds: Arc<Rounds>,
     /// The way to the other members.
     pub transport: Arc<dyn Transport>,
+    /// The ledger's shards.
+    pub shards: Shards,
     /// Version health.
     pub health: super::health::Pool,
     /// Reads the replicas' state for operators.
@@ -106,9 +109,9 @@
         }
         let numbering = self.settings.tickets.numbering;
         let digest = ticket.digest();
-        let decided = self.store.read(|state| {
-            state.decide_number(&ticket.partner, ticket.number, digest, numbering)
-        });
+        let decided = self
+            .store
+            .read(|state| state.decide_number(&ticket.partner, ticket.number, digest, numbering));
         if let Some(reply) = decided {
             return Submission::Decided(reply);
         }
@@ -190,8 +193,19 @@
 
     /// Applies ledger operations, each in its shard's group.
     pub async fn claims(&self, ops: Vec<ClaimOp>) -> Response {
-        match super::claims::apply(&*self.log, self.settings.ledger.shards, ops).await {
+        match self.shards.apply(ops).await {
             Ok(replies) => Response::Claims(replies),
+            Err(error) => Response::Unavailable {
+                reason: error.reason,
+                refused: error.refused,
+            },
+        }
+    }
+
+    /// Proposes a command for a member that has no replica of its group.
+    pub async fn propose_for(&self, group: GroupId, command: Vec<u8>) -> Response {
+        match self.log.propose(group, command).await {
+            Ok(bytes) => Response::Proposed(serde_bytes::ByteBuf::from(bytes)),
             Err(error) => Response::Unavailable {
                 refused: error == LogError::NoLeader,
                 reason: error.to_string(),
@@ -207,24 +221,4 @@
         let mut found = members.filter(|m| m.name == *name).map(|m| m.poll.as_str());
         found.next()
     }
-
-    /// Returns the ledger's sums of bills, over all shards.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if a shard gives no answer.
-    pub async fn bills(&self) -> Result<Vec<crate::core::claim::BillSum>, LogError> {
-        let shards = self.settings.ledger.shards;
-        let mut sums = Vec::new();
-        for shard in 1..=shards {
-            let replies =
-                super::claims::propose(&*self.log, GroupId(shard), vec![ClaimOp::Bills]).await?;
-            for reply in replies {
-                if let ClaimReply::Bills(part) = reply {
-                    sums.extend(part);
-                }
-            }
-        }
-        Ok(sums)
-    }
 }
--- a/src/cardamomtally/control/processes.rs
+++ b/src/cardamomtally/control/processes.rs
@@ -15,7 +15,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// How long a process that has fallen silent is remembered.
-const FORGET: Duration = Duration::from_secs(3_600);
+const FORGET: Duration = Duration::from_hours(1);
 
 /// Processes that are remembered at most.
 const PROCESSES_MAX: usize = 20_000;
--- a/src/cardamomtally/control/rounds.rs
+++ b/src/cardamomtally/control/rounds.rs
@@ -10,12 +10,7 @@
     processes::Processes,
 };
 use crate::{
-    core::{
-        clock::Clock,
-        digest::Digest,
-        id::GroupId,
-        log::Log,
-    },
+    core::{clock::Clock, digest::Digest, id::GroupId, log::Log},
     net::{
         nng::Call,
         status::ProcessView,
--- /dev/null
+++ b/src/cardamomtally/control/run.rs
@@ -0,0 +1,240 @@
+//! Start and stop of a control member.
+
+use super::{
+    duties,
+    groups::{self, Group},
+    health::Pool,
+    machine::{Machine, Store},
+    member::Member,
+    rounds::Rounds,
+    routed::RoutedLog,
+    routes,
+    state::Command,
+};
+use crate::{
+    core::{
+        digest::Digest,
+        id::GroupId,
+        log::{Log, Machine as LogMachine},
+    },
+    daemon::{
+        Context,
+        http::{self, Bound},
+    },
+    ledger::{machine::Ledger, shards::Shards},
+    net::{
+        nng::{Call, Client, Server},
+        transport::Transport,
+        wire::{Poll, Request, Response},
+    },
+    replica::memory::MemLog,
+    settings::{ControlSettings, control::MemberSettings},
+};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::runtime::Handle;
+
+/// Time between the ledger's clock readings.
+const LEDGER_TICK: Duration = Duration::from_secs(5);
+
+/// Runs the daemon until a signal stops it.
+///
+/// # Errors
+///
+/// Returns an error if the process cannot start.
+pub async fn run(settings: ControlSettings, context: Context) -> eyre::Result<()> {
+    let own = own_member(&settings)?.clone();
+    let store = Arc::<Store>::default();
+    let transport: Arc<dyn Transport> = Arc::new(Client::default());
+    let groups = groups::all(&settings.group, &settings.ledger);
+    let log = open_log(&groups, &own, &store);
+    let log = route(log, &groups, &own, &transport);
+    let member = Arc::new(build_member(&settings, &context, log, store, transport));
+    let server = listen(&settings, &own, &member)?;
+    let bound = Bound {
+        name: settings.process.name.clone(),
+        poll: Some(server.bound().to_string()),
+        ..Bound::default()
+    };
+    start_tasks(&member);
+    context.ready.store(true, Ordering::Release);
+    let rocket = http::build(&settings.http, &context)?;
+    let rocket = routes::mount(rocket, Arc::clone(&member));
+    let outcome = http::serve(rocket, &settings.http, &context, bound).await;
+    drop(server);
+    outcome
+}
+
+fn own_member(settings: &ControlSettings) -> eyre::Result<&MemberSettings> {
+    let name = &settings.process.name;
+    let mut members = settings.group.members.iter();
+    members
+        .find(|member| member.name == *name)
+        .ok_or_else(|| eyre::eyre!("no `[[group.member]]` has the process's name `{name}`"))
+}
+
+fn machine(group: GroupId, store: &Arc<Store>) -> Box<dyn LogMachine> {
+    if group == GroupId::CONFIG {
+        return Box::new(Machine::new(Arc::clone(store)));
+    }
+    Box::new(Ledger::default())
+}
+
+fn open_log(groups: &[Group<'_>], own: &MemberSettings, store: &Arc<Store>) -> Arc<dyn Log> {
+    let log = MemLog::default();
+    for group in groups {
+        if group.members.contains(&own) {
+            log.add(group.id, machine(group.id, store));
+        }
+    }
+    Arc::new(log)
+}
+
+/// Adds the way to groups that have no replica here.
+fn route(
+    local: Arc<dyn Log>,
+    groups: &[Group<'_>],
+    own: &MemberSettings,
+    transport: &Arc<dyn Transport>,
+) -> Arc<dyn Log> {
+    let foreign = groups.iter().filter(|group| !group.members.contains(&own));
+    let addresses = |group: &Group<'_>| {
+        let addresses = group.members.iter().map(|member| member.poll.clone());
+        (group.id, addresses.collect())
+    };
+    Arc::new(RoutedLog {
+        local,
+        remote: foreign.map(addresses).collect(),
+        transport: Arc::clone(transport),
+    })
+}
+
+fn build_member(
+    settings: &ControlSettings,
+    context: &Context,
+    log: Arc<dyn Log>,
+    store: Arc<Store>,
+    transport: Arc<dyn Transport>,
+) -> Member {
+    let rounds = Rounds::new(
+        settings.lease.clone(),
+        Arc::clone(&log),
+        Arc::clone(&store),
+        Arc::clone(&context.clock),
+        Arc::clone(&context.events),
+    );
+    let shards = Shards::new(
+        Arc::clone(&log),
+        settings.ledger.shards,
+        Arc::clone(&context.clock),
+    );
+    Member {
+        health: Pool::new(settings.health.clone()),
+        settings: settings.clone(),
+        context: context.clone(),
+        log,
+        store,
+        rounds: Arc::new(rounds),
+        transport,
+        shards,
+        replicas: Box::new(Vec::new),
+        traffic: std::sync::OnceLock::new(),
+    }
+}
+
+fn listen(
+    settings: &ControlSettings,
+    own: &MemberSettings,
+    member: &Arc<Member>,
+) -> eyre::Result<Server> {
+    let address = settings.group.bind_poll.as_ref().unwrap_or(&own.poll);
+    let handler = Arc::clone(member);
+    let runtime = Handle::current();
+    let server = Server::start(address, move |request, call| {
+        handle(&runtime, &handler, request, call);
+    })?;
+    Ok(server)
+}
+
+fn handle(runtime: &Handle, member: &Arc<Member>, request: Request, call: Call) {
+    match request {
+        Request::Poll(poll) => take_poll(runtime, member, &poll, call),
+        Request::Claims(ops) => spawn(runtime, member, call, async |m| m.claims(ops).await),
+        Request::Propose(group, command) => {
+            let command = command.into_vec();
+            spawn(runtime, member, call, async move |m| {
+                m.propose_for(group, command).await
+            });
+        }
+        Request::Status => {
+            let status = member.local_status();
+            call.answer(&Response::Status(Box::new(status)));
+        }
+        Request::Health(reports) => {
+            member.health.add(&reports);
+            call.answer(&Response::Taken);
+        }
+    }
+}
+
+fn spawn<F>(
+    runtime: &Handle,
+    member: &Arc<Member>,
+    call: Call,
+    work: impl FnOnce(Arc<Member>) -> F + Send + 'static,
+) where
+    F: Future<Output = Response> + Send,
+{
+    let member = Arc::clone(member);
+    runtime.spawn(async move {
+        let response = work(member).await;
+        call.answer(&response);
+    });
+}
+
+fn take_poll(runtime: &Handle, member: &Arc<Member>, poll: &Poll, call: Call) {
+    member.health.add(&poll.health);
+    if !poll.crashes.is_empty() {
+        propose_later(runtime, member, Command::Crashes(poll.crashes.clone()));
+    }
+    let suspected = suspected(member, &poll.cleared);
+    if !suspected.is_empty() {
+        propose_later(runtime, member, Command::Clear(suspected));
+    }
+    member.rounds.take(poll, call);
+}
+
+/// Returns those digests that are under suspicion and not in quarantine.
+fn suspected(member: &Member, digests: &[Digest]) -> Vec<Digest> {
+    if digests.is_empty() {
+        return Vec::new();
+    }
+    let config = Arc::clone(&member.store.view().config);
+    let mere = |digest: &&Digest| config.suspects.get(*digest).is_some_and(|s| !s.quarantined);
+    digests.iter().filter(mere).copied().collect()
+}
+
+fn propose_later(runtime: &Handle, member: &Arc<Member>, command: Command) {
+    let member = Arc::clone(member);
+    runtime.spawn(async move {
+        if let Err(error) = member.propose(&command).await {
+            slog::warn!(member.context.log, "health: report not committed"; "error" => %error);
+        }
+    });
+}
+
+fn start_tasks(member: &Arc<Member>) {
+    let rounds = Arc::clone(&member.rounds);
+    tokio::spawn(async move { rounds.run().await });
+    tokio::spawn(duties::run(Arc::clone(member)));
+    let ledger = Arc::clone(member);
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(LEDGER_TICK).await;
+            // Without a quorum, claims just expire later.
+            let _ignored = ledger.shards.tick().await;
+        }
+    });
+}
--- a/src/cardamomtally/control/state.rs
+++ b/src/cardamomtally/control/state.rs
@@ -12,7 +12,7 @@
 use crate::{
     core::{
         config::{
-            Accepted, BackendState, BackendView, CentreState, Config, ConfigRef, Suspension,
+            Accepted, BackendState, BackendView, CentreState, Config, ConfigRef, Stage, Suspension,
             VersionId,
         },
         digest::Digest,
@@ -116,6 +116,9 @@
     /// The members' settings disagree on how tickets are numbered.
     #[serde(rename = "n")]
     Numbering(Numbering),
+    /// The version is not suspended: this workspace would have none left.
+    #[serde(rename = "k")]
+    Kept(Name),
 }
 
 /// One accepted ticket.
@@ -287,11 +290,13 @@
         if !known {
             return Reply::Done;
         }
-        let count = self.suspensions.entry(version.clone()).or_default();
-        let already = self.config.suspended.iter().any(|(v, _)| *v == version);
-        if already {
+        if is_suspended(&self.config, &version) {
             return Reply::Done;
         }
+        if let Some(workspace) = last_of(&self.config, &version) {
+            return Reply::Kept(workspace);
+        }
+        let count = self.suspensions.entry(version.clone()).or_default();
         *count += 1;
         let suspension = Suspension {
             count: *count,
@@ -324,6 +329,35 @@
     }
 }
 
+fn is_suspended(config: &Config, version: &VersionId) -> bool {
+    config.suspended.iter().any(|(v, _)| v == version)
+}
+
+/// Returns a workspace for which the version is the last that can serve. A
+/// statistical verdict stops no workspace; that is left to operators.
+fn last_of(config: &Config, version: &VersionId) -> Option<Name> {
+    let own = config.partners.get(&version.partner)?;
+    let open = |name: &Name| {
+        let id = VersionId {
+            partner: Arc::clone(&version.partner),
+            name: Arc::clone(name),
+        };
+        let stated = own.versions.get(name);
+        stated.is_some_and(|v| v.stage != Stage::Withdrawn) && !is_suspended(config, &id)
+    };
+    if !open(&version.name) {
+        return None;
+    }
+    let relies = |w: &crate::core::config::WorkspaceState| {
+        let others = w.versions.iter().filter(|v| **v != version.name);
+        w.versions.contains(&version.name) && others.filter(|v| open(v)).count() == 0
+    };
+    let mut workspaces = own.workspaces.iter();
+    workspaces
+        .find(|(_, workspace)| relies(workspace))
+        .map(|(name, _)| Arc::clone(name))
+}
+
 /// Writes the ticket's whole new state of each object that it names.
 fn apply_ticket(config: &mut Config, ticket: &Ticket, accepted: Accepted) {
     let partner = &ticket.partner;
@@ -354,7 +388,6 @@
 
 /// A ticket that withdraws a version ends its suspension.
 fn forget_old_suspensions(config: &mut Config, ticket: &Ticket) {
-    use crate::core::config::Stage;
     config.suspended.retain(|(version, _)| {
         let stated = ticket.versions.get(&version.name);
         version.partner != ticket.partner || stated.is_none_or(|v| v.stage != Stage::Withdrawn)
--- a/src/cardamomtally/control/suspects.rs
+++ b/src/cardamomtally/control/suspects.rs
@@ -6,11 +6,7 @@
 //! digests stay until they are pushed out by newer ones.
 
 use crate::{
-    core::{
-        config::Suspect,
-        digest::Digest,
-        id::Name,
-    },
+    core::{config::Suspect, digest::Digest, id::Name},
     net::wire::CrashReport,
 };
 use std::collections::BTreeMap;
--- a/src/cardamomtally/control/ticket/fields.rs
+++ b/src/cardamomtally/control/ticket/fields.rs
@@ -104,8 +104,7 @@
     /// Notes the place of a field.
     pub fn note(&mut self, sink: &mut Sink<'_>, key: &'static str, path: &str) {
         if let Some(value) = self.value(key) {
-            sink.places
-                .add(format!("{path}/{key}"), value.span().start);
+            sink.places.add(format!("{path}/{key}"), value.span().start);
         }
     }
 
@@ -139,11 +138,7 @@
 
 /// Reads a string.
 pub(super) fn string(value: &Spanned<DeValue<'_>>) -> Result<Name, &'static str> {
-    value
-        .get_ref()
-        .as_str()
-        .map(Name::from)
-        .ok_or("a string")
+    value.get_ref().as_str().map(Name::from).ok_or("a string")
 }
 
 /// Reads a whole number that is not negative.
--- a/src/cardamomtally/lease/mod.rs
+++ b/src/cardamomtally/lease/mod.rs
@@ -47,9 +47,7 @@
     fn crash(&self, crash: CrashReport);
 
     /// Tells that a suspected request has ended without a crash.
-    fn cleared(&self, digest: Digest) {
-        let _not_told = digest;
-    }
+    fn cleared(&self, _digest: Digest) {}
 }
 
 /// A lease that is set by hand, for tests and benches.
--- a/src/cardamomtally/lease/reports.rs
+++ b/src/cardamomtally/lease/reports.rs
@@ -35,15 +35,12 @@
 impl Reports {
     /// Adds outcomes of a version.
     pub fn add_health(&mut self, report: HealthReport) {
-        let id = report.version.clone();
-        let Some(sum) = self.waiting.health.get_mut(&id) else {
-            self.waiting.health.insert(id, report);
+        if let Some(sum) = self.waiting.health.get_mut(&report.version) {
+            sum.merge(&report);
             return;
-        };
-        sum.good = sum.good.saturating_add(report.good);
-        sum.bad = sum.bad.saturating_add(report.bad);
-        sum.rated_good = sum.rated_good.saturating_add(report.rated_good);
-        sum.rated_bad = sum.rated_bad.saturating_add(report.rated_bad);
+        }
+        let id = report.version.clone();
+        self.waiting.health.insert(id, report);
     }
 
     /// Adds a crash.
--- a/src/cardamomtally/lease/rotation.rs
+++ b/src/cardamomtally/lease/rotation.rs
@@ -13,10 +13,10 @@
 const AVOID: Duration = Duration::from_secs(5);
 
 /// Shortest time that a process keeps to one member.
-const KEEP_MIN: Duration = Duration::from_secs(60);
+const KEEP_MIN: Duration = Duration::from_mins(1);
 
 /// Longest time that a process keeps to one member.
-const KEEP_MAX: Duration = Duration::from_secs(120);
+const KEEP_MAX: Duration = Duration::from_mins(2);
 
 /// The choice of one process among the members.
 #[derive(Clone, Debug)]
--- a/src/cardamomtally/net/mod.rs
+++ b/src/cardamomtally/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod codec;
 pub mod delta;
 pub mod nng;
+pub mod packed;
 pub mod run;
 pub mod status;
 pub mod transport;
--- a/src/cardamomtally/net/nng/server.rs
+++ b/src/cardamomtally/net/nng/server.rs
@@ -59,7 +59,7 @@
         socket.set_opt::<RecvMaxSize>(MESSAGE_LIMIT_BYTES)?;
         let listener = Listener::new(&socket, &format!("tcp://{address}"))
             .wrap_err_with(|| format!("failed to listen for polls at {address}"))?;
-        let bound = bound_address(&listener)?;
+        let bound = bound_address(listener)?;
         let traffic = Arc::<Traffic>::default();
         let receiver = (socket.clone(), Arc::clone(&traffic));
         let thread = thread::Builder::new()
@@ -144,7 +144,7 @@
     }
 }
 
-fn bound_address(listener: &Listener) -> eyre::Result<net::SocketAddr> {
+fn bound_address(listener: Listener) -> eyre::Result<net::SocketAddr> {
     match listener.get_opt::<LocalAddr>()? {
         SocketAddr::Inet(address) => Ok(address.into()),
         SocketAddr::Inet6(address) => Ok(address.into()),
--- a/src/cardamomtally/net/wire.rs
+++ b/src/cardamomtally/net/wire.rs
@@ -10,7 +10,7 @@
         claim::{ClaimOp, ClaimReply},
         config::{ConfigRef, VersionId},
         digest::Digest,
-        id::{Incarnation, Index, Name},
+        id::{GroupId, Incarnation, Index, Name},
     },
     timeline::Stamp,
 };
@@ -51,6 +51,16 @@
     pub rated_bad: u32,
 }
 
+impl HealthReport {
+    /// Adds another report of the same version.
+    pub const fn merge(&mut self, other: &Self) {
+        self.good = self.good.saturating_add(other.good);
+        self.bad = self.bad.saturating_add(other.bad);
+        self.rated_good = self.rated_good.saturating_add(other.rated_good);
+        self.rated_bad = self.rated_bad.saturating_add(other.rated_bad);
+    }
+}
+
 /// A crash of a backend server, with the requests in flight there.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct CrashReport {
@@ -190,8 +200,11 @@
     #[serde(rename = "p")]
     Poll(Poll),
     /// Apply operations to the ledger.
-    #[serde(rename = "c")]
+    #[serde(rename = "c", with = "super::packed")]
     Claims(Vec<ClaimOp>),
+    /// Propose a command to a group, between members.
+    #[serde(rename = "g")]
+    Propose(GroupId, serde_bytes::ByteBuf),
     /// Ask for what the member knows by itself, between members.
     #[serde(rename = "s")]
     Status,
@@ -209,6 +222,9 @@
     /// Answers to ledger operations, in their order.
     #[serde(rename = "c")]
     Claims(Vec<ClaimReply>),
+    /// The state machine's answer to a command.
+    #[serde(rename = "g")]
+    Proposed(serde_bytes::ByteBuf),
     /// What the member knows by itself.
     #[serde(rename = "s")]
     Status(Box<LocalStatus>),
