--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -1,1 +1,83 @@
-//! The whole path with real processes.
+//! The whole path with real processes: caller, entry, agent, engine, and a
+//! ticket through control.
+
+use crate::support::{
+    Ticket,
+    caller::expected,
+    eventually,
+    site::PARTNER,
+    small::{LARGE, SMALL, WORKSPACE, opened, opening, small},
+};
+
+#[test]
+fn request_passes_from_caller_to_engine_and_back() {
+    let site = opened(small());
+    let caller = site.caller("entry-1", WORKSPACE);
+
+    let plain = caller.chat(SMALL, "spruce", 5);
+    let streamed = caller.stream(LARGE, "alder", 7);
+
+    assert_eq!(
+        plain.content(),
+        Some(expected("spruce", 5)),
+        "{}",
+        plain.text()
+    );
+    assert_eq!(
+        streamed.content(),
+        Some(expected("alder", 7)),
+        "{}",
+        streamed.text()
+    );
+    assert!(plain.header("x-request-id").is_some());
+}
+
+#[test]
+fn submission_runs_once_and_its_resending_gets_the_first_answer() {
+    let site = opened(small());
+    let first = site.caller("entry-1", WORKSPACE);
+    let second = site.caller("entry-2", WORKSPACE);
+
+    let one = first.submit("order-7", "cards");
+    let again = second.submit("order-7", "cards");
+    let keyless = first.call("POST", "/queue/jobs", &[], b"other".to_vec());
+
+    assert_eq!(one.status, 201, "{}", one.text());
+    assert_eq!((again.status, again.body), (201, one.body));
+    assert_eq!((keyless.status, keyless.verdict()), (400, Some("not-run")));
+    assert_eq!(site.service("gla-q1").runs().by_body["cards"], 1);
+    assert!(!site.service("gla-q1").runs().by_body.contains_key("other"));
+}
+
+#[test]
+fn ticket_withdraws_a_version_everywhere() {
+    let site = opened(small());
+
+    site.submit(&Ticket::new(PARTNER, 2).version(LARGE, 1.0, "withdrawn"));
+
+    for entry in ["entry-1", "entry-2"] {
+        let caller = site.caller(entry, WORKSPACE);
+        eventually("the version is refused", || {
+            caller.chat(LARGE, "late", 1).verdict() == Some("not-run")
+        });
+        assert!(caller.chat(SMALL, "fine", 1).ok());
+    }
+}
+
+#[test]
+fn tickets_of_equal_number_have_one_winner() {
+    let site = opened(small());
+    let ours = Ticket::new(PARTNER, 2).version(LARGE, 2.0, "in-service");
+    let theirs = Ticket::new(PARTNER, 2).version(LARGE, 3.0, "in-service");
+
+    site.submit(&ours);
+    let repeated = site.submit_to("control-2", &ours);
+    let refused = site.submit_to("control-3", &theirs);
+    let old = site.submit_to("control-1", &opening(&site));
+
+    assert_eq!(repeated.status, 200);
+    assert_eq!(repeated.json()["repeated"], true);
+    assert_eq!(refused.status, 409);
+    // The first ticket resent gets its first answer again.
+    assert_eq!(old.status, 200);
+}
--- a/tests/testsuite/standin.rs
+++ b/tests/testsuite/standin.rs
@@ -1,1 +1,227 @@
 //! Stand-ins and the fault proxy.
+
+use crate::support::{
+    Caller,
+    caller::{chat_body, expected, send},
+    eventually,
+};
+use cardamomtally_standin::{
+    Engine, EngineOptions, Proxy, Rater, Service, Vms, Weights, engine::BadVersion,
+    rater::RaterOptions, vms::Vm,
+};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+fn any() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn engine(options: EngineOptions) -> (Engine, Caller) {
+    let engine = Engine::start(options).expect("the engine starts");
+    let caller = Caller::new(&engine.addr().to_string(), "any");
+    (engine, caller)
+}
+
+#[test]
+fn engine_answers_plain_and_streamed() {
+    let (engine, caller) = engine(EngineOptions::default());
+
+    let plain = caller.chat("m@1", "spruce tree", 5);
+    let streamed = caller.stream("m@1", "alder", 4);
+
+    assert_eq!(plain.content(), Some(expected("spruce", 5)));
+    assert_eq!(plain.json()["usage"]["completion_tokens"], 5);
+    assert_eq!(streamed.content(), Some(expected("alder", 4)));
+    assert!(streamed.text().contains("\"usage\""));
+    assert_eq!(engine.counters().completed, 2);
+}
+
+#[test]
+fn cold_engine_dies_above_its_limit_and_comes_back() {
+    let options = EngineOptions {
+        cold_limit: 2,
+        warm_after: 100,
+        down: Duration::from_millis(100),
+        step: Duration::from_millis(5),
+        ..EngineOptions::default()
+    };
+    let (engine, caller) = engine(options);
+    let before = engine.incarnation();
+
+    let calls: Vec<_> = (0..8)
+        .map(|_n| {
+            let caller = caller.clone();
+            std::thread::spawn(move || caller.chat("m@1", "fir", 50))
+        })
+        .collect();
+    let replies: Vec<_> = calls.into_iter().map(|call| call.join().unwrap()).collect();
+
+    assert!(replies.iter().any(|reply| !reply.ok()));
+    assert!(engine.counters().overloads > 0);
+    eventually("the engine is back", || caller.chat("m@1", "fir", 1).ok());
+    assert_ne!(engine.incarnation(), before);
+}
+
+#[test]
+fn poison_kills_the_engine() {
+    let (engine, caller) = engine(EngineOptions::default());
+
+    let reply = caller.chat("m@1", "yew !poison", 50);
+
+    assert!(!reply.ok());
+    assert_eq!(engine.counters().poisoned, 1);
+}
+
+#[test]
+fn engine_misbehaves_on_demand() {
+    let (engine, caller) = engine(EngineOptions::default());
+    engine.faults(|faults| {
+        faults.crossed = 1;
+        faults.truncated = 1;
+        let bad = BadVersion {
+            errors: 1.0,
+            ..BadVersion::default()
+        };
+        faults.bad.insert("bad@1".to_owned(), bad);
+    });
+
+    let spoiled = caller.stream("m@1", "elm", 3);
+    let bad = caller.chat("bad@1", "elm", 3);
+    let good = caller.stream("m@1", "elm", 3);
+
+    assert_eq!(spoiled.content(), None);
+    assert_eq!(bad.status, 500);
+    assert_eq!(good.content(), Some(expected("elm", 3)));
+}
+
+#[test]
+fn engine_resumes_and_cancels() {
+    let (engine, caller) = engine(EngineOptions::default());
+    engine.faults(|faults| faults.held = true);
+    let held = {
+        let caller = caller.clone();
+        let body = chat_body("m@1", "oak", 6, true).to_string().into_bytes();
+        let headers = [("x-request-id", "r-1")];
+        std::thread::spawn(move || caller.call("POST", "/v1/chat/completions", &headers, body))
+    };
+    eventually("the request runs", || engine.load().0 == 1);
+
+    let cancelled = caller.call("DELETE", "/v1/requests/r-2", &[], Vec::new());
+    engine.faults(|faults| faults.held = false);
+    let first = held.join().unwrap();
+    let resumed = caller.call("POST", "/v1/resume/r-1?offset=2", &[], Vec::new());
+
+    assert_eq!(cancelled.status, 204);
+    assert_eq!(first.content(), Some(expected("oak", 6)));
+    assert_eq!(resumed.content(), Some(expected("oak", 6)[12..].to_owned()));
+    assert_eq!(engine.counters().resumed, 1);
+}
+
+#[test]
+fn engine_checks_fencing_only_if_told() {
+    let checking = engine(EngineOptions::default());
+    let ignoring = engine(EngineOptions {
+        checks_fencing: false,
+        ..EngineOptions::default()
+    });
+    let order = |caller: &Caller, fence: u64| {
+        let body = format!(r#"{{"fence":{fence},"action":"load","version":"m@2"}}"#);
+        caller.call("POST", "/orders", &[], body.into_bytes())
+    };
+
+    let statuses = [&checking, &ignoring].map(|(_engine, caller)| {
+        order(caller, 7);
+        order(caller, 3).status
+    });
+
+    assert_eq!(statuses, [409, 200]);
+    assert_eq!(checking.0.counters().fence_breaks, 0);
+    assert_eq!(ignoring.0.counters().fence_breaks, 1);
+}
+
+#[test]
+fn service_counts_runs_and_loses_answers() {
+    let service = Service::start(any()).expect("the service starts");
+    let url = format!("http://{}/jobs", service.addr());
+    let submit = |id| send("POST", &url, &[("x-request-id", id)], b"cards".to_vec());
+
+    let first = submit("a");
+    service.faults(|faults| faults.lose = 1);
+    let lost = submit("b");
+
+    assert_eq!(first.status, 201);
+    assert!(lost.broken);
+    assert_eq!(service.runs().by_request["b"], 1);
+    assert_eq!(service.runs().by_body["cards"], 2);
+}
+
+#[test]
+fn proxy_holds_cuts_refuses_and_drops() {
+    let (_engine, direct) = engine(EngineOptions::default());
+    let proxy = Proxy::start(Some(direct.entry.parse().unwrap())).expect("a free port");
+    let caller = Caller::new(&proxy.addr().to_string(), "any");
+    let call = || caller.chat("m@1", "ash", 2);
+
+    let plain = call().ok();
+    proxy.faults(|faults| {
+        faults.split = 3;
+        faults.merge = Duration::from_millis(1);
+    });
+    let split = call().content();
+    proxy.faults(|faults| {
+        *faults = cardamomtally_standin::Faults::default();
+        faults.hold = true;
+    });
+    let held = {
+        let caller = caller.clone();
+        std::thread::spawn(move || caller.chat("m@1", "ash", 2))
+    };
+    proxy.heal();
+    let released = held.join().unwrap().ok();
+    proxy.faults(|faults| faults.refuse = true);
+    proxy.cut();
+    eventually("connections are refused", || call().status == 0);
+    proxy.heal();
+
+    assert!(plain);
+    assert_eq!(split, Some(expected("ash", 2)));
+    assert!(released);
+    eventually("connections are accepted again", || call().ok());
+}
+
+#[test]
+fn rater_weights_and_platform_answer() {
+    let rater = Rater::start(any(), RaterOptions::default()).expect("the rater starts");
+    let weights = Weights::start(any(), Duration::from_secs(60)).expect("the store starts");
+    let vms = Vms::start(any(), Duration::ZERO).expect("the list starts");
+    let json = [("content-type", "application/json")];
+    let post = |addr: SocketAddr, path: &str, body: &str| {
+        let url = format!("http://{addr}{path}");
+        send("POST", &url, &json, body.as_bytes().to_vec())
+    };
+
+    let rate = |answer: &str| {
+        let body = format!(r#"{{"version":"p/m@1","prompt":"x","answer":"{answer}"}}"#);
+        post(rater.addr(), "/rate", &body).json()["score"].clone()
+    };
+    let permit = r#"{"version":"m@1","backend":"b"}"#;
+    let permits = [(); 2].map(|()| post(weights.addr(), "/permits", permit));
+    vms.set(vec![Vm {
+        name: "gla-e1".to_owned(),
+        state: "leaving".to_owned(),
+    }]);
+    let list = send(
+        "GET",
+        &format!("http://{}/vms", vms.addr()),
+        &[],
+        Vec::new(),
+    );
+
+    assert_eq!(rate("fine"), 0.9);
+    assert_eq!(rate("zzz.0"), 0.2);
+    assert_eq!(permits.each_ref().map(|reply| reply.status), [200, 429]);
+    assert!(permits[1].header("retry-after").is_some());
+    assert_eq!(list.json()[0]["state"], "leaving");
+}
--- /dev/null
+++ b/tests/testsuite/support/process.rs
@@ -0,0 +1,178 @@
+//! One daemon as a real process.
+
+use super::wait;
+use serde::Deserialize;
+use std::{
+    fs::File,
+    io::{BufRead as _, BufReader, Read as _, Seek as _, SeekFrom},
+    os::unix::process::CommandExt as _,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::mpsc::{self, Receiver},
+};
+
+/// Bytes of a log that a failed test prints.
+const TAIL_BYTES: u64 = 2_000;
+
+/// The kind of a daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Daemon {
+    Agent,
+    Control,
+    Entry,
+}
+
+impl Daemon {
+    const fn program(self) -> &'static str {
+        match self {
+            Self::Agent => env!("CARGO_BIN_EXE_cardamomtally-agent"),
+            Self::Control => env!("CARGO_BIN_EXE_cardamomtally-control"),
+            Self::Entry => env!("CARGO_BIN_EXE_cardamomtally-entry"),
+        }
+    }
+}
+
+/// Where a daemon is bound, from its ready line.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Bound {
+    pub http: String,
+    #[serde(default)]
+    pub poll: Option<String>,
+    #[serde(default)]
+    pub peer: Option<String>,
+}
+
+/// A daemon's process, killed on drop.
+#[derive(Debug)]
+pub struct Process {
+    pub name: String,
+    pub daemon: Daemon,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Child,
+    ready: Receiver<Bound>,
+    pub bound: Bound,
+}
+
+impl Process {
+    /// Starts a daemon on a settings file, without waiting for it.
+    pub fn start(name: &str, daemon: Daemon, settings: &Path) -> Self {
+        let log = settings.with_extension("log");
+        let (child, ready) = spawn(daemon, settings, &log);
+        Self {
+            name: name.to_owned(),
+            daemon,
+            settings: settings.to_owned(),
+            log,
+            child,
+            ready,
+            bound: Bound::default(),
+        }
+    }
+
+    /// Waits until it has printed where it is bound.
+    pub fn wait_ready(&mut self) {
+        match self.ready.recv_timeout(wait::PATIENCE) {
+            Ok(bound) => self.bound = bound,
+            Err(error) => panic!("{} is not ready: {error}\n{}", self.name, self.tail()),
+        }
+    }
+
+    /// Starts it again after its end.
+    pub fn restart(&mut self) {
+        self.kill();
+        (self.child, self.ready) = spawn(self.daemon, &self.settings, &self.log);
+        self.wait_ready();
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) {
+        // A process that has ended cannot be killed, which is as well.
+        let _ignored = self.child.kill();
+        let _ignored = self.child.wait();
+    }
+
+    /// Asks for a planned stop, without waiting for it.
+    pub fn stop(&self) {
+        self.signal(libc::SIGTERM);
+    }
+
+    /// Pauses it.
+    pub fn pause(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets it go on after a pause.
+    pub fn resume(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
+    /// Tells whether it ended, and whether with success.
+    pub fn ended(&mut self) -> Option<bool> {
+        let status = self.child.try_wait().expect("the child can be waited for");
+        status.map(|status| status.success())
+    }
+
+    /// Returns its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the end of its log.
+    pub fn tail(&self) -> String {
+        let mut text = Vec::new();
+        if let Ok(mut file) = File::open(&self.log) {
+            let length = file.metadata().map_or(0, |meta| meta.len());
+            let from = SeekFrom::Start(length.saturating_sub(TAIL_BYTES));
+            // A log that cannot be read is shown as empty.
+            let _ignored = file.seek(from).and_then(|_at| file.read_to_end(&mut text));
+        }
+        format!("--- {}\n{}", self.name, String::from_utf8_lossy(&text))
+    }
+
+    fn signal(&self, signal: libc::c_int) {
+        let pid = libc::pid_t::try_from(self.child.id()).expect("process ids are small");
+        // SAFETY: `kill` takes no pointers, and the child has not been waited
+        // for, so the id is still its own.
+        unsafe {
+            libc::kill(pid, signal);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(daemon: Daemon, settings: &Path, log: &Path) -> (Child, Receiver<Bound>) {
+    let log = File::options().create(true).append(true).open(log);
+    let mut command = Command::new(daemon.program());
+    command
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(log.expect("the log file opens"));
+    // SAFETY: `prctl` is async-signal-safe and takes no pointers here.
+    unsafe {
+        command.pre_exec(|| {
+            libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+            Ok(())
+        });
+    }
+    let mut child = command.spawn().expect("the daemon starts");
+    let out = child.stdout.take().expect("stdout is piped");
+    let (tx, ready) = mpsc::channel();
+    std::thread::spawn(move || {
+        for line in BufReader::new(out).lines().map_while(Result::ok) {
+            let bound = line.strip_prefix("ready ").map(serde_json::from_str);
+            if let Some(Ok(bound)) = bound {
+                // The test may have given up on this process.
+                let _ignored = tx.send(bound);
+            }
+        }
+    });
+    (child, ready)
+}
--- /dev/null
+++ b/tests/testsuite/support/site.rs
@@ -0,0 +1,411 @@
+//! A running site.
+
+use super::{
+    caller::{Caller, Reply, send},
+    link::{Kind, Links},
+    process::{Daemon, Process},
+    settings::{self, MemberAddr},
+    tickets::{Ticket, sha256_hex},
+    wait::{eventually, until},
+};
+use cardamomtally_standin::{Engine, EngineOptions, Faults, Proxy, Service};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    sync::{Condvar, Mutex, PoisonError},
+};
+use tempfile::TempDir;
+
+/// Sites that run at once in one test process.
+const SITE_LIMIT: usize = 3;
+
+/// The partner of most tests.
+pub const PARTNER: &str = "clydeside";
+
+/// The other partner.
+pub const OTHER: &str = "prairie";
+
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// Stands for one of the sites that may run at once.
+#[derive(Debug)]
+struct Turn;
+
+impl Turn {
+    fn wait() -> Self {
+        let mut running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        while *running >= SITE_LIMIT {
+            running = ENDED.wait(running).unwrap_or_else(PoisonError::into_inner);
+        }
+        *running += 1;
+        Self
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        *RUNNING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        ENDED.notify_one();
+    }
+}
+
+/// A backend server beside its agent.
+#[derive(Debug)]
+enum Backend {
+    Engine(Engine),
+    Service(Service),
+}
+
+/// What a site is to consist of.
+#[derive(Debug)]
+pub struct SiteBuilder {
+    members: usize,
+    entries: Vec<(String, String)>,
+    backends: Vec<(String, String, Option<EngineOptions>)>,
+    control_extra: String,
+    entry_extra: String,
+    agent_extra: String,
+}
+
+/// Begins a site of three control members and nothing else.
+pub fn site() -> SiteBuilder {
+    SiteBuilder {
+        members: 3,
+        entries: Vec::new(),
+        backends: Vec::new(),
+        control_extra: String::new(),
+        entry_extra: String::new(),
+        agent_extra: String::new(),
+    }
+}
+
+impl SiteBuilder {
+    /// Sets the number of control members.
+    pub fn members(mut self, members: usize) -> Self {
+        self.members = members;
+        self
+    }
+
+    /// Adds an entry.
+    pub fn entry(mut self, name: &str, centre: &str) -> Self {
+        self.entries.push((name.to_owned(), centre.to_owned()));
+        self
+    }
+
+    /// Adds an engine and its agent.
+    pub fn engine(mut self, name: &str, centre: &str, options: EngineOptions) -> Self {
+        let backend = (name.to_owned(), centre.to_owned(), Some(options));
+        self.backends.push(backend);
+        self
+    }
+
+    /// Adds a plain service and its agent.
+    pub fn service(mut self, name: &str, centre: &str) -> Self {
+        let backend = (name.to_owned(), centre.to_owned(), None);
+        self.backends.push(backend);
+        self
+    }
+
+    /// Adds lines to the settings of all control members.
+    pub fn control_settings(mut self, extra: &str) -> Self {
+        self.control_extra.push_str(extra);
+        self
+    }
+
+    /// Adds lines to the settings of all entries.
+    pub fn entry_settings(mut self, extra: &str) -> Self {
+        self.entry_extra.push_str(extra);
+        self
+    }
+
+    /// Adds lines to the settings of all agents.
+    pub fn agent_settings(mut self, extra: &str) -> Self {
+        self.agent_extra.push_str(extra);
+        self
+    }
+
+    /// Starts everything and waits until each process is bound.
+    pub fn build(self) -> Site {
+        let mut site = Site {
+            processes: Vec::new(),
+            backends: Vec::new(),
+            links: Links::default(),
+            folder: tempfile::tempdir().expect("a temporary folder"),
+            members: (1..=self.members).map(|n| format!("control-{n}")).collect(),
+            _turn: Turn::wait(),
+        };
+        for name in site.members.clone() {
+            site.start_control(&name, &self.control_extra);
+        }
+        for (name, centre, options) in self.backends {
+            site.start_agent(&name, &centre, options, &self.agent_extra);
+        }
+        for (name, centre) in self.entries {
+            let text = settings::entry(&name, &centre, &site.polls(&name), &self.entry_extra);
+            site.start(&name, Daemon::Entry, &text);
+        }
+        for at in 0..site.processes.len() {
+            site.processes[at].wait_ready();
+            site.lead(at);
+        }
+        site
+    }
+}
+
+/// A running site; everything ends when it is dropped.
+#[derive(Debug)]
+pub struct Site {
+    processes: Vec<Process>,
+    backends: Vec<(String, String, Backend)>,
+    /// The proxies.
+    pub links: Links,
+    folder: TempDir,
+    members: Vec<String>,
+    _turn: Turn,
+}
+
+impl Site {
+    /// Returns a process.
+    pub fn process(&mut self, name: &str) -> &mut Process {
+        let mut processes = self.processes.iter_mut();
+        processes
+            .find(|process| process.name == name)
+            .expect("the site has this process")
+    }
+
+    /// Restarts a process; its links lead to its new addresses.
+    pub fn restart(&mut self, name: &str) {
+        self.process(name).restart();
+        let at = self.processes.iter().position(|p| p.name == name);
+        self.lead(at.expect("it was just restarted"));
+    }
+
+    /// Kills a process and deletes what it had on disk.
+    pub fn wipe(&mut self, name: &str) {
+        self.process(name).kill();
+        let folder = self.data(name);
+        if folder.exists() {
+            std::fs::remove_dir_all(folder).expect("the folder can be deleted");
+        }
+    }
+
+    /// Returns an engine.
+    pub fn engine(&self, name: &str) -> &Engine {
+        match self.backend(name) {
+            Backend::Engine(engine) => engine,
+            Backend::Service(_) => panic!("{name} is a plain service"),
+        }
+    }
+
+    /// Returns a plain service.
+    pub fn service(&self, name: &str) -> &Service {
+        match self.backend(name) {
+            Backend::Service(service) => service,
+            Backend::Engine(_) => panic!("{name} is an engine"),
+        }
+    }
+
+    /// Returns the link from the entries to an agent.
+    pub fn agent_link(&self, name: &str) -> &Proxy {
+        self.links.get(Kind::Agent, "", name)
+    }
+
+    /// Returns the link from an agent to its backend server.
+    pub fn backend_link(&self, name: &str) -> &Proxy {
+        self.links.get(Kind::Backend, "", name)
+    }
+
+    /// Cuts a process off from control, silently; for a control member also
+    /// from all that ask it.
+    pub fn isolate(&self, name: &str) {
+        self.links.control_faults(name, |faults| faults.hold = true);
+    }
+
+    /// Ends [`Self::isolate`].
+    pub fn rejoin(&self, name: &str) {
+        self.links
+            .control_faults(name, |faults| *faults = Faults::default());
+    }
+
+    /// Returns the address at which the entries reach a backend server's agent.
+    pub fn agent_addr(&self, name: &str) -> String {
+        self.agent_link(name).addr().to_string()
+    }
+
+    /// Returns the HTTP address of a process.
+    pub fn http(&self, name: &str) -> String {
+        let process = self.processes.iter().find(|process| process.name == name);
+        process
+            .expect("the site has this process")
+            .bound
+            .http
+            .clone()
+    }
+
+    /// Returns the caller of a workspace at an entry.
+    pub fn caller(&self, entry: &str, workspace: &str) -> Caller {
+        Caller::new(&self.http(entry), workspace)
+    }
+
+    /// Sends a ticket to one control member.
+    pub fn submit_to(&self, member: &str, ticket: &Ticket) -> Reply {
+        let bearer = format!("Bearer {}", token(&ticket.partner));
+        let url = format!("http://{}/tickets", self.http(member));
+        let headers = [("authorization", bearer.as_str())];
+        send("POST", &url, &headers, ticket.text().into_bytes())
+    }
+
+    /// Sends a ticket to any control member until it is accepted.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is refused, or not accepted in time.
+    pub fn submit(&self, ticket: &Ticket) {
+        until("the ticket is accepted", || {
+            let replies = self
+                .members
+                .iter()
+                .map(|member| self.submit_to(member, ticket));
+            for reply in replies {
+                match reply.status {
+                    200 => return Some(()),
+                    400..=499 => panic!("ticket refused: {}", reply.text()),
+                    _ => {}
+                }
+            }
+            None
+        });
+    }
+
+    /// Asks one member for something.
+    pub fn ask(&self, process: &str, path: &str) -> Reply {
+        send(
+            "GET",
+            &format!("http://{}{path}", self.http(process)),
+            &[],
+            Vec::new(),
+        )
+    }
+
+    /// Waits until an entry answers a chat request of a workspace.
+    pub fn wait_served(&self, entry: &str, workspace: &str, model: &str) {
+        let caller = self.caller(entry, workspace);
+        eventually(&format!("{entry} serves {model}"), || {
+            caller.chat(model, "hello", 2).content().is_some()
+        });
+    }
+
+    /// Returns the names of the backend servers and their data centres.
+    pub fn backend_names(&self) -> Vec<(String, String)> {
+        let names = self.backends.iter();
+        names
+            .map(|(name, centre, _)| (name.clone(), centre.clone()))
+            .collect()
+    }
+
+    /// Returns the names of the control members.
+    pub fn members(&self) -> &[String] {
+        &self.members
+    }
+
+    fn backend(&self, name: &str) -> &Backend {
+        let found = self.backends.iter().find(|(n, _, _)| n == name);
+        &found.expect("the site has this backend server").2
+    }
+
+    fn data(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.data"))
+    }
+
+    fn polls(&mut self, from: &str) -> Vec<String> {
+        let members = self.members.clone();
+        let lay = |member: &String| self.links.lay(Kind::Poll, from, member).to_string();
+        members.iter().map(lay).collect()
+    }
+
+    fn start_control(&mut self, name: &str, extra: &str) {
+        let polls = self.polls(name);
+        let members = self.members.clone();
+        let addrs = members.iter().zip(polls).map(|(member, poll)| MemberAddr {
+            name: member.clone(),
+            poll,
+            peer: self.links.lay(Kind::Peer, name, member).to_string(),
+        });
+        let addrs: Vec<_> = addrs.collect();
+        let operators = [PARTNER, OTHER].map(|partner| (partner, sha256_hex(&token(partner))));
+        let folder = self.data(name);
+        let text = settings::control(name, "glasgow", &folder, &addrs, &operators, extra);
+        self.start(name, Daemon::Control, &text);
+    }
+
+    fn start_agent(
+        &mut self,
+        name: &str,
+        centre: &str,
+        options: Option<EngineOptions>,
+        extra: &str,
+    ) {
+        let (backend, addr) = start_backend(options);
+        let link = self.links.lay(Kind::Backend, "", name);
+        self.links.lead(Kind::Backend, name, addr);
+        self.links.lay(Kind::Agent, "", name);
+        self.backends
+            .push((name.to_owned(), centre.to_owned(), backend));
+        let folder = self.data(name);
+        let text = settings::agent(name, centre, &self.polls(name), link, &folder, extra);
+        self.start(name, Daemon::Agent, &text);
+    }
+
+    fn start(&mut self, name: &str, daemon: Daemon, text: &str) {
+        let file = self.folder.path().join(format!("{name}.toml"));
+        std::fs::write(&file, text).expect("the settings file is written");
+        self.processes.push(Process::start(name, daemon, &file));
+    }
+
+    /// Leads a process's links to where it is bound now.
+    fn lead(&self, at: usize) {
+        let process = &self.processes[at];
+        let to = |kind, addr: Option<&String>| {
+            if let Some(addr) = addr {
+                let addr = addr.parse().expect("the ready line has addresses");
+                self.links.lead(kind, &process.name, addr);
+            }
+        };
+        match process.daemon {
+            Daemon::Agent => to(Kind::Agent, Some(&process.bound.http)),
+            Daemon::Control => {
+                to(Kind::Poll, process.bound.poll.as_ref());
+                to(Kind::Peer, process.bound.peer.as_ref());
+            }
+            Daemon::Entry => {}
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for process in &self.processes {
+                eprintln!("{}", process.tail());
+            }
+        }
+    }
+}
+
+fn start_backend(options: Option<EngineOptions>) -> (Backend, SocketAddr) {
+    if let Some(options) = options {
+        let engine = Engine::start(options).expect("the engine starts");
+        let addr = engine.addr();
+        return (Backend::Engine(engine), addr);
+    }
+    let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let service = Service::start(listen).expect("the service starts");
+    let addr = service.addr();
+    (Backend::Service(service), addr)
+}
+
+/// Returns an operator's bearer token.
+pub fn token(partner: &str) -> String {
+    format!("{partner}-token")
+}
--- /dev/null
+++ b/tests/testsuite/support/small.rs
@@ -0,0 +1,94 @@
+//! The small site that most tests run on.
+
+use super::{
+    Site, Ticket,
+    site::{PARTNER, SiteBuilder, site},
+};
+use cardamomtally_standin::EngineOptions;
+
+/// The cheap version.
+pub const SMALL: &str = "draft-small@1";
+
+/// The expensive version.
+pub const LARGE: &str = "draft-large@1";
+
+/// The workspace that may use all versions and services.
+pub const WORKSPACE: &str = "counter";
+
+/// Entries of the small site and their data centres.
+pub const ENTRIES: [(&str, &str); 2] = [("entry-1", "glasgow"), ("entry-2", "dundee")];
+
+/// Returns the options of an engine that serves both versions.
+pub fn both() -> EngineOptions {
+    serving(&[SMALL, LARGE])
+}
+
+/// Returns the options of an engine that serves some versions.
+pub fn serving(versions: &[&str]) -> EngineOptions {
+    EngineOptions {
+        versions: versions
+            .iter()
+            .map(|version| (*version).to_owned())
+            .collect(),
+        ..EngineOptions::default()
+    }
+}
+
+/// Begins a site of three control members, two entries in two data centres, an
+/// engine in each and a plain service.
+pub fn small() -> SiteBuilder {
+    engines(both())
+}
+
+/// Begins the small site with other engines.
+pub fn engines(options: EngineOptions) -> SiteBuilder {
+    let begun = ENTRIES
+        .iter()
+        .fold(site(), |site, (name, centre)| site.entry(name, centre));
+    begun
+        .engine("gla-e1", "glasgow", options.clone())
+        .engine("dun-e1", "dundee", options)
+        .service("gla-q1", "glasgow")
+}
+
+/// Returns the first ticket of a site: all that it has, in service, for one
+/// workspace. The backend servers `*-q*` run the plain service.
+pub fn opening(site: &Site) -> Ticket {
+    let ticket = Ticket::new(PARTNER, 1)
+        .version(SMALL, 0.2, "in-service")
+        .version(LARGE, 1.0, "in-service")
+        .cascade("summaries", &[SMALL, LARGE])
+        .service("queue", "/queue")
+        .workspace(WORKSPACE, &[SMALL, LARGE], &["queue"]);
+    let ticket = centres(site)
+        .iter()
+        .fold(ticket, |ticket, centre| ticket.centre(centre, "in"));
+    site.backend_names()
+        .iter()
+        .fold(ticket, |ticket, (name, centre)| {
+            let addr = site.agent_addr(name);
+            let place = Some((centre.as_str(), addr.as_str()));
+            if name.contains("-q") {
+                return ticket.backend(name, place, &[], &["queue"]);
+            }
+            ticket.backend(name, place, &[SMALL, LARGE], &[])
+        })
+}
+
+/// Starts a site, submits its first ticket and waits until each entry serves.
+pub fn opened(builder: SiteBuilder) -> Site {
+    let site = builder.build();
+    site.submit(&opening(&site));
+    for (entry, _centre) in ENTRIES {
+        site.wait_served(entry, WORKSPACE, SMALL);
+        site.wait_served(entry, WORKSPACE, LARGE);
+    }
+    site
+}
+
+fn centres(site: &Site) -> Vec<String> {
+    let mut centres: Vec<_> = site.backend_names().into_iter().map(|(_, c)| c).collect();
+    centres.sort();
+    centres.dedup();
+    centres
+}
