--- a/tests/testsuite/lease.rs
+++ b/tests/testsuite/lease.rs
@@ -1,1 +1,336 @@
-//! Leases and polls.
+//! Leases: what a process holds and until when.
+
+use cardamomtally::{
+    core::config::{CentreState, Config},
+    lease::{
+        rotation::Rotation,
+        state::{Breaks, LeaseState, Outcome, digest},
+    },
+    net::{
+        delta,
+        wire::{Poll, PollReply, Update},
+    },
+    prelude::*,
+};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use std::collections::BTreeMap;
+
+const LEASE: Duration = Duration::from_secs(4);
+
+fn config(index: u64) -> Arc<Config> {
+    let centre = CentreState {
+        region: format!("region-{index}").into(),
+        views: BTreeMap::new(),
+    };
+    Arc::new(Config {
+        index: Index(index),
+        centres: BTreeMap::from([("glasgow".into(), centre)]),
+        ..Config::default()
+    })
+}
+
+fn whole(index: u64) -> PollReply {
+    PollReply {
+        index: Index(index),
+        lease: LEASE,
+        update: Update::Whole(config(index)),
+        digest: Some(digest(&config(index))),
+        ..PollReply::default()
+    }
+}
+
+fn same(index: u64) -> PollReply {
+    PollReply {
+        index: Index(index),
+        lease: LEASE,
+        ..PollReply::default()
+    }
+}
+
+fn change(from: u64, to: u64) -> PollReply {
+    let patch = delta::diff(&config(from), &config(to)).unwrap();
+    PollReply {
+        update: Update::Delta(serde_bytes::ByteBuf::from(patch)),
+        ..whole(to)
+    }
+}
+
+fn secs(secs: u64) -> Mono {
+    Mono::default() + Duration::from_secs(secs)
+}
+
+/// A process that holds index 5 from a poll sent at second 10.
+fn holding() -> LeaseState {
+    let mut state = LeaseState::new(Breaks::default());
+    state.answer(Index(0), secs(10), secs(11), &whole(5));
+    state
+}
+
+#[test]
+fn a_fresh_process_may_take_no_work() {
+    let state = LeaseState::new(Breaks::default());
+
+    assert!(!state.is_valid(secs(0)));
+    assert_eq!(state.index(), Index(0));
+}
+
+#[test]
+fn the_lease_runs_from_the_sending_of_the_poll() {
+    let state = holding();
+
+    assert_eq!(state.until(), secs(14));
+    assert!(state.is_valid(secs(13)));
+    assert!(!state.is_valid(secs(14)));
+}
+
+#[test]
+fn an_answer_that_took_longer_than_the_lease_gives_none() {
+    let mut state = LeaseState::new(Breaks::default());
+
+    let outcome = state.answer(Index(0), secs(10), secs(60), &whole(5));
+
+    assert_eq!(outcome, Outcome::Changed);
+    assert!(!state.is_valid(secs(60)));
+}
+
+#[test]
+fn a_lower_index_is_never_applied() {
+    let mut state = holding();
+
+    let outcome = state.answer(Index(5), secs(12), secs(12), &whole(4));
+
+    assert_eq!(outcome, Outcome::Stale);
+    assert_eq!(state.index(), Index(5));
+    assert_eq!(state.until(), secs(14));
+}
+
+#[test]
+fn a_late_answer_to_an_older_poll_does_not_shorten_the_lease() {
+    let mut state = holding();
+    state.answer(Index(5), secs(13), secs(13), &same(5));
+
+    let outcome = state.answer(Index(5), secs(11), secs(14), &same(5));
+
+    assert_eq!(outcome, Outcome::Renewed);
+    assert_eq!(state.until(), secs(17));
+}
+
+#[test]
+fn a_late_answer_about_an_older_configuration_renews_nothing() {
+    let mut state = holding();
+    state.answer(Index(5), secs(12), secs(12), &change(5, 6));
+
+    let outcome = state.answer(Index(5), secs(13), secs(14), &same(5));
+
+    assert_eq!(outcome, Outcome::Stale);
+    assert_eq!(state.until(), secs(16));
+}
+
+#[test]
+fn a_late_delta_is_not_applied_to_another_base() {
+    let mut state = holding();
+    let late = change(5, 6);
+    state.answer(Index(5), secs(12), secs(12), &whole(6));
+
+    let outcome = state.answer(Index(5), secs(11), secs(13), &late);
+
+    assert_eq!(outcome, Outcome::Stale);
+    assert_eq!(state.config(), &config(6));
+}
+
+#[test]
+fn a_delta_whose_result_has_another_digest_asks_for_the_whole() {
+    let mut state = holding();
+    let reply = PollReply {
+        digest: Some(Digest::of(b"other")),
+        ..change(5, 6)
+    };
+
+    let outcome = state.answer(Index(5), secs(12), secs(12), &reply);
+    let mut poll = Poll::default();
+    state.describe(&mut poll);
+
+    assert_eq!(outcome, Outcome::Unfit);
+    assert_eq!(poll.digest, Digest::default());
+    assert_eq!(state.index(), Index(5));
+    assert_eq!(state.until(), secs(14));
+}
+
+#[test]
+fn garbage_in_place_of_a_delta_changes_nothing() {
+    let mut state = holding();
+    let reply = PollReply {
+        update: Update::Delta(serde_bytes::ByteBuf::from(vec![0xff, 0x00])),
+        ..whole(6)
+    };
+
+    let outcome = state.answer(Index(5), secs(12), secs(12), &reply);
+
+    assert_eq!(outcome, Outcome::Unfit);
+    assert_eq!(state.config(), &config(5));
+}
+
+/// A group that accepts changes, and a process that polls it over a network
+/// that delays, loses, doubles and reorders answers. Time is the group's; the
+/// process's clock runs slow by `drift` per mille.
+struct Trial {
+    rng: SmallRng,
+    state: LeaseState,
+    drift: u64,
+    accepted: Vec<(Mono, u64)>,
+    answers: Vec<(Mono, Mono, Index, PollReply)>,
+    highest: u64,
+}
+
+impl Trial {
+    fn new(seed: u64, breaks: Breaks) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        Self {
+            drift: rng.random_range(990..=1_010),
+            rng,
+            state: LeaseState::new(breaks),
+            accepted: vec![(Mono(0), 0)],
+            answers: Vec::new(),
+            highest: 0,
+        }
+    }
+
+    fn local(&self, now: Mono) -> Mono {
+        Mono(now.0 * self.drift / 1_000)
+    }
+
+    fn in_force(&self) -> u64 {
+        self.accepted.last().map_or(0, |(_, index)| *index)
+    }
+
+    /// Runs to the end, and returns the first promise that is broken.
+    fn run(mut self) -> Result<(), String> {
+        for step in 0..2_000 {
+            let now = Mono(step * 50_000);
+            if self.rng.random_ratio(1, 40) {
+                self.accepted.push((now, self.in_force() + 1));
+            }
+            if self.rng.random_ratio(1, 10) {
+                self.poll(now);
+            }
+            self.deliver(now);
+            self.check(now)?;
+        }
+        Ok(())
+    }
+
+    fn poll(&mut self, now: Mono) {
+        let mut poll = Poll::default();
+        self.state.describe(&mut poll);
+        let index = self.in_force();
+        let reply = match (poll.holds.0, poll.digest) {
+            (held, d) if held == index && d == digest(&config(held)) => same(index),
+            (held, d) if d == digest(&config(held)) => change(held, index),
+            _ => whole(index),
+        };
+        let copies = self.rng.random_range(0..=2);
+        for _ in 0..copies {
+            let delay = self.rng.random_range(0..8_000_000);
+            let answer = (Mono(now.0 + delay), now, poll.holds, reply.clone());
+            self.answers.push(answer);
+        }
+    }
+
+    fn deliver(&mut self, now: Mono) {
+        let (due, later) = self.answers.drain(..).partition(|a| a.0 <= now);
+        self.answers = later;
+        let due: Vec<(Mono, Mono, Index, PollReply)> = due;
+        for (_, sent, polled, reply) in due {
+            let sent = self.local(sent);
+            let received = self.local(now);
+            self.state.answer(polled, sent, received, &reply);
+        }
+    }
+
+    fn check(&mut self, now: Mono) -> Result<(), String> {
+        let held = self.state.index().0;
+        if held < self.highest {
+            return Err(format!("index went back to {held}"));
+        }
+        self.highest = held;
+        // A slow clock stretches the lease by one hundredth at most.
+        let oldest = now - LEASE.mul_f64(1.02);
+        let newer = self.accepted.iter().any(|(at, i)| *i > held && *at < oldest);
+        if newer && self.state.is_valid(self.local(now)) {
+            return Err(format!("index {held} is used past its lease"));
+        }
+        Ok(())
+    }
+}
+
+const SEEDS: u64 = 40;
+
+#[test]
+fn no_configuration_is_used_past_its_lease_or_goes_back() {
+    for seed in 0..SEEDS {
+        let outcome = Trial::new(seed, Breaks::default()).run();
+
+        assert_eq!(outcome, Ok(()), "seed {seed}");
+    }
+}
+
+#[test]
+fn the_check_catches_a_lease_that_runs_from_receipt() {
+    let breaks = Breaks {
+        lease_from_receipt: true,
+        ..Breaks::default()
+    };
+
+    let caught = (0..SEEDS).any(|seed| Trial::new(seed, breaks).run().is_err());
+
+    assert!(caught);
+}
+
+#[test]
+fn the_check_catches_a_lower_index_that_is_applied() {
+    let breaks = Breaks {
+        apply_lower: true,
+        ..Breaks::default()
+    };
+
+    let caught = (0..SEEDS).any(|seed| Trial::new(seed, breaks).run().is_err());
+
+    assert!(caught);
+}
+
+fn members(count: usize) -> Vec<String> {
+    (0..count).map(|i| format!("member-{i}")).collect()
+}
+
+#[test]
+fn processes_spread_over_all_members() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut counts = BTreeMap::<String, usize>::new();
+
+    for _ in 0..930 {
+        let mut rotation = Rotation::new(&members(7), secs(0), &mut rng);
+        let member = rotation.current(secs(0), &mut rng).unwrap();
+        *counts.entry(member).or_default() += 1;
+    }
+
+    assert_eq!(counts.len(), 7);
+    assert!(counts.values().all(|n| (90..180).contains(n)), "{counts:?}");
+}
+
+#[test]
+fn a_member_that_failed_is_passed_over() {
+    let mut rng = SmallRng::seed_from_u64(2);
+    let mut rotation = Rotation::new(&members(3), secs(0), &mut rng);
+    let first = rotation.current(secs(0), &mut rng).unwrap();
+
+    rotation.failed(secs(0), &mut rng);
+    let second = rotation.current(secs(0), &mut rng).unwrap();
+    rotation.failed(secs(0), &mut rng);
+    let third = rotation.current(secs(0), &mut rng).unwrap();
+    rotation.failed(secs(1), &mut rng);
+    let fourth = rotation.current(secs(1), &mut rng).unwrap();
+
+    assert_ne!(second, first);
+    assert!(third != first && third != second);
+    assert_ne!(fourth, third);
+}
