--- /dev/null
+++ b/src/cardamomtally/agent/answer.rs
@@ -0,0 +1,302 @@
+//! An answer between the backend server and its readers.
+//!
+//! One writer appends what the backend server sends. A reader turns it into
+//! frames, from any offset that is still kept. Bytes are kept up to a limit; at
+//! the limit the oldest that were read go, and the writer waits for a reader
+//! that is slow, so memory is bounded and the backend server feels the back
+//! pressure. Without a reader the oldest bytes go and the writer never waits:
+//! the answer is run to its end, so that it is billed.
+
+use crate::{
+    core::{id::Name, verdict::Verdict},
+    net::run::{Frame, Usage},
+};
+use bytes::Bytes;
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+use tokio::sync::Notify;
+
+/// Longest piece of an answer in one frame.
+const PIECE_BYTES: usize = 64 << 10;
+
+/// How an answer ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    /// It is whole.
+    Whole(Usage),
+    /// It is not whole and will not be.
+    Failed {
+        /// Whether the request ran.
+        verdict: Verdict,
+        /// What happened.
+        reason: Name,
+        /// Whether the version is to blame.
+        blame: bool,
+    },
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Head {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub media: Name,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    head: Option<Head>,
+    pieces: VecDeque<Bytes>,
+    /// Offset of the first kept byte.
+    start: u64,
+    /// Offset after the last byte.
+    finish: u64,
+    end: Option<End>,
+    /// The reader that counts; a later one takes over.
+    reader: Option<u64>,
+    readers: u64,
+    /// Offset up to which the reader has read.
+    read: u64,
+}
+
+/// An answer that is written once and read as it grows.
+#[derive(Debug)]
+pub struct Answer {
+    inner: Mutex<Inner>,
+    grown: Notify,
+    read: Notify,
+    limit: u64,
+}
+
+impl Answer {
+    /// Builds an empty answer that keeps up to `limit` bytes.
+    #[must_use]
+    pub fn new(limit: u64) -> Self {
+        Self {
+            inner: Mutex::default(),
+            grown: Notify::new(),
+            read: Notify::new(),
+            limit: limit.max(1),
+        }
+    }
+
+    /// Returns the number of bytes kept.
+    pub fn kept(&self) -> u64 {
+        let inner = self.lock();
+        inner.finish - inner.start
+    }
+
+    /// Tells how it ended, if it has.
+    pub fn end(&self) -> Option<End> {
+        self.lock().end.clone()
+    }
+
+    /// Sets the head.
+    pub fn set_head(&self, head: Head) {
+        self.lock().head = Some(head);
+        self.grown.notify_waiters();
+    }
+
+    /// Appends bytes. Waits while a slow reader holds back too many.
+    pub async fn push(&self, bytes: Bytes) {
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let piece = rest.split_to(rest.len().min(PIECE_BYTES));
+            self.push_piece(piece).await;
+        }
+    }
+
+    /// Ends the answer. The first end stands.
+    pub fn finish(&self, end: End) {
+        self.lock().end.get_or_insert(end);
+        self.grown.notify_waiters();
+    }
+
+    /// Starts a reader at an offset, in place of the one before.
+    ///
+    /// Returns `None` if the bytes at the offset are gone.
+    pub fn reader(self: &Arc<Self>, from: Option<u64>) -> Option<Reader> {
+        let mut inner = self.lock();
+        let offset = from.unwrap_or(0);
+        if offset < inner.start || offset > inner.finish {
+            return None;
+        }
+        inner.readers += 1;
+        let number = inner.readers;
+        inner.reader = Some(number);
+        inner.read = offset;
+        drop(inner);
+        self.grown.notify_waiters();
+        Some(Reader {
+            answer: Arc::clone(self),
+            number,
+            offset,
+            headed: offset > 0,
+            ended: false,
+        })
+    }
+
+    /// Drops the bytes of an answer that nobody will fetch any more.
+    pub fn discard(&self) {
+        let mut inner = self.lock();
+        inner.pieces.clear();
+        inner.start = inner.finish;
+    }
+
+    async fn push_piece(&self, piece: Bytes) {
+        loop {
+            let mut read = std::pin::pin!(self.read.notified());
+            read.as_mut().enable();
+            if self.try_push(&piece) {
+                self.grown.notify_waiters();
+                return;
+            }
+            read.await;
+        }
+    }
+
+    fn try_push(&self, piece: &Bytes) -> bool {
+        let mut inner = self.lock();
+        let room = self.limit.saturating_sub(piece.len() as u64);
+        while inner.finish - inner.start > room {
+            if !inner.drop_oldest() {
+                return false;
+            }
+        }
+        inner.finish += piece.len() as u64;
+        inner.pieces.push_back(piece.clone());
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Drops the oldest piece, unless the reader still needs it.
+    fn drop_oldest(&mut self) -> bool {
+        let Some(piece) = self.pieces.front() else {
+            return false;
+        };
+        let after = self.start + piece.len() as u64;
+        if self.reader.is_some() && after > self.read {
+            return false;
+        }
+        self.pieces.pop_front();
+        self.start = after;
+        true
+    }
+
+    fn bytes_at(&self, offset: u64) -> Option<Bytes> {
+        let mut at = self.start;
+        for piece in &self.pieces {
+            let after = at + piece.len() as u64;
+            if offset < after {
+                return Some(piece.slice((offset - at) as usize..));
+            }
+            at = after;
+        }
+        None
+    }
+}
+
+/// Reads an answer as frames.
+#[derive(Debug)]
+pub struct Reader {
+    answer: Arc<Answer>,
+    number: u64,
+    offset: u64,
+    headed: bool,
+    ended: bool,
+}
+
+impl Reader {
+    /// Returns the next frame; `None` after the last one.
+    pub async fn next(&mut self) -> Option<Frame> {
+        let answer = Arc::clone(&self.answer);
+        loop {
+            let mut grown = std::pin::pin!(answer.grown.notified());
+            grown.as_mut().enable();
+            if self.ended {
+                return None;
+            }
+            if let Some(frame) = self.take() {
+                return Some(frame);
+            }
+            grown.await;
+        }
+    }
+
+    fn take(&mut self) -> Option<Frame> {
+        let mut inner = self.answer.lock();
+        if inner.reader != Some(self.number) {
+            self.ended = true;
+            return Some(failed("another reader took over"));
+        }
+        if !self.headed
+            && let Some(head) = &inner.head
+        {
+            self.headed = true;
+            return Some(Frame::Head {
+                status: head.status,
+                media: Arc::clone(&head.media),
+            });
+        }
+        if let Some(bytes) = inner.bytes_at(self.offset) {
+            let offset = self.offset;
+            self.offset += bytes.len() as u64;
+            inner.read = self.offset;
+            drop(inner);
+            self.answer.read.notify_waiters();
+            return Some(Frame::Data {
+                offset,
+                bytes: bytes.to_vec(),
+            });
+        }
+        if self.offset < inner.finish {
+            self.ended = true;
+            return Some(failed("the answer is no longer kept"));
+        }
+        let end = inner.end.clone()?;
+        self.ended = true;
+        Some(last_frame(end, self.offset))
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        let mut inner = self.answer.lock();
+        if inner.reader == Some(self.number) {
+            inner.reader = None;
+            drop(inner);
+            self.answer.read.notify_waiters();
+        }
+    }
+}
+
+fn failed(reason: &str) -> Frame {
+    Frame::Failed {
+        verdict: Verdict::Unknown,
+        reason: reason.into(),
+        blame: false,
+    }
+}
+
+fn last_frame(end: End, length: u64) -> Frame {
+    match end {
+        End::Whole(usage) => Frame::End { length, usage },
+        End::Failed {
+            verdict,
+            reason,
+            blame,
+        } => Frame::Failed {
+            verdict,
+            reason,
+            blame,
+        },
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/agent/http_engine.rs
@@ -0,0 +1,264 @@
+//! The engine adapter over HTTP.
+
+use crate::core::{
+    engine::{Engine, EngineAnswer, EngineCall, EngineError, EngineLoad},
+    id::RequestId,
+    order::Order,
+};
+use eyre::WrapErr as _;
+use futures::{StreamExt as _, future::BoxFuture, stream::BoxStream};
+use reqwest::{Client, RequestBuilder, Response, StatusCode, redirect::Policy};
+use serde::Deserialize;
+use std::time::Duration;
+
+/// Header by which a backend server learns and echoes the request's id.
+const REQUEST_HEADER: &str = "x-request-id";
+
+/// Header of a call's priority.
+const PRIORITY_HEADER: &str = "x-priority";
+
+/// Header by which a plain service tells copies of a call.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Longest time to connect, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// Longest time for a short call: load report, health, cancel.
+const SHORT_TIMEOUT_MS: u64 = 1_000;
+
+/// Longest time for an order.
+const ORDER_TIMEOUT_SECS: u64 = 30;
+
+/// Builds an HTTP client that follows no redirect and uses no proxy.
+///
+/// # Errors
+///
+/// Returns an error if the client cannot be built.
+pub fn client() -> eyre::Result<Client> {
+    Client::builder()
+        .no_proxy()
+        .redirect(Policy::none())
+        .connect_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
+        .tcp_nodelay(true)
+        .build()
+        .wrap_err("failed to build the HTTP client")
+}
+
+/// A backend server behind HTTP.
+#[derive(Debug)]
+pub struct HttpEngine {
+    client: Client,
+    url: String,
+    idle: Duration,
+}
+
+/// The part of `GET /health` that is read: unlike the load report it does not
+/// lag.
+#[derive(Debug, Deserialize)]
+struct Health {
+    incarnation: u64,
+    #[serde(default)]
+    versions: Vec<String>,
+}
+
+/// The answer to an order with an old fencing number.
+#[derive(Debug, Deserialize)]
+struct FencedBody {
+    highest: u64,
+}
+
+impl HttpEngine {
+    /// Builds an adapter of the backend server at a URL. `idle` is the longest
+    /// silence in an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the HTTP client cannot be built.
+    pub fn new(url: &str, idle: Duration) -> eyre::Result<Self> {
+        Ok(Self {
+            client: client()?,
+            url: url.trim_end_matches('/').to_owned(),
+            idle,
+        })
+    }
+
+    async fn send(&self, request: RequestBuilder) -> Result<Response, EngineError> {
+        match tokio::time::timeout(self.idle, request.send()).await {
+            Ok(outcome) => outcome.map_err(|error| sort_error(&error)),
+            Err(_elapsed) => Err(EngineError::Timeout("no answer began in time".to_owned())),
+        }
+    }
+
+    async fn get(&self, path: &str) -> Result<Response, EngineError> {
+        let request = self.client.get(format!("{}{path}", self.url));
+        request
+            .timeout(Duration::from_millis(SHORT_TIMEOUT_MS))
+            .send()
+            .await
+            .map_err(|error| sort_error(&error))
+    }
+
+    async fn read_load(&self) -> Result<EngineLoad, EngineError> {
+        let mut load: EngineLoad = json(self.get("/load").await?).await?;
+        let health = self.get("/health").await?;
+        if health.status() == StatusCode::OK
+            && let Ok(health) = json::<Health>(health).await
+        {
+            load.incarnation = health.incarnation;
+            load.versions = health.versions;
+        }
+        Ok(load)
+    }
+
+    fn build(&self, call: EngineCall) -> Result<RequestBuilder, EngineError> {
+        let method = call
+            .method
+            .parse::<reqwest::Method>()
+            .map_err(|error| EngineError::NotSent(error.to_string()))?;
+        let mut request = self
+            .client
+            .request(method, format!("{}{}", self.url, call.path))
+            .header(REQUEST_HEADER, call.request.to_string())
+            .header(PRIORITY_HEADER, call.priority.to_string())
+            .header(KEY_HEADER, call.attempt.to_string());
+        if let Some(media) = call.media {
+            request = request.header(reqwest::header::CONTENT_TYPE, media);
+        }
+        Ok(request.body(call.body))
+    }
+}
+
+impl Engine for HttpEngine {
+    fn call(&self, call: EngineCall) -> BoxFuture<'_, Result<EngineAnswer, EngineError>> {
+        Box::pin(async move {
+            let request = self.build(call)?;
+            let response = self.send(request).await?;
+            Ok(to_answer(response, self.idle))
+        })
+    }
+
+    fn resume(
+        &self,
+        request: RequestId,
+        offset: u64,
+    ) -> BoxFuture<'_, Result<EngineAnswer, EngineError>> {
+        Box::pin(async move {
+            let url = format!("{}/v1/resume/{request}?offset={offset}", self.url);
+            let response = self.send(self.client.post(url)).await?;
+            if response.status() != StatusCode::OK {
+                let status = response.status();
+                return Err(EngineError::Broken(format!("resumption answered {status}")));
+            }
+            Ok(to_answer(response, self.idle))
+        })
+    }
+
+    fn cancel(&self, request: RequestId) -> BoxFuture<'_, Result<(), EngineError>> {
+        Box::pin(async move {
+            let url = format!("{}/v1/requests/{request}", self.url);
+            self.client
+                .delete(url)
+                .timeout(Duration::from_millis(SHORT_TIMEOUT_MS))
+                .send()
+                .await
+                .map(drop)
+                .map_err(|error| sort_error(&error))
+        })
+    }
+
+    fn load(&self) -> BoxFuture<'_, Result<EngineLoad, EngineError>> {
+        Box::pin(self.read_load())
+    }
+
+    fn order(&self, order: Order) -> BoxFuture<'_, Result<(), EngineError>> {
+        Box::pin(async move {
+            let body = order_body(&order);
+            let response = self
+                .client
+                .post(format!("{}/orders", self.url))
+                .timeout(Duration::from_secs(ORDER_TIMEOUT_SECS))
+                .json(&body)
+                .send()
+                .await
+                .map_err(|error| sort_error(&error))?;
+            match response.status() {
+                status if status.is_success() => Ok(()),
+                StatusCode::CONFLICT => {
+                    let body: FencedBody = json(response).await?;
+                    Err(EngineError::Fenced {
+                        highest: body.highest,
+                    })
+                }
+                status => Err(EngineError::Broken(format!(
+                    "the order was answered {status}"
+                ))),
+            }
+        })
+    }
+}
+
+/// An order as the engine reads it.
+#[derive(Debug, serde::Serialize)]
+struct OrderBody<'a> {
+    fence: u64,
+    #[serde(flatten)]
+    action: &'a crate::core::order::Action,
+}
+
+const fn order_body(order: &Order) -> OrderBody<'_> {
+    OrderBody {
+        fence: order.fence.0,
+        action: &order.action,
+    }
+}
+
+fn to_answer(response: Response, idle: Duration) -> EngineAnswer {
+    let header = |name: &str| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok().map(ToOwned::to_owned)
+    };
+    EngineAnswer {
+        status: response.status().as_u16(),
+        media: header("content-type").unwrap_or_default(),
+        echoed: header(REQUEST_HEADER),
+        body: body_of(response, idle),
+    }
+}
+
+/// Returns a body as a stream that ends with an error after a long silence.
+fn body_of(
+    response: Response,
+    idle: Duration,
+) -> BoxStream<'static, Result<bytes::Bytes, EngineError>> {
+    let chunks = Box::pin(response.bytes_stream());
+    futures::stream::unfold(Some(chunks), move |state| async move {
+        let mut chunks = state?;
+        match tokio::time::timeout(idle, chunks.next()).await {
+            Ok(None) => None,
+            Ok(Some(Ok(bytes))) => Some((Ok(bytes), Some(chunks))),
+            Ok(Some(Err(error))) => Some((Err(sort_error(&error)), None)),
+            Err(_elapsed) => {
+                let silent = EngineError::Timeout("the answer fell silent".to_owned());
+                Some((Err(silent), None))
+            }
+        }
+    })
+    .boxed()
+}
+
+async fn json<T: serde::de::DeserializeOwned>(response: Response) -> Result<T, EngineError> {
+    response.json().await.map_err(|error| sort_error(&error))
+}
+
+/// Sorts an error by what it proves. Only a failed connection proves that
+/// nothing was sent.
+fn sort_error(error: &reqwest::Error) -> EngineError {
+    let text = error.to_string();
+    if error.is_connect() || error.is_builder() {
+        EngineError::NotSent(text)
+    } else if error.is_timeout() {
+        EngineError::Timeout(text)
+    } else {
+        EngineError::Broken(text)
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/agent/pump.rs
@@ -0,0 +1,364 @@
+//! Runs one attempt: from the backend server into its answer.
+//!
+//! The pump sends the call, checks the head's request id before anything is
+//! passed on, pushes checked bytes into the [`Answer`], resumes a stream whose
+//! connection broke where the engine still holds it, and tells the control
+//! thread how it ended. A whole answer leaves a usage record before its end is
+//! passed on.
+
+use super::{
+    Parts,
+    admission::Outcome,
+    answer::{Answer, End, Head},
+    attempts::State,
+    usage::{Usage as UsageRecord, cost_micros},
+    whole::{Checker, Fault, Form, check_echo},
+};
+use crate::{
+    core::{
+        claim::Bill,
+        clock::Mono,
+        engine::{EngineAnswer, EngineCall, EngineError},
+        id::AttemptId,
+        verdict::Verdict,
+    },
+    net::run::{CRASH_REASON, RunHead, Target, Usage},
+};
+use bytes::Bytes;
+use futures::StreamExt as _;
+use std::{sync::Arc, time::Duration};
+use tokio::sync::Notify;
+
+/// Most resumptions of one stream.
+const RESUME_LIMIT: u32 = 3;
+
+/// An attempt that may start.
+#[derive(Debug)]
+pub struct Job {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// What to run.
+    pub head: RunHead,
+    /// The call's body.
+    pub body: Bytes,
+    /// Where the answer goes.
+    pub answer: Arc<Answer>,
+    /// When the answer is due.
+    pub deadline: Mono,
+    /// Told when the attempt is cancelled.
+    pub cancel: Arc<Notify>,
+}
+
+/// How a run failed.
+#[derive(Debug)]
+enum Failure {
+    Engine(EngineError),
+    Fault(Fault),
+    Status(u16),
+    Cancelled,
+    Deadline,
+}
+
+impl From<EngineError> for Failure {
+    fn from(error: EngineError) -> Self {
+        Self::Engine(error)
+    }
+}
+
+/// Runs an attempt to its end.
+pub async fn run(parts: Arc<Parts>, job: Job) {
+    let started = parts.clock.now();
+    let mut run = Run {
+        parts: &parts,
+        job: &job,
+        started,
+        headed: false,
+        first: true,
+        checker: None,
+    };
+    let outcome = run.go().await;
+    match outcome {
+        Ok(usage) => run.succeed(usage).await,
+        Err(failure) => run.fail(failure).await,
+    }
+}
+
+struct Run<'a> {
+    parts: &'a Parts,
+    job: &'a Job,
+    started: Mono,
+    /// Whether the backend server sent a head for this request.
+    headed: bool,
+    /// Whether no byte of the body has come yet.
+    first: bool,
+    checker: Option<Checker>,
+}
+
+impl Run<'_> {
+    async fn go(&mut self) -> Result<Usage, Failure> {
+        let answer = self.or_cut(self.parts.engine.call(self.call())).await??;
+        self.take_head(&answer)?;
+        let mut body = answer.body;
+        let mut resumptions = 0;
+        loop {
+            match self.read(&mut body).await {
+                Ok(usage) => return Ok(usage),
+                Err(failure) if self.may_resume(&failure) && resumptions < RESUME_LIMIT => {
+                    resumptions += 1;
+                    body = self.resume(failure).await?;
+                }
+                Err(failure) => return Err(failure),
+            }
+        }
+    }
+
+    fn call(&self) -> EngineCall {
+        let head = &self.job.head;
+        EngineCall {
+            request: self.job.attempt.request,
+            attempt: self.job.attempt,
+            method: head.method.as_ref().to_owned(),
+            path: head.path.as_ref().to_owned(),
+            media: head.media.as_deref().map(ToOwned::to_owned),
+            body: self.job.body.clone(),
+            priority: head.priority,
+        }
+    }
+
+    /// Waits for a future, unless the attempt is cancelled or overdue. A request
+    /// that may not be repeated is neither.
+    async fn or_cut<T>(&self, future: impl Future<Output = T>) -> Result<T, Failure> {
+        if !self.job.head.repeatable {
+            return Ok(future.await);
+        }
+        let left = self.job.deadline.since(self.parts.clock.now());
+        tokio::select! {
+            biased;
+            () = self.job.cancel.notified() => Err(Failure::Cancelled),
+            done = future => Ok(done),
+            () = tokio::time::sleep(left) => Err(Failure::Deadline),
+        }
+    }
+
+    fn take_head(&mut self, answer: &EngineAnswer) -> Result<(), Failure> {
+        let target = &self.job.head.target;
+        let request = self.job.attempt.request;
+        check_echo(target, request, answer.echoed.as_deref()).map_err(Failure::Fault)?;
+        self.headed = true;
+        if answer.status >= 500 && matches!(target, Target::Version(_)) {
+            return Err(Failure::Status(answer.status));
+        }
+        let form = Form::of(target, answer.status, &answer.media);
+        self.checker = Some(Checker::new(form, request));
+        self.job.answer.set_head(Head {
+            status: answer.status,
+            media: answer.media.as_str().into(),
+        });
+        Ok(())
+    }
+
+    async fn read(
+        &mut self,
+        body: &mut futures::stream::BoxStream<'static, Result<Bytes, EngineError>>,
+    ) -> Result<Usage, Failure> {
+        loop {
+            let next = self.or_cut(body.next()).await?;
+            match next {
+                Some(Ok(bytes)) => self.pass(&bytes).await?,
+                Some(Err(error)) if self.is_done() => drop(error),
+                Some(Err(error)) => return Err(Failure::Engine(error)),
+                None => return self.finish().await,
+            }
+            if self.is_done() {
+                return self.finish().await;
+            }
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        self.checker.as_ref().is_some_and(Checker::is_done)
+    }
+
+    async fn pass(&mut self, bytes: &Bytes) -> Result<(), Failure> {
+        let Some(checker) = &mut self.checker else {
+            return Ok(());
+        };
+        let passed = checker.push(bytes).map_err(Failure::Fault)?;
+        let streams = checker.form() == Form::Stream;
+        if self.first && streams && !passed.is_empty() {
+            self.first = false;
+            let delay = self.parts.clock.now().since(self.started);
+            self.parts.desk.first_token(self.job.attempt, delay);
+        }
+        self.push(passed).await
+    }
+
+    async fn push(&self, bytes: Bytes) -> Result<(), Failure> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.or_cut(self.job.answer.push(bytes)).await
+    }
+
+    async fn finish(&mut self) -> Result<Usage, Failure> {
+        let Some(checker) = &mut self.checker else {
+            return Err(Failure::Fault(Fault::Truncated));
+        };
+        let last = checker.finish().map_err(Failure::Fault)?;
+        let usage = checker.usage();
+        self.push(last).await?;
+        Ok(usage)
+    }
+
+    /// Tells whether the engine may still hold the rest of a stream.
+    fn may_resume(&self, failure: &Failure) -> bool {
+        let streams = self
+            .checker
+            .as_ref()
+            .is_some_and(|checker| checker.form() == Form::Stream);
+        let broke = matches!(
+            failure,
+            Failure::Engine(EngineError::Broken(_)) | Failure::Fault(Fault::Truncated)
+        );
+        streams && broke
+    }
+
+    async fn resume(
+        &mut self,
+        failure: Failure,
+    ) -> Result<futures::stream::BoxStream<'static, Result<Bytes, EngineError>>, Failure> {
+        let Some(checker) = &mut self.checker else {
+            return Err(failure);
+        };
+        checker.rewind();
+        let offset = checker.events();
+        let request = self.job.attempt.request;
+        let call = self.parts.engine.resume(request, offset);
+        let Ok(answer) = self.or_cut(call).await? else {
+            return Err(failure);
+        };
+        let target = &self.job.head.target;
+        check_echo(target, request, answer.echoed.as_deref()).map_err(Failure::Fault)?;
+        slog::info!(self.parts.log, "stream: resumed at the engine";
+            "attempt" => %self.job.attempt, "event" => offset);
+        Ok(answer.body)
+    }
+
+    async fn succeed(&self, usage: Usage) {
+        if let Some(bill) = self.bill(usage) {
+            let attempt = self.job.attempt;
+            self.parts.records.add(UsageRecord { attempt, bill }).await;
+        }
+        self.tell(Outcome::Good, State::Ended);
+        self.job.answer.finish(End::Whole(usage));
+    }
+
+    /// Returns the bill of a whole answer. Answers of a model that are errors
+    /// cost nothing.
+    fn bill(&self, usage: Usage) -> Option<Bill> {
+        let head = &self.job.head;
+        let (Target::Version(target) | Target::Service(target)) = &head.target;
+        let is_model = matches!(head.target, Target::Version(_));
+        if is_model && usage == Usage::default() {
+            return None;
+        }
+        let snapshot = Arc::clone(&self.parts.lease.held().snapshot);
+        let version = snapshot.version(target);
+        let cost = version.map_or(0.0, |key| snapshot.versions[key].cost);
+        Some(Bill {
+            request: self.job.attempt.request,
+            partner: Arc::clone(&head.partner),
+            workspace: Arc::clone(&head.workspace),
+            version: target.clone(),
+            prompt_tokens: usage.prompt,
+            completion_tokens: usage.completion,
+            cost_micros: cost_micros(cost, usage.prompt + usage.completion),
+        })
+    }
+
+    async fn fail(&self, failure: Failure) {
+        let attempt = self.job.attempt;
+        let verdict = self.verdict(&failure);
+        let state = if verdict == Verdict::NotRun {
+            State::NotRun
+        } else {
+            State::Unknown
+        };
+        let (outcome, reason, blame) = match failure {
+            Failure::Engine(error) => self.judge(&error).await,
+            Failure::Fault(fault) => (Outcome::Error, fault.to_string(), blames(fault)),
+            Failure::Status(status) => {
+                let reason = format!("the backend server answered {status}");
+                (Outcome::Error, reason, status == 500)
+            }
+            Failure::Cancelled => (
+                Outcome::Cancelled,
+                "the attempt was cancelled".into(),
+                false,
+            ),
+            Failure::Deadline => (
+                Outcome::Error,
+                "the time for the answer ran out".into(),
+                false,
+            ),
+        };
+        if self.job.head.repeatable && verdict != Verdict::NotRun {
+            self.cancel_engine().await;
+        }
+        slog::info!(self.parts.log, "attempt: failed";
+            "attempt" => %attempt, "verdict" => %verdict, "reason" => &reason);
+        self.parts
+            .events
+            .record("attempt", &format!("request {}", attempt.request), &reason);
+        self.tell(outcome, state);
+        self.job.answer.finish(End::Failed {
+            verdict,
+            reason: reason.into(),
+            blame,
+        });
+    }
+
+    fn verdict(&self, failure: &Failure) -> Verdict {
+        match failure {
+            Failure::Engine(EngineError::NotSent(_)) if !self.headed => Verdict::NotRun,
+            _ if self.headed => Verdict::Ran,
+            _ => Verdict::Unknown,
+        }
+    }
+
+    async fn judge(&self, error: &EngineError) -> (Outcome, String, bool) {
+        match error {
+            EngineError::NotSent(_) | EngineError::Broken(_) => {
+                let crashed = self.parts.desk.broke(self.job.attempt).await;
+                let sent = !matches!(error, EngineError::NotSent(_));
+                let reason = if crashed && sent {
+                    CRASH_REASON.to_owned()
+                } else {
+                    error.to_string()
+                };
+                (Outcome::Broken, reason, false)
+            }
+            EngineError::Timeout(_) | EngineError::Fenced { .. } => {
+                (Outcome::Error, error.to_string(), false)
+            }
+        }
+    }
+
+    async fn cancel_engine(&self) {
+        if matches!(self.job.head.target, Target::Version(_)) {
+            // An engine that does not hear it generates in vain, no more.
+            let _unheard = self.parts.engine.cancel(self.job.attempt.request).await;
+        }
+    }
+
+    fn tell(&self, outcome: Outcome, state: State) {
+        let took: Duration = self.parts.clock.now().since(self.started);
+        metrics::histogram!("cardamomtally_agent_attempt_seconds").record(took.as_secs_f64());
+        self.parts.desk.ended(self.job.attempt, outcome, state);
+    }
+}
+
+/// Tells whether a fault is the version's, not the backend server's.
+const fn blames(fault: Fault) -> bool {
+    matches!(fault, Fault::Malformed | Fault::Nameless)
+}
--- /dev/null
+++ b/src/cardamomtally/agent/records.rs
@@ -0,0 +1,270 @@
+//! The agent's usage records, kept until they are billed.
+//!
+//! Records are kept in memory, and in a folder if one is set: a record is synced
+//! there before its answer's end is passed on, so that an agent that dies
+//! afterwards bills it after its restart. A thread of its own does the disk work.
+
+use super::usage::{Usage, UsageTable};
+use crate::{
+    core::{
+        claim::{ClaimOp, ClaimStore},
+        clock::{Clock, Mono},
+        id::AttemptId,
+    },
+    net::codec,
+};
+use eyre::WrapErr as _;
+use std::{
+    fmt,
+    fs::{self, File},
+    io::Write as _,
+    path::{Path, PathBuf},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        mpsc::{Sender, channel},
+    },
+    time::Duration,
+};
+use tokio::sync::oneshot;
+
+/// Pause before a bill is sent to the ledger again.
+const RETRY_SECS: u64 = 2;
+
+/// Time between two looks for records that are due.
+const SWEEP_MS: u64 = 250;
+
+/// End of the name of a record's file.
+const SUFFIX: &str = ".usage";
+
+/// All usage records of an agent.
+pub struct Records {
+    table: Mutex<UsageTable>,
+    disk: Option<Disk>,
+    clock: Arc<dyn Clock>,
+    claims: Arc<dyn ClaimStore>,
+    grace: Duration,
+    log: slog::Logger,
+}
+
+impl fmt::Debug for Records {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Records").finish_non_exhaustive()
+    }
+}
+
+/// What the records stand on.
+pub struct RecordParts {
+    /// Folder for records that outlive the process.
+    pub folder: Option<PathBuf>,
+    /// How long an entry may take to bill.
+    pub grace: Duration,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The ledger.
+    pub claims: Arc<dyn ClaimStore>,
+    /// The log.
+    pub log: slog::Logger,
+}
+
+impl fmt::Debug for RecordParts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RecordParts").finish_non_exhaustive()
+    }
+}
+
+impl Records {
+    /// Opens the records and reads those that an earlier run left.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the folder cannot be read.
+    pub fn open(parts: RecordParts) -> eyre::Result<Self> {
+        let RecordParts {
+            folder,
+            grace,
+            clock,
+            claims,
+            log,
+        } = parts;
+        let mut table = UsageTable::default();
+        let due = clock.now() + grace;
+        if let Some(folder) = &folder {
+            for usage in read_folder(folder, &log)? {
+                table.add(usage, due);
+            }
+        }
+        Ok(Self {
+            table: Mutex::new(table),
+            disk: folder.map(Disk::start).transpose()?,
+            clock,
+            claims,
+            grace,
+            log,
+        })
+    }
+
+    /// Adds a record, and returns once it is as durable as the settings ask.
+    pub async fn add(&self, usage: Usage) {
+        if let Some(disk) = &self.disk {
+            disk.write(&usage, &self.log).await;
+        }
+        let due = self.clock.now() + self.grace;
+        self.lock().add(usage, due);
+    }
+
+    /// Drops a record, and the others of its request, whose bill is committed.
+    pub fn billed(&self, attempt: AttemptId) {
+        let same = self.lock().billed_request(attempt.request);
+        if let Some(disk) = &self.disk {
+            for attempt in same {
+                disk.remove(attempt);
+            }
+        }
+    }
+
+    /// Returns the number of records that are not billed yet.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Tells whether all work is billed.
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    /// Bills what entries have not billed, for ever.
+    pub async fn sweep(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(SWEEP_MS)).await;
+            self.bill_due(self.clock.now());
+        }
+    }
+
+    /// Bills all records at once, before a stop. Returns whether none is left.
+    pub async fn flush(self: &Arc<Self>, timeout: Duration) -> bool {
+        let end = self.clock.now() + timeout;
+        loop {
+            let now = self.clock.now();
+            self.lock().hasten(now);
+            self.bill_due(now);
+            if self.is_empty() || now >= end {
+                return self.is_empty();
+            }
+            tokio::time::sleep(Duration::from_millis(SWEEP_MS)).await;
+        }
+    }
+
+    fn bill_due(self: &Arc<Self>, now: Mono) {
+        let due = self.lock().take_due(now);
+        for usage in due {
+            tokio::spawn(Arc::clone(self).bill(usage));
+        }
+    }
+
+    async fn bill(self: Arc<Self>, usage: Usage) {
+        let attempt = usage.attempt;
+        match self.claims.apply(ClaimOp::Bill(usage.bill)).await {
+            Ok(_) => {
+                slog::info!(self.log, "usage: agent billed a request"; "attempt" => %attempt);
+                metrics::counter!("cardamomtally_agent_bills_total").increment(1);
+                self.billed(attempt);
+            }
+            Err(error) => {
+                slog::warn!(self.log, "usage: the ledger did not take a bill";
+                    "attempt" => %attempt, "error" => %error);
+                let pause = Duration::from_secs(RETRY_SECS);
+                let now = self.clock.now();
+                self.lock().put_off(attempt, now, pause);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, UsageTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The thread that writes and removes record files.
+#[derive(Debug)]
+struct Disk {
+    queue: Sender<Job>,
+}
+
+#[derive(Debug)]
+enum Job {
+    Write(AttemptId, Vec<u8>, oneshot::Sender<std::io::Result<()>>),
+    Remove(AttemptId),
+}
+
+impl Disk {
+    fn start(folder: PathBuf) -> eyre::Result<Self> {
+        let (queue, jobs) = channel();
+        let work = move || {
+            for job in jobs {
+                match job {
+                    Job::Write(attempt, bytes, reply) => {
+                        let _gone = reply.send(write(&folder, attempt, &bytes));
+                    }
+                    // A file that stays is billed again, which does no harm.
+                    Job::Remove(attempt) => drop(fs::remove_file(path(&folder, attempt))),
+                }
+            }
+        };
+        std::thread::Builder::new()
+            .name("agent records".to_owned())
+            .spawn(work)?;
+        Ok(Self { queue })
+    }
+
+    async fn write(&self, usage: &Usage, log: &slog::Logger) {
+        let (reply, answer) = oneshot::channel();
+        let job = Job::Write(usage.attempt, codec::encode(usage), reply);
+        if self.queue.send(job).is_err() {
+            return;
+        }
+        if let Ok(Err(error)) = answer.await {
+            slog::error!(log, "usage: failed to write a record";
+                "attempt" => %usage.attempt, "error" => %error);
+        }
+    }
+
+    fn remove(&self, attempt: AttemptId) {
+        // The thread ends only with the process.
+        let _stopped = self.queue.send(Job::Remove(attempt));
+    }
+}
+
+fn path(folder: &Path, attempt: AttemptId) -> PathBuf {
+    folder.join(format!("{attempt}{SUFFIX}"))
+}
+
+fn write(folder: &Path, attempt: AttemptId, bytes: &[u8]) -> std::io::Result<()> {
+    let partial = folder.join(format!("{attempt}.partial"));
+    let mut file = File::create(&partial)?;
+    file.write_all(bytes)?;
+    file.sync_all()?;
+    fs::rename(&partial, path(folder, attempt))?;
+    File::open(folder)?.sync_all()
+}
+
+fn read_folder(folder: &Path, log: &slog::Logger) -> eyre::Result<Vec<Usage>> {
+    fs::create_dir_all(folder)
+        .wrap_err_with(|| format!("failed to create {}", folder.display()))?;
+    let entries =
+        fs::read_dir(folder).wrap_err_with(|| format!("failed to read {}", folder.display()))?;
+    let mut found = Vec::new();
+    for entry in entries {
+        let path = entry?.path();
+        if !path.to_string_lossy().ends_with(SUFFIX) {
+            continue;
+        }
+        let bytes =
+            fs::read(&path).wrap_err_with(|| format!("failed to read {}", path.display()))?;
+        match codec::decode(&bytes) {
+            Ok(usage) => found.push(usage),
+            Err(error) => slog::error!(log, "usage: a record does not decode";
+                "file" => %path.display(), "error" => %error),
+        }
+    }
+    Ok(found)
+}
--- /dev/null
+++ b/src/cardamomtally/agent/routes.rs
@@ -0,0 +1,404 @@
+//! The agent's HTTP routes for entries.
+
+use super::{
+    Parts,
+    admission::{Arrival, Outcome},
+    answer::{Answer, Reader},
+    attempts::State as AttemptState,
+    desk::{Cancelled, Incoming, Rejection},
+    guard::{self, Forbidden},
+    problem::Problem,
+    pump,
+};
+use crate::{
+    core::{clock::Mono, id::AttemptId, verdict::Verdict},
+    daemon::gate::Pass,
+    net::{
+        codec,
+        run::{
+            ATTEMPT_HEADER, Asked, Frame, HEAD_HEADER, INCARNATION_HEADER, LOAD_HEADER, Probe,
+            RunHead, Target,
+        },
+    },
+};
+use bytes::Bytes;
+use futures::{Stream, stream};
+use rocket::{
+    Request, Route, State,
+    data::{ByteUnit, Data},
+    get,
+    http::{Header, Status},
+    post,
+    request::{FromRequest, Outcome as Extracted},
+    response::{self, Responder, Response, stream::ByteStream},
+    routes,
+    serde::json::Json,
+};
+use std::{convert::Infallible, pin::Pin, sync::Arc, time::Duration};
+
+/// Longest wait for the configuration that an entry already holds.
+const BEHIND_WAIT_MS: u64 = 1_500;
+
+/// Time between two looks at the configuration during that wait.
+const BEHIND_LOOK_MS: u64 = 20;
+
+/// Returns the routes.
+#[must_use]
+pub fn all() -> Vec<Route> {
+    routes![run, resume, ask, cancel, billed, probe]
+}
+
+/// What the headers of `POST /run` say.
+#[derive(Debug)]
+pub struct Headers {
+    attempt: Option<AttemptId>,
+    head: Result<RunHead, String>,
+}
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Headers {
+    type Error = Infallible;
+
+    async fn from_request(request: &'r Request<'_>) -> Extracted<Self, Infallible> {
+        let headers = request.headers();
+        let attempt = headers
+            .get_one(ATTEMPT_HEADER)
+            .and_then(|id| id.parse().ok());
+        let head = headers
+            .get_one(HEAD_HEADER)
+            .ok_or_else(|| format!("the header `{HEAD_HEADER}` is missing"))
+            .and_then(|json| serde_json::from_str(json).map_err(|error| error.to_string()));
+        Extracted::Success(Self { attempt, head })
+    }
+}
+
+/// A stream of frames with the agent's headers.
+pub struct Frames {
+    incarnation: String,
+    load: String,
+    stream: Pin<Box<dyn Stream<Item = Vec<u8>> + Send>>,
+}
+
+impl std::fmt::Debug for Frames {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Frames").finish_non_exhaustive()
+    }
+}
+
+impl Frames {
+    fn new(parts: &Parts, reader: Reader, pass: Option<Arc<Pass>>) -> Self {
+        let load = parts.desk.view().load;
+        Self {
+            incarnation: parts.incarnation.to_string(),
+            load: serde_json::to_string(&load).unwrap_or_default(),
+            stream: Box::pin(frames(reader, pass)),
+        }
+    }
+}
+
+impl<'r> Responder<'r, 'r> for Frames {
+    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'r> {
+        Response::build_from(ByteStream(self.stream).respond_to(request)?)
+            .header(Header::new(INCARNATION_HEADER, self.incarnation))
+            .header(Header::new(LOAD_HEADER, self.load))
+            .ok()
+    }
+}
+
+/// Encodes a reader's frames, each behind its length.
+fn frames(reader: Reader, pass: Option<Arc<Pass>>) -> impl Stream<Item = Vec<u8>> + Send {
+    stream::unfold((reader, pass), |(mut reader, pass)| async move {
+        let frame = reader.next().await?;
+        Some((encode(&frame), (reader, pass)))
+    })
+}
+
+/// Encodes one frame behind its 4-byte big-endian length.
+#[must_use]
+pub fn encode(frame: &Frame) -> Vec<u8> {
+    let body = codec::encode(frame);
+    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+    bytes.extend(body);
+    bytes
+}
+
+#[post("/run", data = "<data>")]
+async fn run(
+    headers: Headers,
+    data: Data<'_>,
+    parts: &State<Arc<Parts>>,
+) -> Result<Frames, Box<Problem>> {
+    let parts = parts.inner();
+    let Some(attempt) = headers.attempt else {
+        return Err(bad_request(
+            parts,
+            None,
+            format!("the header `{ATTEMPT_HEADER}` is no id"),
+        ));
+    };
+    let head = match headers.head {
+        Ok(head) => head,
+        Err(why) => return Err(bad_request(parts, Some(attempt), why)),
+    };
+    let limit = parts.settings.http.request_limit;
+    let Some(pass) = parts.gate.enter(limit).map(Arc::new) else {
+        return Err(early(parts, attempt, "the agent takes no new work").await);
+    };
+    let deadline = parts.clock.now() + Duration::from_millis(head.deadline_ms);
+    if let Err(why) = check(parts, &head, deadline).await {
+        return Err(early(parts, attempt, &why).await);
+    }
+    let body = match receive(parts, data).await {
+        Ok(body) => body,
+        Err(why) => return Err(early(parts, attempt, why).await),
+    };
+    let answer = parts
+        .desk
+        .arrive(incoming(parts, attempt, &head, deadline))
+        .await
+        .map_err(|rejection| unavailable(parts, attempt, &rejection))?;
+    if let Err(why) = check_now(parts, &head) {
+        parts
+            .desk
+            .ended(attempt, Outcome::Cancelled, AttemptState::NotRun);
+        return Err(unavailable(parts, attempt, &not_run(&why.to_string())));
+    }
+    start(parts, attempt, head, body, answer, deadline, pass)
+}
+
+#[get("/attempts/<attempt>?<from>")]
+async fn resume(
+    attempt: &str,
+    from: Option<u64>,
+    parts: &State<Arc<Parts>>,
+) -> Result<Frames, Box<Problem>> {
+    let parts = parts.inner();
+    let attempt = parse(parts, attempt)?;
+    let answer = parts.desk.find(attempt).await;
+    let reader = answer.and_then(|answer| answer.reader(Some(from.unwrap_or(0))));
+    let Some(reader) = reader else {
+        let lost = Rejection {
+            reason: "the answer is not kept".into(),
+            verdict: Verdict::Unknown,
+            retry: false,
+        };
+        return Err(Problem::new(parts, Status::NotFound, Some(attempt), &lost));
+    };
+    // A stopping agent still lets entries fetch what has run.
+    let pass = parts.gate.enter(u32::MAX).map(Arc::new);
+    Ok(Frames::new(parts, reader, pass))
+}
+
+/// An answer with the agent's incarnation.
+#[derive(Debug)]
+struct Told<T> {
+    incarnation: String,
+    value: T,
+}
+
+impl<'r, T: Responder<'r, 'static>> Responder<'r, 'static> for Told<T> {
+    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'static> {
+        Response::build_from(self.value.respond_to(request)?)
+            .header(Header::new(INCARNATION_HEADER, self.incarnation))
+            .ok()
+    }
+}
+
+fn told<T>(parts: &Parts, value: T) -> Told<T> {
+    Told {
+        incarnation: parts.incarnation.to_string(),
+        value,
+    }
+}
+
+#[post("/attempts/<attempt>/ask")]
+async fn ask(attempt: &str, parts: &State<Arc<Parts>>) -> Result<Told<Json<Asked>>, Box<Problem>> {
+    let attempt = parse(parts, attempt)?;
+    let asked = parts.desk.ask(attempt).await;
+    Ok(told(parts, Json(asked)))
+}
+
+#[post("/attempts/<attempt>/cancel")]
+async fn cancel(attempt: &str, parts: &State<Arc<Parts>>) -> Result<Told<Status>, Box<Problem>> {
+    let attempt = parse(parts, attempt)?;
+    if parts.desk.cancel(attempt).await == Cancelled::Running {
+        parts.cancels.notify(attempt);
+    }
+    Ok(told(parts, Status::NoContent))
+}
+
+#[post("/attempts/<attempt>/billed")]
+fn billed(attempt: &str, parts: &State<Arc<Parts>>) -> Result<Told<Status>, Box<Problem>> {
+    let attempt = parse(parts, attempt)?;
+    parts.records.billed(attempt);
+    parts.desk.billed(attempt);
+    Ok(told(parts, Status::NoContent))
+}
+
+#[get("/probe")]
+fn probe(parts: &State<Arc<Parts>>) -> Told<Json<Probe>> {
+    let view = parts.desk.view();
+    let ready = parts.is_ready();
+    let probe = Probe {
+        backend: parts.settings.process.name.as_str().into(),
+        incarnation: parts.incarnation,
+        load: view.load,
+        ready,
+        prefixes: Vec::new(),
+    };
+    told(parts, Json(probe))
+}
+
+fn start(
+    parts: &Arc<Parts>,
+    attempt: AttemptId,
+    head: RunHead,
+    body: Bytes,
+    answer: Arc<Answer>,
+    deadline: Mono,
+    pass: Arc<Pass>,
+) -> Result<Frames, Box<Problem>> {
+    let Some(reader) = answer.reader(None) else {
+        return Err(unavailable(
+            parts,
+            attempt,
+            &not_run("the attempt has ended"),
+        ));
+    };
+    let frames = Frames::new(parts, reader, Some(Arc::clone(&pass)));
+    let job = pump::Job {
+        attempt,
+        head,
+        body,
+        answer,
+        deadline,
+        cancel: parts.cancels.add(attempt),
+    };
+    let parts = Arc::clone(parts);
+    tokio::spawn(async move {
+        pump::run(Arc::clone(&parts), job).await;
+        parts.cancels.remove(attempt);
+        drop(pass);
+    });
+    Ok(frames)
+}
+
+fn incoming(parts: &Parts, attempt: AttemptId, head: &RunHead, deadline: Mono) -> Incoming {
+    let snapshot = Arc::clone(&parts.lease.held().snapshot);
+    let suspect = head.suspect || snapshot.suspects.contains(&head.digest);
+    Incoming {
+        arrival: Arrival {
+            attempt,
+            priority: head.priority,
+            deadline,
+            suspect,
+        },
+        digest: head.digest,
+        repeatable: head.repeatable,
+    }
+}
+
+/// Checks an attempt, and waits for the configuration that its entry holds.
+async fn check(parts: &Parts, head: &RunHead, deadline: Mono) -> Result<(), String> {
+    if !head.repeatable && head.agent.is_none() {
+        return Err("a request that may not be repeated must name the agent's incarnation".into());
+    }
+    if head.agent.is_some_and(|agent| agent != parts.incarnation) {
+        return Err("the agent has restarted since".into());
+    }
+    let wait = Duration::from_millis(BEHIND_WAIT_MS);
+    let until = deadline.min(parts.clock.now() + wait);
+    let mut asked = false;
+    loop {
+        match check_now(parts, head) {
+            Err(Refusal::Config(Forbidden::Behind)) if parts.clock.now() < until => {}
+            outcome => return outcome.map_err(|refusal| refusal.to_string()),
+        }
+        if !asked {
+            parts.lease.poll_now();
+            asked = true;
+        }
+        tokio::time::sleep(Duration::from_millis(BEHIND_LOOK_MS)).await;
+    }
+}
+
+/// Why an attempt may not start.
+#[derive(Debug)]
+enum Refusal {
+    Config(Forbidden),
+    NotLoaded,
+}
+
+impl std::fmt::Display for Refusal {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Config(forbidden) => forbidden.fmt(f),
+            Self::NotLoaded => f.write_str("the version's weights are not loaded"),
+        }
+    }
+}
+
+fn check_now(parts: &Parts, head: &RunHead) -> Result<(), Refusal> {
+    let lease = parts.lease.held();
+    let backend = &parts.settings.process.name;
+    guard::check(&lease, parts.clock.now(), backend, head).map_err(Refusal::Config)?;
+    if let Target::Version(id) = &head.target
+        && let Some(versions) = &parts.desk.view().versions
+        && !versions.iter().any(|name| **name == *id.name)
+    {
+        return Err(Refusal::NotLoaded);
+    }
+    Ok(())
+}
+
+async fn receive(parts: &Parts, data: Data<'_>) -> Result<Bytes, &'static str> {
+    let http = &parts.settings.http;
+    let reading = data.open(ByteUnit::from(http.body_limit.0)).into_bytes();
+    match tokio::time::timeout(http.body_timeout.0, reading).await {
+        Ok(Ok(body)) if body.is_complete() => Ok(Bytes::from(body.into_inner())),
+        Ok(Ok(_)) => Err("the body is too long"),
+        Ok(Err(_)) => Err("the body broke off"),
+        Err(_elapsed) => Err("the body did not come in time"),
+    }
+}
+
+/// Refuses an attempt that has not reached admission. A copy of it that still
+/// comes is refused too.
+async fn early(parts: &Parts, attempt: AttemptId, why: &str) -> Box<Problem> {
+    let verdict = match parts.desk.ask(attempt).await {
+        Asked::NotSeen | Asked::NotRun => Verdict::NotRun,
+        Asked::Running | Asked::Ended | Asked::Unknown => Verdict::Unknown,
+    };
+    let rejection = Rejection {
+        verdict,
+        ..not_run(why)
+    };
+    unavailable(parts, attempt, &rejection)
+}
+
+fn not_run(why: &str) -> Rejection {
+    Rejection {
+        reason: why.into(),
+        verdict: Verdict::NotRun,
+        retry: true,
+    }
+}
+
+fn unavailable(parts: &Parts, attempt: AttemptId, rejection: &Rejection) -> Box<Problem> {
+    Problem::new(parts, Status::ServiceUnavailable, Some(attempt), rejection)
+}
+
+fn bad_request(parts: &Parts, attempt: Option<AttemptId>, why: String) -> Box<Problem> {
+    let rejection = Rejection {
+        reason: why.into(),
+        verdict: Verdict::NotRun,
+        retry: false,
+    };
+    Problem::new(parts, Status::BadRequest, attempt, &rejection)
+}
+
+fn parse(parts: &Parts, attempt: &str) -> Result<AttemptId, Box<Problem>> {
+    attempt
+        .parse()
+        .map_err(|_e| bad_request(parts, None, format!("`{attempt}` is no attempt id")))
+}
--- /dev/null
+++ b/src/cardamomtally/agent/whole.rs
@@ -0,0 +1,267 @@
+//! Checks that an answer is whole and belongs to its request.
+//!
+//! A model engine names the request in the answer's header and in each event
+//! or body, and ends a stream with a marker. Events are passed on one by one
+//! after their check, a JSON body only when it is complete. A plain service's
+//! body is passed on as it comes; its length is checked by the HTTP library.
+
+use crate::{
+    core::id::RequestId,
+    net::run::{Target, Usage},
+};
+use bytes::Bytes;
+use serde::Deserialize;
+use std::{borrow::Cow, fmt};
+
+/// The event that ends a stream.
+const DONE: &str = "[DONE]";
+
+/// Longest event or JSON body, in bytes.
+const CHECKED_LIMIT_BYTES: usize = 4 << 20;
+
+/// What is wrong with an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// It belongs to another request.
+    OtherRequest,
+    /// It does not name its request.
+    Nameless,
+    /// It is not what its content type says.
+    Malformed,
+    /// An event or body is too long to be checked.
+    TooLong,
+    /// It ended before its end.
+    Truncated,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::OtherRequest => "the backend server sent another request's answer",
+            Self::Nameless => "the backend server's answer does not name its request",
+            Self::Malformed => "the backend server's answer is malformed",
+            Self::TooLong => "the backend server's answer is too long to be checked",
+            Self::Truncated => "the backend server's answer ended early",
+        })
+    }
+}
+
+/// Form of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Form {
+    /// Server-sent events.
+    Stream,
+    /// One JSON document.
+    Json,
+    /// Anything.
+    Plain,
+}
+
+impl Form {
+    /// Tells the form by who answered what.
+    #[must_use]
+    pub fn of(target: &Target, status: u16, media: &str) -> Self {
+        let ok = (200..300).contains(&status);
+        match target {
+            Target::Version(_) if ok && media.starts_with("text/event-stream") => Self::Stream,
+            Target::Version(_) if ok => Self::Json,
+            _ => Self::Plain,
+        }
+    }
+}
+
+/// Checks the request id that a backend server echoed in its header.
+///
+/// # Errors
+///
+/// Returns the fault, if the answer may not be passed on.
+pub fn check_echo(target: &Target, request: RequestId, echoed: Option<&str>) -> Result<(), Fault> {
+    match (target, echoed) {
+        (_, Some(id)) if id == request.to_string() => Ok(()),
+        (_, Some(_)) => Err(Fault::OtherRequest),
+        (Target::Version(_), None) => Err(Fault::Nameless),
+        (Target::Service(_), None) => Ok(()),
+    }
+}
+
+/// The part of an engine's event or body that is checked.
+#[derive(Debug, Deserialize)]
+struct Body<'a> {
+    #[serde(borrow)]
+    id: Option<Cow<'a, str>>,
+    usage: Option<BodyUsage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct BodyUsage {
+    #[serde(default)]
+    prompt_tokens: u64,
+    #[serde(default)]
+    completion_tokens: u64,
+}
+
+/// Checks an answer as it comes.
+#[derive(Debug)]
+pub struct Checker {
+    form: Form,
+    request: String,
+    held: Vec<u8>,
+    events: u64,
+    done: bool,
+    usage: Usage,
+}
+
+impl Checker {
+    /// Builds a checker of one answer.
+    #[must_use]
+    pub fn new(form: Form, request: RequestId) -> Self {
+        Self {
+            form,
+            request: request.to_string(),
+            held: Vec::new(),
+            events: 0,
+            done: false,
+            usage: Usage::default(),
+        }
+    }
+
+    /// Returns the number of whole events seen, from which a stream is resumed.
+    #[must_use]
+    pub const fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Returns the tokens used, as far as the answer has told.
+    #[must_use]
+    pub const fn usage(&self) -> Usage {
+        self.usage
+    }
+
+    /// Returns the answer's form.
+    #[must_use]
+    pub const fn form(&self) -> Form {
+        self.form
+    }
+
+    /// Forgets the start of an event that broke off, before a resumption.
+    pub fn rewind(&mut self) {
+        self.held.clear();
+    }
+
+    /// Takes bytes and returns those that may be passed on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault.
+    pub fn push(&mut self, bytes: &Bytes) -> Result<Bytes, Fault> {
+        if self.form == Form::Plain {
+            return Ok(bytes.clone());
+        }
+        self.held.extend_from_slice(bytes);
+        let passed = if self.form == Form::Stream {
+            self.pass_events()?
+        } else {
+            Bytes::new()
+        };
+        if self.held.len() > CHECKED_LIMIT_BYTES {
+            return Err(Fault::TooLong);
+        }
+        Ok(passed)
+    }
+
+    /// Tells whether the answer's own end has been seen.
+    #[must_use]
+    pub const fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Checks the end of an answer, and returns the bytes held back until then.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault if the answer is not whole.
+    pub fn finish(&mut self) -> Result<Bytes, Fault> {
+        match self.form {
+            Form::Plain => Ok(Bytes::new()),
+            Form::Stream if self.done => Ok(Bytes::new()),
+            Form::Stream => Err(Fault::Truncated),
+            Form::Json => {
+                let body = std::mem::take(&mut self.held);
+                self.check_body(&body)?;
+                Ok(Bytes::from(body))
+            }
+        }
+    }
+
+    fn pass_events(&mut self) -> Result<Bytes, Fault> {
+        let mut end = 0;
+        while !self.done
+            && let Some(length) = event_length(&self.held[end..])
+        {
+            let event = self.held[end..end + length].to_vec();
+            self.check_event(&event)?;
+            end += length;
+        }
+        let passed = Bytes::copy_from_slice(&self.held[..end]);
+        self.held.drain(..end);
+        if self.done {
+            self.held.clear();
+        }
+        Ok(passed)
+    }
+
+    fn check_event(&mut self, event: &[u8]) -> Result<(), Fault> {
+        let text = std::str::from_utf8(event).map_err(|_e| Fault::Malformed)?;
+        let data: String = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("data:"))
+            .map(str::trim_start)
+            .collect();
+        if data == DONE {
+            self.done = true;
+        } else if !data.is_empty() {
+            self.check_body(data.as_bytes())?;
+        }
+        self.events += 1;
+        Ok(())
+    }
+
+    fn check_body(&mut self, body: &[u8]) -> Result<(), Fault> {
+        let parsed: Body<'_> = serde_json::from_slice(body).map_err(|error| {
+            if error.is_eof() {
+                Fault::Truncated
+            } else {
+                Fault::Malformed
+            }
+        })?;
+        match parsed.id.as_deref() {
+            Some(id) if id == self.request => {}
+            Some(_) => return Err(Fault::OtherRequest),
+            None => return Err(Fault::Nameless),
+        }
+        if let Some(usage) = parsed.usage {
+            self.usage = Usage {
+                prompt: usage.prompt_tokens,
+                completion: usage.completion_tokens,
+            };
+        }
+        Ok(())
+    }
+}
+
+/// Returns the length of the first whole event, its blank line included.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+    let unix = find(bytes, b"\n\n");
+    let dos = find(bytes, b"\r\n\r\n");
+    match (unix, dos) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
+        .map(|at| at + pattern.len())
+}
--- a/src/cardamomtally/settings/agent.rs
+++ b/src/cardamomtally/settings/agent.rs
@@ -76,6 +76,8 @@
     pub cold_limit: u32,
     /// Attempts that a warm one bears at once.
     pub warm_limit: u32,
+    /// What each good completion adds to the limit while it warms up.
+    pub growth: f64,
     /// Time to first token above which the limit shrinks.
     pub target: Span,
     /// Most attempts that wait.
@@ -89,6 +91,7 @@
         Self {
             cold_limit: 2,
             warm_limit: 64,
+            growth: 0.5,
             target: Span::ms(330),
             queue: 32,
             queue_timeout: Span::secs(2),
