--- a/src/cardamomtally/lease/mod.rs
+++ b/src/cardamomtally/lease/mod.rs
@@ -4,8 +4,15 @@
 //! configuration as a [`Held`]. Traffic threads load it without a lock and
 //! check its lease at the moment of use.
 
+pub mod poller;
+pub mod reports;
+pub mod rotation;
+pub mod state;
+
+pub use poller::{Identity, Poller};
+
 use crate::{
-    core::{clock::Mono, config::ConfigRef, snapshot::Snapshot},
+    core::{clock::Mono, config::ConfigRef, digest::Digest, snapshot::Snapshot},
     net::wire::{CrashReport, HealthReport},
 };
 use std::{fmt::Debug, sync::Arc};
@@ -41,6 +48,9 @@
 
     /// Polls at once, if the process polls at all.
     fn poll_now(&self) {}
+
+    /// Tells that a suspected request has ended without a crash.
+    fn cleared(&self, _digest: Digest) {}
 }
 
 /// A lease that is set by hand, for tests and benches.
