--- a/src/cardamomtally/agent/admission.rs
+++ b/src/cardamomtally/agent/admission.rs
@@ -12,7 +12,7 @@
 //! Suspects, which may crash the backend server, run one at a time and only
 //! where little else runs.
 
-use super::phase::Phase;
+use super::phase::{Life, Phase, Sign};
 use crate::{
     core::{clock::Mono, id::AttemptId},
     net::run::Load,
@@ -153,7 +153,7 @@
 pub struct Admission {
     settings: AdmissionSettings,
     breach: Breach,
-    phase: Phase,
+    life: Life,
     limit: f64,
     /// The limit up to which growth is quick.
     quick: f64,
@@ -165,12 +165,11 @@
     incarnation: Option<u64>,
     /// Since when a reading is needed before anything starts.
     checking: Option<Mono>,
-    /// Limit and phase before a connection broke, until a reading tells more.
-    before: Option<(f64, Phase)>,
+    /// The limit before a connection broke, until a reading tells more.
+    before: Option<f64>,
     cache_used: f64,
     average_ms: f64,
     samples: u32,
-    leaving: bool,
 }
 
 impl Admission {
@@ -182,7 +181,7 @@
             quick: f64::from(settings.warm_limit),
             settings,
             breach,
-            phase: Phase::default(),
+            life: Life::new(),
             running: Vec::new(),
             queue: Vec::new(),
             evidence: None,
@@ -193,7 +192,6 @@
             cache_used: 0.0,
             average_ms: 0.0,
             samples: 0,
-            leaving: false,
         }
     }
 
@@ -252,8 +250,8 @@
     /// Notes that a connection broke. Nothing starts until a reading that is
     /// asked for after this tells whether the backend server restarted.
     pub fn broke(&mut self, now: Mono) {
-        if self.before.is_none() && self.phase != Phase::Failed {
-            self.before = Some((self.limit, self.phase));
+        if !self.life.is(Phase::Failed) {
+            self.before.get_or_insert(self.limit);
         }
         self.turn_cold(now);
         self.checking = Some(now);
@@ -274,7 +272,7 @@
             self.checking = None;
             self.forgive(now);
         }
-        self.phase = self.phase.answers();
+        self.life.note(Sign::Answered);
         self.wake(now)
     }
 
@@ -283,16 +281,17 @@
         self.turn_cold(now);
         self.before = None;
         self.checking = Some(now);
-        self.phase = self.phase.fails();
+        self.life.note(Sign::Refused);
         self.reject_all(Reason::Down)
     }
 
     /// Notes whether the backend server leaves or the agent stops.
     pub fn set_leaving(&mut self, leaving: bool) -> Vec<Effect> {
-        self.leaving = leaving;
         if !leaving {
+            self.life.note(Sign::Stay);
             return Vec::new();
         }
+        self.life.note(Sign::Leave);
         self.reject_all(Reason::Leaving)
     }
 
@@ -335,16 +334,16 @@
         self.incarnation
     }
 
-    /// Returns the phase.
+    /// Tells whether the backend server is in a phase.
     #[must_use]
-    pub const fn phase(&self) -> Phase {
-        self.phase
+    pub fn is(&self, phase: Phase) -> bool {
+        self.life.is(phase)
     }
 
     /// Returns the load.
     #[must_use]
     pub fn load(&self, now: Mono) -> Load {
-        let limit = if self.phase == Phase::Failed {
+        let limit = if self.life.is(Phase::Failed) {
             0
         } else {
             self.limit(now)
@@ -358,16 +357,16 @@
             queued,
             limit,
             delay_ms: delay_ms as u32,
-            warming: self.phase != Phase::Warm,
-            leaving: self.leaving,
+            warming: !self.life.is(Phase::Warm),
+            leaving: self.life.is(Phase::Leaving),
         }
     }
 
     fn refusal(&self) -> Option<Reason> {
-        if self.leaving {
+        if self.life.is(Phase::Leaving) {
             return Some(Reason::Leaving);
         }
-        (self.phase == Phase::Failed).then_some(Reason::Down)
+        self.life.is(Phase::Failed).then_some(Reason::Down)
     }
 
     /// Rejects the least urgent attempts that are above the queue's bound.
@@ -436,7 +435,7 @@
     }
 
     fn turn_cold(&mut self, now: Mono) {
-        self.phase = self.phase.turns_cold();
+        self.life.note(Sign::TurnedCold);
         self.samples = 0;
         self.average_ms = 0.0;
         self.shrunk = Some(now);
@@ -450,9 +449,8 @@
 
     /// Restores the limit after a break that was no restart.
     fn forgive(&mut self, now: Mono) {
-        if let Some((limit, phase)) = self.before.take() {
+        if let Some(limit) = self.before.take() {
             self.limit = limit;
-            self.phase = phase;
             self.evidence = Some(now);
         }
     }
@@ -470,9 +468,9 @@
         let most = f64::from(self.settings.warm_limit);
         self.limit = (self.limit + step).min(most);
         if self.limit >= self.quick {
-            self.phase = self.phase.warms_up();
+            self.life.note(Sign::Warmed);
         } else {
-            self.phase = self.phase.serves();
+            self.life.note(Sign::Served);
         }
     }
 
--- a/src/cardamomtally/agent/desk.rs
+++ b/src/cardamomtally/agent/desk.rs
@@ -261,6 +261,7 @@
     answer: Arc<Answer>,
     digest: Digest,
     repeatable: bool,
+    suspect: bool,
     /// Set until the attempt starts.
     reply: Option<oneshot::Sender<Admitted>>,
 }
@@ -375,6 +376,7 @@
                 answer: Arc::new(Answer::new(limit)),
                 digest: incoming.digest,
                 repeatable: incoming.repeatable,
+                suspect: incoming.arrival.suspect,
                 reply: Some(reply),
             },
         );
@@ -474,6 +476,9 @@
         if let Some(live) = self.live.remove(&attempt)
             && state == State::Ended
         {
+            if live.suspect {
+                self.parts.lease.cleared(live.digest);
+            }
             self.kept_bytes += live.answer.kept();
             self.ended.insert(attempt, live.answer);
         }
--- a/src/cardamomtally/agent/mod.rs
+++ b/src/cardamomtally/agent/mod.rs
@@ -37,7 +37,9 @@
         weights::WeightStore,
     },
     daemon::{Context, gate::Gate, http},
-    lease::Lease,
+    lease::{Identity, Lease, Poller},
+    ledger::client::Client,
+    net::{nng, transport::Transport, wire::Role},
     settings::AgentSettings,
     timeline::Recorder,
 };
@@ -45,9 +47,11 @@
 use http_engine::HttpEngine;
 use outside::{FreeWeights, HttpPlatform, HttpWeights};
 use records::{RecordParts, Records};
+use rocket::fairing::AdHoc;
 use slog::Logger;
 use std::{
     fmt,
+    future::ready,
     sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
     time::Duration,
 };
@@ -153,7 +157,8 @@
     }
 }
 
-/// Runs the agent on what it meets outside until a signal stops it.
+/// Runs the agent on what it meets outside until a signal stops it. `bound` is
+/// told the address that other processes use.
 ///
 /// # Errors
 ///
@@ -162,17 +167,25 @@
     settings: AgentSettings,
     context: Context,
     outside: Outside,
+    bound: impl Fn(&str) + Send + Sync + 'static,
 ) -> eyre::Result<()> {
     let parts = Arc::new(build(settings, &context, &outside)?);
     spawn_tasks(&parts, outside);
+    let advertised = parts.settings.http.advertise.clone();
     let rocket = http::build(&parts.settings.http, &context)?
         .manage(Arc::clone(&parts))
-        .mount("/", routes::all());
-    let bound = http::Bound {
+        .mount("/", routes::all())
+        .attach(AdHoc::on_liftoff("advertise", move |rocket| {
+            let config = rocket.config();
+            let http = advertised.unwrap_or_else(|| format!("{}:{}", config.address, config.port));
+            bound(&http);
+            Box::pin(ready(()))
+        }));
+    let line = http::Bound {
         name: parts.settings.process.name.clone(),
         ..http::Bound::default()
     };
-    http::serve(rocket, &parts.settings.http, &context, bound).await?;
+    http::serve(rocket, &parts.settings.http, &context, line).await?;
     let timeout = Duration::from_secs(FLUSH_SECS);
     if !parts.records.flush(timeout).await {
         slog::error!(parts.log, "stop: usage records are left unbilled";
@@ -228,28 +241,46 @@
 ///
 /// Returns an error if the process cannot start.
 pub async fn run(settings: AgentSettings, context: Context) -> eyre::Result<()> {
+    let incarnation = Incarnation::random();
+    let transport: Arc<dyn Transport> = Arc::new(nng::Client::default());
+    let poller = Poller::start(
+        settings.control.clone(),
+        identity(&settings, incarnation),
+        Arc::clone(&transport),
+        context.clone(),
+    );
     let client = http_engine::client()?;
     let idle = settings.backend.idle_timeout.0;
-    let engine = HttpEngine::new(&settings.backend.url, idle)?;
-    let weights: Arc<dyn WeightStore> = match &settings.weights.url {
-        Some(url) => Arc::new(HttpWeights::new(client.clone(), url)),
-        None => Arc::new(FreeWeights),
-    };
-    let platform = settings
-        .platform
-        .url
-        .as_ref()
-        .map(|url| Arc::new(HttpPlatform::new(client, url)) as Arc<dyn Platform>);
     let outside = Outside {
-        engine: Arc::new(engine),
-        lease: Arc::new(crate::lease::FixedLease::default()),
-        claims: Arc::new(crate::ledger::local::Local::new(
-            Arc::new(crate::replica::memory::MemLog::default()),
-            1,
-        )),
-        weights,
-        platform,
-        incarnation: Incarnation::random(),
+        engine: Arc::new(HttpEngine::new(&settings.backend.url, idle)?),
+        lease: Arc::clone(&poller) as Arc<dyn Lease>,
+        claims: Arc::new(Client::start(&settings.control, transport)),
+        weights: weights(&settings, &client),
+        platform: platform(&settings, client),
+        incarnation,
     };
-    serve(settings, context, outside).await
+    let advertise = move |http: &str| poller.advertise(http);
+    serve(settings, context, outside, advertise).await
+}
+
+fn identity(settings: &AgentSettings, incarnation: Incarnation) -> Identity {
+    Identity {
+        name: settings.process.name.as_str().into(),
+        role: Role::Agent,
+        incarnation,
+        centre: settings.process.data_centre.as_str().into(),
+        http: settings.http.listen.as_str().into(),
+    }
+}
+
+fn weights(settings: &AgentSettings, client: &reqwest::Client) -> Arc<dyn WeightStore> {
+    match &settings.weights.url {
+        Some(url) => Arc::new(HttpWeights::new(client.clone(), url)),
+        None => Arc::new(FreeWeights),
+    }
+}
+
+fn platform(settings: &AgentSettings, client: reqwest::Client) -> Option<Arc<dyn Platform>> {
+    let url = settings.platform.url.as_ref()?;
+    Some(Arc::new(HttpPlatform::new(client, url)))
 }
