--- /dev/null
+++ b/src/cardamomtally/entry/agents.rs
@@ -0,0 +1,292 @@
+//! The border to the agents, and its HTTP form.
+//!
+//! Each failure is sorted into [`CallError::NotSent`], which proves that the
+//! agent saw nothing, [`CallError::Rejected`], which the agent itself states,
+//! and [`CallError::Ambiguous`], all else. Only the first two let a request that
+//! may not be repeated be dispatched again.
+
+use super::frames::FrameReader;
+use crate::{
+    core::{
+        id::{AttemptId, Incarnation, Name},
+        verdict::Verdict,
+    },
+    net::run::{
+        ATTEMPT_HEADER, Asked, HEAD_HEADER, INCARNATION_HEADER, LOAD_HEADER, Load, Probe, RunHead,
+        VERDICT_HEADER,
+    },
+    settings::entry::RetrySettings,
+};
+use bytes::Bytes;
+use eyre::WrapErr as _;
+use futures::{FutureExt as _, future::BoxFuture};
+use reqwest::{Client, RequestBuilder, Response, header::HeaderMap};
+use std::{fmt, fmt::Debug, time::Duration};
+
+/// Longest wait for the short answers of an agent.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest wait for a probe's answer.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Idle connections kept to each agent.
+const IDLE_CONNECTIONS: usize = 256;
+
+/// What one attempt sends.
+#[derive(Clone, Debug)]
+pub struct RunCall {
+    /// Address of the agent.
+    pub agent: Name,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// What to run.
+    pub head: RunHead,
+    /// The body.
+    pub body: Bytes,
+    /// Longest wait for the answer's head.
+    pub timeout: Duration,
+}
+
+/// An answer that has begun.
+#[derive(Debug)]
+pub struct Opened {
+    /// The agent's incarnation, if it said it.
+    pub incarnation: Option<Incarnation>,
+    /// The agent's load, if it said it.
+    pub load: Option<Load>,
+    /// The frames.
+    pub frames: FrameReader,
+}
+
+/// Why a call to an agent got no answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallError {
+    /// No connection was made, so the agent saw nothing.
+    NotSent(String),
+    /// The agent refused.
+    Rejected(Box<Rejection>),
+    /// The agent may have seen the call.
+    Ambiguous(String),
+}
+
+/// An agent's refusal.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rejection {
+    /// HTTP status.
+    pub status: u16,
+    /// What the agent says about the attempt.
+    pub verdict: Verdict,
+    /// The agent's load, if it said it.
+    pub load: Option<Load>,
+    /// The agent's incarnation, if it said it.
+    pub incarnation: Option<Incarnation>,
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(why) => write!(f, "nothing was sent: {why}"),
+            Self::Rejected(r) => write!(f, "the agent refused with {} ({})", r.status, r.verdict),
+            Self::Ambiguous(why) => write!(f, "the outcome is open: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+impl CallError {
+    /// Tells whether it is proved that the attempt did not and will not run.
+    #[must_use]
+    pub fn is_proof(&self) -> bool {
+        match self {
+            Self::NotSent(_) => true,
+            Self::Rejected(rejection) => rejection.verdict == Verdict::NotRun,
+            Self::Ambiguous(_) => false,
+        }
+    }
+}
+
+/// What an agent answered about an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AskReply {
+    /// The agent's incarnation.
+    pub incarnation: Option<Incarnation>,
+    /// What it knows.
+    pub asked: Asked,
+}
+
+/// The agents.
+pub trait Agents: Debug + Send + Sync {
+    /// Runs an attempt.
+    fn run(&self, call: RunCall) -> BoxFuture<'_, Result<Opened, CallError>>;
+
+    /// Fetches an attempt's frames from a byte offset of its body.
+    fn resume(
+        &self,
+        agent: Name,
+        attempt: AttemptId,
+        from: u64,
+    ) -> BoxFuture<'_, Result<Opened, CallError>>;
+
+    /// Asks what became of an attempt, and rejects it for good if not seen.
+    fn ask(&self, agent: Name, attempt: AttemptId) -> BoxFuture<'_, Result<AskReply, CallError>>;
+
+    /// Cancels an attempt.
+    fn cancel(&self, agent: Name, attempt: AttemptId) -> BoxFuture<'_, ()>;
+
+    /// Tells that an attempt's bill is committed.
+    fn billed(&self, agent: Name, attempt: AttemptId) -> BoxFuture<'_, ()>;
+
+    /// Reads an agent's load.
+    fn probe(&self, agent: Name) -> BoxFuture<'_, Result<Probe, CallError>>;
+}
+
+/// Agents over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpAgents {
+    client: Client,
+    idle: Duration,
+}
+
+impl HttpAgents {
+    /// Builds the client: no proxy, no redirects, no retries of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the HTTP client cannot be built.
+    pub fn new(settings: &RetrySettings) -> eyre::Result<Self> {
+        let client = Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
+            .connect_timeout(settings.connect_timeout.0)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .tcp_nodelay(true)
+            .build()
+            .wrap_err("failed to build the HTTP client")?;
+        let idle = settings.idle_timeout.0;
+        Ok(Self { client, idle })
+    }
+
+    async fn open(&self, request: RequestBuilder, wait: Duration) -> Result<Opened, CallError> {
+        let response = send(request, wait).await?;
+        let headers = response.headers();
+        let incarnation = incarnation_of(headers);
+        let load = load_of(headers);
+        Ok(Opened {
+            incarnation,
+            load,
+            frames: FrameReader::new(response.bytes_stream(), self.idle),
+        })
+    }
+
+    async fn tell(&self, agent: Name, attempt: AttemptId, verb: &str) {
+        let url = format!("http://{agent}/attempts/{attempt}/{verb}");
+        // Both messages only speed up what the agent does by itself later.
+        let _ignored = send(self.client.post(url), SHORT_TIMEOUT).await;
+    }
+}
+
+impl Agents for HttpAgents {
+    fn run(&self, call: RunCall) -> BoxFuture<'_, Result<Opened, CallError>> {
+        async move {
+            let head = serde_json::to_string(&call.head).expect("heads encode");
+            let request = self
+                .client
+                .post(format!("http://{}/run", call.agent))
+                .header(ATTEMPT_HEADER, call.attempt.to_string())
+                .header(HEAD_HEADER, head)
+                .body(call.body);
+            self.open(request, call.timeout).await
+        }
+        .boxed()
+    }
+
+    fn resume(
+        &self,
+        agent: Name,
+        attempt: AttemptId,
+        from: u64,
+    ) -> BoxFuture<'_, Result<Opened, CallError>> {
+        async move {
+            let url = format!("http://{agent}/attempts/{attempt}?from={from}");
+            self.open(self.client.get(url), SHORT_TIMEOUT).await
+        }
+        .boxed()
+    }
+
+    fn ask(&self, agent: Name, attempt: AttemptId) -> BoxFuture<'_, Result<AskReply, CallError>> {
+        async move {
+            let url = format!("http://{agent}/attempts/{attempt}/ask");
+            let response = send(self.client.post(url), SHORT_TIMEOUT).await?;
+            let incarnation = incarnation_of(response.headers());
+            let asked = read_json(response).await?;
+            Ok(AskReply { incarnation, asked })
+        }
+        .boxed()
+    }
+
+    fn cancel(&self, agent: Name, attempt: AttemptId) -> BoxFuture<'_, ()> {
+        self.tell(agent, attempt, "cancel").boxed()
+    }
+
+    fn billed(&self, agent: Name, attempt: AttemptId) -> BoxFuture<'_, ()> {
+        self.tell(agent, attempt, "billed").boxed()
+    }
+
+    fn probe(&self, agent: Name) -> BoxFuture<'_, Result<Probe, CallError>> {
+        async move {
+            let request = self.client.get(format!("http://{agent}/probe"));
+            read_json(send(request, PROBE_TIMEOUT).await?).await
+        }
+        .boxed()
+    }
+}
+
+async fn send(request: RequestBuilder, wait: Duration) -> Result<Response, CallError> {
+    let sent = tokio::time::timeout(wait, request.send()).await;
+    let response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) if error.is_connect() => {
+            return Err(CallError::NotSent(format!("{error:?}")));
+        }
+        Ok(Err(error)) => return Err(CallError::Ambiguous(error.to_string())),
+        Err(_elapsed) => return Err(CallError::Ambiguous("no answer in time".to_owned())),
+    };
+    if response.status().is_success() {
+        return Ok(response);
+    }
+    Err(rejection(&response))
+}
+
+fn rejection(response: &Response) -> CallError {
+    let headers = response.headers();
+    let word = headers.get(VERDICT_HEADER).and_then(|v| v.to_str().ok());
+    // A refusal without a verdict did not come from an agent's own rules.
+    let verdict = word.and_then(Verdict::parse).unwrap_or(Verdict::Unknown);
+    CallError::Rejected(Box::new(Rejection {
+        status: response.status().as_u16(),
+        verdict,
+        load: load_of(headers),
+        incarnation: incarnation_of(headers),
+    }))
+}
+
+async fn read_json<T: serde::de::DeserializeOwned>(response: Response) -> Result<T, CallError> {
+    let read = tokio::time::timeout(SHORT_TIMEOUT, response.json()).await;
+    match read {
+        Ok(Ok(value)) => Ok(value),
+        Ok(Err(error)) => Err(CallError::Ambiguous(error.to_string())),
+        Err(_elapsed) => Err(CallError::Ambiguous("no answer in time".to_owned())),
+    }
+}
+
+fn incarnation_of(headers: &HeaderMap) -> Option<Incarnation> {
+    let text = headers.get(INCARNATION_HEADER)?.to_str().ok()?;
+    u64::from_str_radix(text, 16).ok().map(Incarnation)
+}
+
+fn load_of(headers: &HeaderMap) -> Option<Load> {
+    let text = headers.get(LOAD_HEADER)?.to_str().ok()?;
+    serde_json::from_str(text).ok()
+}
--- /dev/null
+++ b/src/cardamomtally/entry/answer.rs
@@ -0,0 +1,236 @@
+//! An answer that is being read from an agent.
+//!
+//! If the connection drops or falls silent, the answer is resumed at the byte
+//! offset that the entry holds. An answer that is dropped before its end is
+//! cancelled, unless the request may not be repeated.
+
+use super::{
+    agents::CallError,
+    app::{App, InFlight},
+    frames::{Batch, Ended, FrameReader, Head},
+};
+use crate::{
+    core::{
+        clock::Mono,
+        id::{AttemptId, Incarnation, Name},
+    },
+    net::run::Usage,
+};
+use bytes::{Bytes, BytesMut};
+use std::sync::Arc;
+
+/// Failed resumptions after which an answer is given up.
+const RESUME_LIMIT: u32 = 4;
+
+/// Longest answer that is read whole before it is passed on.
+const ANSWER_LIMIT_BYTES: usize = 32 << 20;
+
+/// An answer in the course of being read.
+#[derive(Debug)]
+pub struct Answer {
+    app: Arc<App>,
+    flight: Option<InFlight>,
+    agent: Name,
+    attempt: AttemptId,
+    incarnation: Option<Incarnation>,
+    frames: FrameReader,
+    offset: u64,
+    deadline: Mono,
+    cancel: bool,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Whole {
+    /// HTTP status and content type.
+    pub head: Head,
+    /// Body.
+    pub body: Bytes,
+    /// Tokens used.
+    pub usage: Usage,
+}
+
+/// Why there is no whole answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Broken {
+    /// The agent said how it ended.
+    Failed(Ended),
+    /// The agent could not be reached in time.
+    Lost(CallError),
+}
+
+/// How an answer is read.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading {
+    /// When the last byte must have come.
+    pub deadline: Mono,
+    /// Whether the attempt is cancelled if the answer is dropped.
+    pub cancel: bool,
+}
+
+impl Answer {
+    /// Reads the answer of an attempt that was just sent.
+    #[must_use]
+    pub fn new(
+        app: &Arc<App>,
+        flight: InFlight,
+        opened: super::agents::Opened,
+        reading: Reading,
+    ) -> Self {
+        Self {
+            app: Arc::clone(app),
+            agent: Arc::clone(&flight.agent),
+            attempt: flight.attempt,
+            flight: Some(flight),
+            incarnation: opened.incarnation,
+            frames: opened.frames,
+            offset: 0,
+            deadline: reading.deadline,
+            cancel: reading.cancel,
+        }
+    }
+
+    /// Reads the answer of an attempt that another process, or an earlier
+    /// connection, has sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the agent has no answer.
+    pub async fn fetch(
+        app: &Arc<App>,
+        agent: &Name,
+        attempt: AttemptId,
+        reading: Reading,
+    ) -> Result<Self, CallError> {
+        let opened = app.agents.resume(Arc::clone(agent), attempt, 0).await?;
+        Ok(Self {
+            app: Arc::clone(app),
+            agent: Arc::clone(agent),
+            attempt,
+            flight: None,
+            incarnation: opened.incarnation,
+            frames: opened.frames,
+            offset: 0,
+            deadline: reading.deadline,
+            cancel: reading.cancel,
+        })
+    }
+
+    /// Returns the attempt and the address of its agent.
+    #[must_use]
+    pub fn origin(&self) -> (Name, AttemptId) {
+        (Arc::clone(&self.agent), self.attempt)
+    }
+
+    /// Reports that the first byte came in good time.
+    pub fn first_byte(&self) {
+        if let Some(flight) = &self.flight {
+            flight.first_byte();
+        }
+    }
+
+    /// Reports how the attempt fared.
+    pub fn report(&self, outcome: crate::routing::board::Outcome) {
+        if let Some(flight) = &self.flight {
+            flight.report(outcome);
+        }
+    }
+
+    /// Reads what comes next; resumes if the connection drops.
+    ///
+    /// # Errors
+    ///
+    /// Returns an ambiguous error if the answer cannot be resumed in time.
+    pub async fn next(&mut self) -> Result<Batch, CallError> {
+        let mut failures = 0;
+        loop {
+            let left = self.deadline.since(self.app.now());
+            let read = self.frames.read(&mut self.offset);
+            let error = match tokio::time::timeout(left, read).await {
+                Ok(Ok(batch)) => {
+                    self.cancel &= batch.end.is_none();
+                    return Ok(batch);
+                }
+                Ok(Err(error)) => error,
+                Err(_elapsed) => {
+                    return Err(CallError::Ambiguous("the deadline has passed".to_owned()));
+                }
+            };
+            self.resume(error, &mut failures).await?;
+        }
+    }
+
+    async fn resume(&mut self, error: CallError, failures: &mut u32) -> Result<(), CallError> {
+        let mut last = error;
+        while *failures < RESUME_LIMIT && self.app.now() < self.deadline {
+            let resumed = self
+                .app
+                .agents
+                .resume(Arc::clone(&self.agent), self.attempt, self.offset)
+                .await;
+            match resumed {
+                Ok(opened) if self.is_same_run(opened.incarnation) => {
+                    self.frames = opened.frames;
+                    // A resumption that carries nothing must not go on forever.
+                    *failures += 1;
+                    return Ok(());
+                }
+                Ok(_) => return Err(last),
+                Err(CallError::Rejected(_)) => return Err(last),
+                Err(error) => last = error,
+            }
+            *failures += 1;
+            tokio::time::sleep(self.app.backoff(*failures)).await;
+        }
+        Err(last)
+    }
+
+    fn is_same_run(&self, incarnation: Option<Incarnation>) -> bool {
+        self.incarnation.is_none() || incarnation.is_none() || self.incarnation == incarnation
+    }
+
+    /// Reads the answer to its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is not whole.
+    pub async fn collect(&mut self, first: Batch) -> Result<Whole, Broken> {
+        let mut batch = first;
+        let mut head = None;
+        let mut body = BytesMut::new();
+        loop {
+            head = head.or(batch.head.take());
+            body.extend_from_slice(&batch.data);
+            if body.len() > ANSWER_LIMIT_BYTES {
+                let why = "the answer is longer than an entry keeps".to_owned();
+                return Err(Broken::Lost(CallError::Ambiguous(why)));
+            }
+            match (batch.end.take(), head.take()) {
+                (Some(Ended::Whole(usage)), Some(head)) => {
+                    let body = body.freeze();
+                    return Ok(Whole { head, body, usage });
+                }
+                (Some(Ended::Whole(_)), None) => {
+                    let why = "the answer has no head".to_owned();
+                    return Err(Broken::Lost(CallError::Ambiguous(why)));
+                }
+                (Some(failed), _) => return Err(Broken::Failed(failed)),
+                (None, kept) => head = kept,
+            }
+            batch = self.next().await.map_err(Broken::Lost)?;
+        }
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if !self.cancel {
+            return;
+        }
+        let app = Arc::clone(&self.app);
+        let (agent, attempt) = self.origin();
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(async move { app.agents.cancel(agent, attempt).await });
+        }
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/entry/frames.rs
@@ -0,0 +1,175 @@
+//! Reads an agent's frames, all that have arrived at a time.
+//!
+//! Bytes of one read from the network that hold many frames become one
+//! [`Batch`], so a busy stream costs one write a read and not one a token.
+//! Bytes before the expected offset are dropped, a gap is a failure: a late or
+//! crossed answer never reaches the caller.
+
+use super::agents::CallError;
+use crate::{
+    core::id::Name,
+    core::verdict::Verdict,
+    net::{
+        codec,
+        run::{FRAME_LIMIT_BYTES, Frame, Usage},
+    },
+};
+use bytes::{Bytes, BytesMut};
+use futures::{Stream, StreamExt as _, stream::BoxStream};
+use std::{fmt, time::Duration};
+use tokio_util::codec::{Decoder as _, LengthDelimitedCodec};
+
+/// What has arrived since the last read.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Batch {
+    /// The answer's head, if it came.
+    pub head: Option<Head>,
+    /// Bytes of the body.
+    pub data: Bytes,
+    /// How the answer ended, if it did.
+    pub end: Option<Ended>,
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Head {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub media: Name,
+}
+
+/// How an answer ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ended {
+    /// It is whole.
+    Whole(Usage),
+    /// It is not whole and will not be.
+    Failed {
+        /// Whether the request ran.
+        verdict: Verdict,
+        /// What happened.
+        reason: Name,
+        /// Whether the version is to blame, not the backend server.
+        blame: bool,
+    },
+}
+
+/// Reads the frames of one connection.
+pub struct FrameReader {
+    bytes: BoxStream<'static, Result<Bytes, String>>,
+    buffer: BytesMut,
+    codec: LengthDelimitedCodec,
+    idle: Duration,
+}
+
+impl fmt::Debug for FrameReader {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FrameReader").finish_non_exhaustive()
+    }
+}
+
+impl FrameReader {
+    /// Builds a reader on the bytes of a connection.
+    pub fn new<S, E>(bytes: S, idle: Duration) -> Self
+    where
+        S: Stream<Item = Result<Bytes, E>> + Send + 'static,
+        E: fmt::Display,
+    {
+        let bytes = bytes.map(|read| read.map_err(|e| e.to_string())).boxed();
+        let codec = LengthDelimitedCodec::builder()
+            .max_frame_length(FRAME_LIMIT_BYTES)
+            .new_codec();
+        Self {
+            bytes,
+            buffer: BytesMut::new(),
+            codec,
+            idle,
+        }
+    }
+
+    /// Waits for bytes and decodes all whole frames. `offset` is the number of
+    /// body bytes that the reader's owner holds, and is moved on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an ambiguous error if the connection ends without a last frame,
+    /// stays silent too long or carries something else than frames.
+    pub async fn read(&mut self, offset: &mut u64) -> Result<Batch, CallError> {
+        loop {
+            let read = tokio::time::timeout(self.idle, self.bytes.next()).await;
+            let bytes = match read {
+                Ok(Some(Ok(bytes))) => bytes,
+                Ok(Some(Err(error))) => return Err(CallError::Ambiguous(error)),
+                Ok(None) => return Err(ambiguous("the connection ended in mid-answer")),
+                Err(_elapsed) => return Err(ambiguous("the answer fell silent")),
+            };
+            self.buffer.extend_from_slice(&bytes);
+            let batch = self.decode(offset)?;
+            if batch != Batch::default() {
+                return Ok(batch);
+            }
+        }
+    }
+
+    fn decode(&mut self, offset: &mut u64) -> Result<Batch, CallError> {
+        let mut batch = Batch::default();
+        let mut data = BytesMut::new();
+        while let Some(frame) = self.next_frame()? {
+            match frame {
+                Frame::Head { status, media } => batch.head = Some(Head { status, media }),
+                Frame::Data { offset: at, bytes } => append(&mut data, offset, at, &bytes)?,
+                Frame::End { length, usage } => {
+                    if length != *offset {
+                        return Err(ambiguous("the answer's length is not its end's"));
+                    }
+                    batch.end = Some(Ended::Whole(usage));
+                }
+                Frame::Failed {
+                    verdict,
+                    reason,
+                    blame,
+                } => {
+                    batch.end = Some(Ended::Failed {
+                        verdict,
+                        reason,
+                        blame,
+                    });
+                }
+            }
+            if batch.end.is_some() {
+                break;
+            }
+        }
+        batch.data = data.freeze();
+        Ok(batch)
+    }
+
+    fn next_frame(&mut self) -> Result<Option<Frame>, CallError> {
+        let decoded = self
+            .codec
+            .decode(&mut self.buffer)
+            .map_err(|error| CallError::Ambiguous(error.to_string()))?;
+        decoded
+            .map(|bytes| codec::decode(&bytes))
+            .transpose()
+            .map_err(|error| CallError::Ambiguous(error.to_string()))
+    }
+}
+
+/// Appends what is new of a data frame.
+fn append(data: &mut BytesMut, offset: &mut u64, at: u64, bytes: &[u8]) -> Result<(), CallError> {
+    if at > *offset {
+        return Err(ambiguous("bytes of the answer are missing"));
+    }
+    let known = (*offset - at) as usize;
+    if let Some(fresh) = bytes.get(known..) {
+        data.extend_from_slice(fresh);
+        *offset += fresh.len() as u64;
+    }
+    Ok(())
+}
+
+fn ambiguous(why: &str) -> CallError {
+    CallError::Ambiguous(why.to_owned())
+}
--- a/src/cardamomtally/entry/mod.rs
+++ b/src/cardamomtally/entry/mod.rs
@@ -1,6 +1,50 @@
 //! The process that callers talk to: HTTP, retries, cascades, the reply.
+//!
+//! [`front`] reads and checks a request and hands it to [`complete`] (a
+//! completion) or [`service`] (a call of a plain service). Both choose by the
+//! pure decisions of [`crate::routing`] and send attempts to [`agents`]:
+//! [`repeat`] for requests that may be repeated, [`once`] for those that may
+//! not. An [`answer`] is read frame by frame, resumed where its connection drops,
+//! and goes back whole ([`reply`]) or as a stream ([`relay`]), after its [`bill`]
+//! is committed.
 
-use crate::{daemon::Context, settings::EntrySettings};
+pub mod agents;
+pub mod answer;
+pub mod app;
+pub mod bill;
+pub mod call;
+pub mod complete;
+pub mod frames;
+pub mod front;
+pub mod health;
+pub mod once;
+pub mod problem;
+pub mod rating;
+pub mod relay;
+pub mod repeat;
+pub mod reply;
+pub mod service;
+pub mod session;
+
+use crate::{
+    core::rater::Rater,
+    daemon::{
+        Context,
+        http::{self, Bound},
+    },
+    settings::EntrySettings,
+};
+use agents::HttpAgents;
+use app::{App, Borders};
+use front::Front;
+use rating::HttpRater;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+/// How often outcomes are handed to the poller and readiness is checked.
+const UPKEEP: Duration = Duration::from_millis(250);
 
 /// Runs the daemon until a signal stops it.
 ///
@@ -8,10 +52,50 @@
 ///
 /// Returns an error if the process cannot start.
 pub async fn run(settings: EntrySettings, context: Context) -> eyre::Result<()> {
-    let rocket = crate::daemon::http::build(&settings.http, &context)?;
-    let bound = crate::daemon::http::Bound {
+    let rater = HttpRater::new(&settings.rating)?;
+    let borders = Borders {
+        lease: Arc::new(crate::lease::FixedLease::default()),
+        ledger: todo_ledger(),
+        agents: Arc::new(HttpAgents::new(&settings.retry)?),
+        rater: rater.map(|rater| Arc::new(rater) as Arc<dyn Rater>),
+    };
+    serve(settings, context, borders).await
+}
+
+/// Serves on given borders until a signal stops the process.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub async fn serve(
+    settings: EntrySettings,
+    context: Context,
+    borders: Borders,
+) -> eyre::Result<()> {
+    let seed = rand::random();
+    let app = Arc::new(App::new(settings.clone(), context.clone(), borders, seed));
+    let rocket = http::build(&settings.http, &context)?.mount("/", Front(Arc::clone(&app)).routes());
+    let bound = Bound {
         name: settings.process.name.clone(),
-        ..Default::default()
+        ..Bound::default()
     };
-    crate::daemon::http::serve(rocket, &settings.http, &context, bound).await
+    let upkeep = tokio::spawn(upkeep(app));
+    let outcome = http::serve(rocket, &settings.http, &context, bound).await;
+    upkeep.abort();
+    outcome
+}
+
+/// Hands outcomes to the poller and keeps readiness true while the lease is
+/// valid and the process is not stopping.
+async fn upkeep(app: Arc<App>) {
+    loop {
+        app.health.flush(app.lease.as_ref());
+        let context = &app.context;
+        let valid = app.held().is_some();
+        context.ready.store(valid && !context.gate.is_closed(), Ordering::Release);
+        if context.gate.is_closed() {
+            context.ready.store(false, Ordering::Release);
+        }
+        tokio::time::sleep(UPKEEP).await;
+    }
 }
--- /dev/null
+++ b/src/cardamomtally/entry/once.rs
@@ -0,0 +1,491 @@
+//! Requests that may not be repeated: at most one attempt ever runs.
+//!
+//! The claim of the caller's key is committed before the first dispatch and
+//! names attempt, backend server and the agent's incarnation. Another attempt
+//! replaces it by compare-and-set, and only after proof that the last one did not
+//! and will not run. After an ambiguous failure the agent is asked: an agent that
+//! has not seen the attempt records a tombstone, which makes "not run" true. An
+//! agent that has restarted cannot tell, so the outcome is unknown for good. The
+//! answer is settled in the ledger before it goes to the caller, and a resent
+//! submission follows the claim to that answer at any entry.
+
+use super::{
+    agents::CallError,
+    answer::{Answer, Broken, Reading, Whole},
+    app::App,
+    bill::{Origin, Spend},
+    call::Call,
+    frames::Ended,
+    problem::Problem,
+    repeat::{self, Job, RETRY_AFTER},
+    reply::{self, Reply},
+};
+use crate::{
+    core::{
+        claim::{Answer as FirstAnswer, ClaimError, ClaimKey, ClaimOp, ClaimReply, Progress, RequestClaim},
+        clock::Mono,
+        digest::Digest,
+        id::{AttemptId, Index, Name},
+        verdict::Verdict,
+    },
+    net::run::{Asked, Target, Usage},
+    routing::board::{Ask, Pick},
+};
+use rand::Rng as _;
+use std::{ops::ControlFlow, sync::Arc, time::Duration};
+
+/// How long a resent submission waits for the first one's entry before it asks
+/// the agent.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// How long an agent that does not answer is asked.
+const ASK_WAIT: Duration = Duration::from_secs(5);
+
+/// Least number of an attempt that replaces another. Entries draw them at random,
+/// so that two of them never mean the same attempt.
+const REPLACED_ATTEMPTS: u32 = 1 << 16;
+
+/// Backend servers tried for the incarnation of their agent.
+const PICK_LIMIT: u32 = 4;
+
+/// One submission.
+#[derive(Debug)]
+struct Submission<'a> {
+    app: &'a Arc<App>,
+    call: &'a Arc<Call>,
+    job: &'a Job,
+    key: ClaimKey,
+}
+
+/// What to do next.
+#[derive(Debug)]
+enum Step {
+    /// The claim names our attempt: dispatch it.
+    Dispatch(RequestClaim, Pick, Index),
+    /// Somebody's claim stands: find out its outcome.
+    Follow(RequestClaim),
+    /// The attempt of the claim is proved not to have run: replace it.
+    Replace(RequestClaim),
+    /// The agent of the claim must be asked.
+    Resolve(RequestClaim),
+}
+
+/// Where an operation on the claim leads.
+type Turn = ControlFlow<Result<Reply, Problem>, Step>;
+
+/// Serves a submission.
+///
+/// # Errors
+///
+/// Returns the refusal for the caller.
+pub async fn submit(
+    app: &Arc<App>,
+    call: &Arc<Call>,
+    job: &Job,
+    key: ClaimKey,
+) -> Result<Reply, Problem> {
+    let submission = Submission {
+        app,
+        call,
+        job,
+        key,
+    };
+    let mut turn = submission.begin().await;
+    loop {
+        let step = match turn {
+            ControlFlow::Break(outcome) => return outcome,
+            ControlFlow::Continue(step) => step,
+        };
+        turn = match step {
+            Step::Dispatch(claim, pick, index) => submission.dispatch(claim, &pick, index).await,
+            Step::Follow(claim) => submission.follow(claim).await,
+            Step::Replace(claim) => submission.replace(claim).await,
+            Step::Resolve(claim) => submission.resolve(claim).await,
+        };
+    }
+}
+
+fn refuse(problem: Problem) -> Turn {
+    ControlFlow::Break(Err(problem))
+}
+
+fn no_ledger(error: &ClaimError) -> Problem {
+    let detail = format!("the ledger cannot tell whether this key has run: {error}");
+    Problem::new(503, Verdict::Unknown, detail).retry_after(RETRY_AFTER)
+}
+
+fn unknown(detail: &str) -> Problem {
+    Problem::new(502, Verdict::Unknown, detail)
+}
+
+impl Submission<'_> {
+    /// Takes the key, or finds who has it.
+    async fn begin(&self) -> Turn {
+        let (pick, index) = match self.pick().await {
+            Ok(picked) => picked,
+            Err(problem) => return self.look_or(problem).await,
+        };
+        let attempt = self.call.next_attempt();
+        let claim = self.claim_of(self.call.request, attempt, &pick);
+        let op = ClaimOp::Begin {
+            key: self.key,
+            claim: claim.clone(),
+            ttl: self.app.settings.callers.claim_ttl.0,
+        };
+        match self.apply(op).await {
+            Ok((true, _)) => ControlFlow::Continue(Step::Dispatch(claim, pick, index)),
+            Ok((false, Some(standing))) => ControlFlow::Continue(Step::Follow(standing)),
+            Ok((false, None)) => refuse(unknown("the ledger lost the claim")),
+            Err(error) => refuse(no_ledger(&error)),
+        }
+    }
+
+    /// Without a place to run: the key may still have run before.
+    async fn look_or(&self, problem: Problem) -> Turn {
+        match self.apply(ClaimOp::Look { key: self.key }).await {
+            Ok((_, Some(claim))) => ControlFlow::Continue(Step::Follow(claim)),
+            Ok((_, None)) => refuse(problem),
+            Err(error) => refuse(no_ledger(&error)),
+        }
+    }
+
+    fn claim_of(
+        &self,
+        request: crate::core::id::RequestId,
+        attempt: AttemptId,
+        pick: &Pick,
+    ) -> RequestClaim {
+        RequestClaim {
+            request,
+            body: self.call.digest,
+            attempt,
+            backend: Arc::clone(&pick.name),
+            agent: pick.incarnation,
+            progress: Progress::Running,
+        }
+    }
+
+    /// Chooses a backend server whose agent's incarnation is known.
+    async fn pick(&self) -> Result<(Pick, Index), Problem> {
+        for _ in 0..PICK_LIMIT {
+            let held = self.app.held().ok_or_else(|| repeat::no_lease(true))?;
+            repeat::check_target(&held.snapshot, self.call, &self.job.target, true)?;
+            let tried = self.call.tried();
+            let ask = Ask {
+                target: &self.job.target,
+                affinity: None,
+                tried: &tried,
+                quiet: held.snapshot.suspects.contains(&self.call.digest),
+            };
+            let chosen = self.app.choose(&held.snapshot, &ask);
+            let mut pick = chosen.ok_or_else(|| repeat::no_backend(&self.job.target, true))?;
+            self.call.try_at(&pick.name);
+            if pick.incarnation.is_none() {
+                pick.incarnation = self.probe(&pick.agent).await;
+            }
+            if pick.incarnation.is_some() {
+                return Ok((pick, held.snapshot.index));
+            }
+        }
+        Err(repeat::no_backend(&self.job.target, true))
+    }
+
+    async fn probe(&self, agent: &Name) -> Option<crate::core::id::Incarnation> {
+        let probe = self.app.agents.probe(Arc::clone(agent)).await.ok()?;
+        self.app.probed(&probe);
+        Some(probe.incarnation)
+    }
+
+    /// Sends the attempt that the claim names.
+    async fn dispatch(&self, claim: RequestClaim, pick: &Pick, index: Index) -> Turn {
+        if self.app.held().is_none() {
+            return self.release(claim, repeat::no_lease(true)).await;
+        }
+        let mut run = repeat::run_call(self.app, self.call, self.job, pick, claim.attempt, index);
+        run.head.claim = Some(self.key);
+        run.head.agent = claim.agent;
+        self.event(&format!("attempt {} sent to {}", claim.attempt, pick.name));
+        match self.app.send(pick.slot, run).await {
+            Ok((opened, flight)) => {
+                let answer = Answer::new(self.app, flight, opened, self.reading());
+                self.read(claim, answer).await
+            }
+            Err(error) if error.is_proof() => ControlFlow::Continue(Step::Replace(claim)),
+            Err(_) => ControlFlow::Continue(Step::Resolve(claim)),
+        }
+    }
+
+    fn reading(&self) -> Reading {
+        Reading {
+            deadline: self.call.deadline,
+            cancel: false,
+        }
+    }
+
+    /// Reads the answer of the claim's attempt to its end.
+    async fn read(&self, claim: RequestClaim, mut answer: Answer) -> Turn {
+        let first = match answer.next().await {
+            Ok(batch) => batch,
+            Err(_) => return ControlFlow::Continue(Step::Resolve(claim)),
+        };
+        answer.first_byte();
+        match answer.collect(first).await {
+            Ok(whole) => self.done(claim, whole, Origin::of(&answer)).await,
+            Err(Broken::Failed(Ended::Failed { verdict, reason, .. })) => {
+                answer.report(crate::routing::board::Outcome::Bad);
+                self.failed(claim, verdict, &reason).await
+            }
+            Err(Broken::Failed(_) | Broken::Lost(_)) => {
+                ControlFlow::Continue(Step::Resolve(claim))
+            }
+        }
+    }
+
+    async fn failed(&self, claim: RequestClaim, verdict: Verdict, reason: &str) -> Turn {
+        if verdict == Verdict::NotRun {
+            return ControlFlow::Continue(Step::Replace(claim));
+        }
+        self.give_up(claim, Problem::new(502, verdict, reason)).await
+    }
+
+    /// Records that the outcome is unknown for good.
+    async fn give_up(&self, claim: RequestClaim, problem: Problem) -> Turn {
+        let settled = self.settle(&claim, Progress::Unknown).await;
+        match settled {
+            Ok((_, Some(standing))) if matches!(standing.progress, Progress::Done(_)) => {
+                ControlFlow::Continue(Step::Follow(standing))
+            }
+            Ok(_) | Err(_) => refuse(problem),
+        }
+    }
+
+    /// Settles the answer, bills it and passes it on.
+    async fn done(&self, claim: RequestClaim, whole: Whole, origin: Origin) -> Turn {
+        let limit = self.app.settings.callers.answer_limit.0 as usize;
+        let answer = FirstAnswer {
+            status: whole.head.status,
+            media: Arc::clone(&whole.head.media),
+            digest: Digest::of(&whole.body),
+            body: (whole.body.len() <= limit)
+                .then(|| serde_bytes::ByteBuf::from(whole.body.to_vec())),
+        };
+        match self.settle(&claim, Progress::Done(answer.clone())).await {
+            Ok((_, Some(standing))) if standing.progress == Progress::Done(answer) => {}
+            Ok((_, Some(standing))) if standing.attempt != claim.attempt => {
+                return ControlFlow::Continue(Step::Follow(standing));
+            }
+            Ok(_) => return refuse(unknown("another outcome of this key was settled first")),
+            Err(error) => {
+                let detail = format!("it ran, but its answer could not be recorded: {error}");
+                let problem = Problem::new(503, Verdict::Ran, detail);
+                return refuse(problem.retry_after(RETRY_AFTER));
+            }
+        }
+        let (Target::Service(id) | Target::Version(id)) = &self.job.target;
+        let mut spend = Spend::new(claim.request, &self.call.workspace, id.clone());
+        spend.add(Usage { ..whole.usage }, origin);
+        spend.commit(self.app).await;
+        ControlFlow::Break(Ok(Reply::Whole(whole)))
+    }
+
+    /// Finds out the outcome of a claim that somebody else took.
+    async fn follow(&self, claim: RequestClaim) -> Turn {
+        if claim.body != self.call.digest {
+            let detail = "this key was used for another request";
+            return refuse(Problem::not_run(422, detail));
+        }
+        match claim.progress {
+            Progress::Done(answer) => ControlFlow::Break(first_answer(answer)),
+            Progress::Unknown => refuse(unknown("the outcome of this key is unknown for good")),
+            Progress::Released => ControlFlow::Continue(Step::Replace(claim)),
+            Progress::Running => self.wait(claim).await,
+        }
+    }
+
+    /// Gives the entry that holds the claim time to settle it.
+    async fn wait(&self, claim: RequestClaim) -> Turn {
+        let until = self.call.deadline.min(self.app.now() + GRACE);
+        let mut retry = 0;
+        while self.app.now() < until {
+            tokio::time::sleep(self.app.backoff(retry)).await;
+            retry += 1;
+            match self.apply(ClaimOp::Look { key: self.key }).await {
+                Ok((_, Some(standing))) if standing != claim => {
+                    return ControlFlow::Continue(Step::Follow(standing));
+                }
+                Ok((_, Some(_))) => {}
+                Ok((_, None)) => return refuse(unknown("the claim of this key has expired")),
+                Err(error) => return refuse(no_ledger(&error)),
+            }
+        }
+        ControlFlow::Continue(Step::Resolve(claim))
+    }
+
+    /// Asks the agent what became of the claim's attempt.
+    async fn resolve(&self, claim: RequestClaim) -> Turn {
+        let until = self.call.deadline.min(self.app.now() + ASK_WAIT);
+        let mut retry = 0;
+        loop {
+            match self.ask(&claim).await {
+                Some(Asked::NotSeen | Asked::NotRun) => {
+                    return ControlFlow::Continue(Step::Replace(claim));
+                }
+                Some(Asked::Running | Asked::Ended) => {
+                    let Some(agent) = self.agent(&claim) else {
+                        return refuse(unknown("the agent of this key's attempt is not known"));
+                    };
+                    let fetched = Answer::fetch(self.app, &agent, claim.attempt, self.reading());
+                    if let Ok(answer) = fetched.await
+                        && let Some(turn) = self.reread(&claim, answer).await
+                    {
+                        return turn;
+                    }
+                }
+                Some(Asked::Unknown) => {
+                    let detail = "the backend server's agent cannot tell whether it ran";
+                    return self.give_up(claim, unknown(detail)).await;
+                }
+                None => {}
+            }
+            let wait = self.app.backoff(retry);
+            retry += 1;
+            if self.app.now() + wait >= until {
+                let detail = "the agent that took this request does not answer";
+                return refuse(unknown(detail).retry_after(RETRY_AFTER));
+            }
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    /// Reads a fetched answer; `None` if its connection drops again.
+    async fn reread(&self, claim: &RequestClaim, mut answer: Answer) -> Option<Turn> {
+        let first = answer.next().await.ok()?;
+        match answer.collect(first).await {
+            Ok(whole) => Some(self.done(claim.clone(), whole, Origin::of(&answer)).await),
+            Err(Broken::Failed(Ended::Failed { verdict, reason, .. })) => {
+                Some(self.failed(claim.clone(), verdict, &reason).await)
+            }
+            Err(Broken::Failed(_) | Broken::Lost(_)) => None,
+        }
+    }
+
+    /// Asks about the attempt; `None` if nobody answers. An agent that is not
+    /// proved to be the one that took the attempt cannot tell.
+    async fn ask(&self, claim: &RequestClaim) -> Option<Asked> {
+        let agent = self.agent(claim)?;
+        let reply = self.app.agents.ask(agent, claim.attempt).await.ok()?;
+        let same = claim.agent.is_some() && reply.incarnation == claim.agent;
+        Some(if same { reply.asked } else { Asked::Unknown })
+    }
+
+    fn agent(&self, claim: &RequestClaim) -> Option<Name> {
+        let held = self.app.lease.held();
+        let key = held.snapshot.backend(&claim.backend)?;
+        Some(Arc::clone(&held.snapshot.backends[key].agent))
+    }
+
+    /// Puts another attempt in the place of one that is proved not to have run.
+    async fn replace(&self, claim: RequestClaim) -> Turn {
+        let (pick, index) = match self.pick().await {
+            Ok(picked) if self.may_retry() => picked,
+            Ok(_) => {
+                let detail = "no attempt reached a backend server";
+                let problem = Problem::not_run(503, detail).retry_after(RETRY_AFTER);
+                return self.release(claim, problem).await;
+            }
+            Err(problem) => return self.release(claim, problem).await,
+        };
+        let number = rand::rng().random_range(REPLACED_ATTEMPTS..=u32::MAX);
+        let attempt = AttemptId {
+            request: claim.request,
+            number,
+        };
+        let next = self.claim_of(claim.request, attempt, &pick);
+        let op = ClaimOp::Reassign {
+            key: self.key,
+            from: claim.attempt,
+            claim: next.clone(),
+        };
+        match self.apply(op).await {
+            Ok((true, _)) => ControlFlow::Continue(Step::Dispatch(next, pick, index)),
+            Ok((false, Some(standing))) => ControlFlow::Continue(Step::Follow(standing)),
+            Ok((false, None)) => refuse(unknown("the claim of this key has expired")),
+            Err(error) => refuse(no_ledger(&error)),
+        }
+    }
+
+    fn may_retry(&self) -> bool {
+        let tried = self.call.tried().len() as u32;
+        tried <= self.app.settings.retry.attempts && self.app.now() < self.call.deadline
+    }
+
+    /// Lets go of a claim whose attempt is proved not to have run.
+    async fn release(&self, claim: RequestClaim, problem: Problem) -> Turn {
+        match self.settle(&claim, Progress::Released).await {
+            Ok((_, Some(standing))) if standing.attempt != claim.attempt => {
+                ControlFlow::Continue(Step::Follow(standing))
+            }
+            Ok((_, Some(standing))) if standing.progress != Progress::Released => {
+                ControlFlow::Continue(Step::Follow(standing))
+            }
+            Ok(_) => refuse(problem),
+            // Whoever resends will ask the agent; but somebody else may have
+            // replaced the attempt by now.
+            Err(error) => refuse(no_ledger(&error)),
+        }
+    }
+
+    async fn settle(
+        &self,
+        claim: &RequestClaim,
+        progress: Progress,
+    ) -> Result<(bool, Option<RequestClaim>), ClaimError> {
+        let op = ClaimOp::Settle {
+            key: self.key,
+            attempt: claim.attempt,
+            progress,
+        };
+        self.apply(op).await
+    }
+
+    async fn apply(&self, op: ClaimOp) -> Result<(bool, Option<RequestClaim>), ClaimError> {
+        match self.app.apply(op, self.ledger_deadline()).await? {
+            ClaimReply::Request { won, claim } => Ok((won, claim)),
+            _ => Err(ClaimError {
+                reason: "the ledger answered another question".to_owned(),
+                refused: false,
+            }),
+        }
+    }
+
+    /// An answer in hand is settled even if the deadline has just passed.
+    fn ledger_deadline(&self) -> Mono {
+        self.call.deadline.max(self.app.now() + GRACE)
+    }
+
+    fn event(&self, text: &str) {
+        let subject = format!("request {}", self.call.request);
+        self.app.context.events.record("once", &subject, text);
+    }
+}
+
+/// Gives a resent submission the first answer.
+fn first_answer(answer: FirstAnswer) -> Result<Reply, Problem> {
+    let Some(body) = answer.body else {
+        let detail = "it ran; its answer is longer than the ledger keeps";
+        let mut problem = Problem::new(409, Verdict::Ran, detail);
+        problem.first = Some((answer.digest.to_string(), answer.status));
+        return Err(problem);
+    };
+    Ok(Reply::Whole(Whole {
+        head: reply::head(answer.status, &answer.media),
+        body: body.into_vec().into(),
+        usage: Usage::default(),
+    }))
+}
+
+/// Tells what a failed call proves, for tests.
+#[must_use]
+pub fn proves_not_run(error: &CallError) -> bool {
+    error.is_proof()
+}
--- /dev/null
+++ b/src/cardamomtally/entry/reply.rs
@@ -0,0 +1,85 @@
+//! What goes back to the caller.
+
+use super::{
+    answer::Whole,
+    app::App,
+    frames::Head,
+    problem::Problem,
+    relay::Relay,
+};
+use crate::core::id::{Name, RequestId};
+use bytes::Bytes;
+use rocket::{
+    Response,
+    http::{ContentType, Header, Status},
+};
+use std::{io::Cursor, str::FromStr as _};
+use tokio_util::io::StreamReader;
+
+/// Most bytes of a stream that are passed to the network in one write.
+const WRITE_BYTES: usize = 64 << 10;
+
+/// What goes back to the caller.
+#[derive(Debug)]
+pub enum Reply {
+    /// A whole answer.
+    Whole(Whole),
+    /// A stream.
+    Stream(Head, Box<Relay>),
+    /// A refusal.
+    Problem(Problem),
+    /// A document of the entry's own.
+    Json(String),
+}
+
+impl From<Problem> for Reply {
+    fn from(problem: Problem) -> Self {
+        Self::Problem(problem)
+    }
+}
+
+impl Reply {
+    /// Builds the response.
+    pub fn into_response(self, app: &App, request: RequestId) -> Response<'static> {
+        let mut response = match self {
+            Self::Whole(whole) => sized(whole.head.status, &whole.head.media, whole.body),
+            Self::Stream(head, relay) => streamed(&head, *relay),
+            Self::Problem(problem) => problem.to_response(request),
+            Self::Json(text) => sized(200, "application/json", Bytes::from(text)),
+        };
+        let name = app.settings.callers.request_header.clone();
+        response.set_header(Header::new(name, request.to_string()));
+        response
+    }
+}
+
+fn sized(status: u16, media: &str, body: Bytes) -> Response<'static> {
+    Response::build()
+        .status(Status::new(status))
+        .header(media_type(media))
+        .sized_body(body.len(), Cursor::new(body))
+        .finalize()
+}
+
+fn streamed(head: &Head, relay: Relay) -> Response<'static> {
+    Response::build()
+        .status(Status::new(head.status))
+        .header(media_type(&head.media))
+        .header(Header::new("Cache-Control", "no-cache"))
+        .streamed_body(StreamReader::new(relay.into_stream()))
+        .max_chunk_size(WRITE_BYTES)
+        .finalize()
+}
+
+fn media_type(media: &str) -> ContentType {
+    ContentType::from_str(media).unwrap_or(ContentType::Binary)
+}
+
+/// Builds the head of an answer.
+#[must_use]
+pub fn head(status: u16, media: &str) -> Head {
+    Head {
+        status,
+        media: Name::from(media),
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/entry/service.rs
@@ -0,0 +1,155 @@
+//! Calls of plain services.
+
+use super::{
+    app::App,
+    bill::Spend,
+    call::Call,
+    once,
+    problem::Problem,
+    repeat::{self, Job},
+    reply::Reply,
+};
+use crate::{
+    core::{
+        claim::ClaimKey,
+        config::{Route, VersionId},
+        snapshot::{ServiceKey, Snapshot},
+        verdict::Verdict,
+    },
+    net::run::Target,
+    routing::budget::Cause,
+};
+use futures::future::{Either, select};
+use std::{pin::pin, sync::Arc, time::Duration};
+
+/// A call of a plain service, matched with its route.
+#[derive(Clone, Debug)]
+pub struct Matched {
+    /// The service.
+    pub target: Target,
+    /// Path and query at the backend server.
+    pub path: String,
+    /// Whether the call may be repeated.
+    pub repeatable: bool,
+}
+
+/// Matches a method and path with a service and route.
+///
+/// # Errors
+///
+/// Returns a refusal if no service or route matches.
+pub fn find(snapshot: &Snapshot, method: &str, path: &str) -> Result<Matched, Problem> {
+    let (key, rest) = snapshot
+        .service_of(path)
+        .ok_or_else(|| Problem::not_run(404, "no service has this path"))?;
+    let service = &snapshot.services[key];
+    let bare = rest.split('?').next().unwrap_or_default();
+    let route = service
+        .routes
+        .iter()
+        .find(|route| &*route.method == method && matches(&route.path, bare))
+        .ok_or_else(|| Problem::not_run(404, "the service has no route of this method and path"))?;
+    Ok(matched(snapshot, key, route, rest))
+}
+
+fn matched(snapshot: &Snapshot, key: ServiceKey, route: &Route, rest: &str) -> Matched {
+    let service = &snapshot.services[key];
+    let path = if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    };
+    Matched {
+        target: Target::Service(VersionId {
+            partner: Arc::clone(&service.partner),
+            name: Arc::clone(&service.name),
+        }),
+        path,
+        repeatable: route.repeatable,
+    }
+}
+
+/// Matches a path with a pattern, in which a final `*` matches any rest.
+#[must_use]
+pub fn matches(pattern: &str, path: &str) -> bool {
+    match pattern.strip_suffix('*') {
+        Some(start) => path.starts_with(start),
+        None => path == pattern || (path.is_empty() && pattern == "/"),
+    }
+}
+
+/// Serves a call of a plain service.
+///
+/// # Errors
+///
+/// Returns the refusal for the caller.
+pub async fn serve(app: &Arc<App>, call: &Arc<Call>, matched: &Matched) -> Result<Reply, Problem> {
+    let job = Job {
+        target: matched.target.clone(),
+        path: matched.path.as_str().into(),
+        body: call.body.clone(),
+        affinity: None,
+        repeatable: matched.repeatable,
+    };
+    app.probe_some(&job.target);
+    if matched.repeatable {
+        return repeatable(app, call, &job).await;
+    }
+    once::submit(app, call, &job, key(app, call)?).await
+}
+
+/// Returns the claim key of a call that may not be repeated.
+fn key(app: &App, call: &Call) -> Result<ClaimKey, Problem> {
+    let workspace = &call.workspace;
+    let build = |text: &str| ClaimKey::request(&workspace.partner, &workspace.name, text);
+    match &call.key {
+        Some(key) if !key.is_empty() => Ok(build(key)),
+        _ if app.settings.callers.derive_key => Ok(build(&format!("body {}", call.digest))),
+        _ => {
+            let header = &app.settings.callers.key_header;
+            let detail = format!("a call that may not be repeated needs the header `{header}`");
+            Err(Problem::not_run(400, detail))
+        }
+    }
+}
+
+async fn repeatable(app: &Arc<App>, call: &Arc<Call>, job: &Job) -> Result<Reply, Problem> {
+    let (whole, origin) = match app.settings.retry.hedge {
+        Some(after) => hedged(app, call, job, after.0).await?,
+        None => repeat::whole(app, call, job).await?,
+    };
+    let (Target::Service(id) | Target::Version(id)) = &job.target;
+    let mut spend = Spend::new(call.request, &call.workspace, id.clone());
+    spend.add(whole.usage, origin);
+    spend.commit(app).await;
+    Ok(Reply::Whole(whole))
+}
+
+/// Sends a second copy if the first is late, and takes the first answer.
+async fn hedged(
+    app: &Arc<App>,
+    call: &Arc<Call>,
+    job: &Job,
+    after: Duration,
+) -> Result<(super::answer::Whole, super::bill::Origin), Problem> {
+    let mut first = pin!(repeat::whole(app, call, job));
+    if let Ok(outcome) = tokio::time::timeout(after, first.as_mut()).await {
+        return outcome;
+    }
+    if !app.pay(Cause::Failed) {
+        return first.await;
+    }
+    metrics::counter!("cardamomtally_entry_hedges_total").increment(1);
+    let second = pin!(repeat::whole(app, call, job));
+    match select(first, second).await {
+        Either::Left((Ok(whole), _)) | Either::Right((Ok(whole), _)) => Ok(whole),
+        Either::Left((Err(problem), second)) => second.await.map_err(|_e| doubtful(problem)),
+        Either::Right((Err(problem), first)) => first.await.map_err(|_e| doubtful(problem)),
+    }
+}
+
+/// Of two copies, either may have run.
+fn doubtful(mut problem: Problem) -> Problem {
+    problem.verdict = Verdict::Unknown;
+    problem
+}
--- /dev/null
+++ b/src/cardamomtally/entry/session.rs
@@ -0,0 +1,123 @@
+//! Sessions: each keeps the version of its first use.
+//!
+//! The version is claimed on first use and cached; a cached session costs no
+//! claim until half its time to live has passed. A session whose version takes
+//! no new work moves once, by compare-and-set, so that all entries agree on the
+//! version it moves to.
+
+use super::{app::App, call::Call, problem::Problem, repeat::RETRY_AFTER};
+use crate::core::{
+    claim::{ClaimKey, ClaimOp, ClaimReply},
+    clock::Mono,
+    config::VersionId,
+    map::FastMap,
+    snapshot::{Snapshot, VersionKey},
+};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Sessions cached at an entry.
+const CACHE_LIMIT: usize = 100_000;
+
+/// Moves of one session within one request.
+const MOVE_LIMIT: u32 = 3;
+
+/// Versions of the sessions that this entry has served lately.
+#[derive(Debug, Default)]
+pub struct Sessions {
+    cache: Mutex<FastMap<ClaimKey, Cached>>,
+}
+
+#[derive(Clone, Debug)]
+struct Cached {
+    version: VersionId,
+    at: Mono,
+}
+
+impl Sessions {
+    fn get(&self, key: ClaimKey) -> Option<Cached> {
+        let cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        cache.get(&key).cloned()
+    }
+
+    fn put(&self, key: ClaimKey, version: &VersionId, at: Mono) {
+        let mut cache = self.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        if cache.len() >= CACHE_LIMIT && !cache.contains_key(&key) {
+            // Any victim will do: a session that is dropped costs one claim.
+            let victim = cache.keys().next().copied();
+            victim.map(|victim| cache.remove(&victim));
+        }
+        let version = version.clone();
+        cache.insert(key, Cached { version, at });
+    }
+}
+
+/// Returns the version that a session keeps, out of those that it may use now.
+///
+/// # Errors
+///
+/// Refuses the request if the ledger cannot tell: another version would break
+/// the session.
+pub async fn version(
+    app: &Arc<App>,
+    call: &Call,
+    model: &str,
+    snapshot: &Snapshot,
+    open: &[VersionKey],
+) -> Result<VersionKey, Problem> {
+    let session = call.session.as_deref().unwrap_or_default();
+    let name = format!("{model}\n{session}");
+    let workspace = &call.workspace;
+    let key = ClaimKey::session(&workspace.partner, &workspace.name, &name);
+    let wish = &snapshot.versions[open[0]].id;
+    let cached = app.sessions.get(key);
+    let fresh = app.settings.callers.session_ttl.0 / 2;
+    if let Some(cached) = &cached
+        && app.now().since(cached.at) < fresh
+        && let Some(version) = usable(snapshot, call, &cached.version)
+    {
+        return Ok(version);
+    }
+    let mut from = cached.map(|cached| cached.version);
+    for _ in 0..MOVE_LIMIT {
+        let keeps = from
+            .as_ref()
+            .is_some_and(|version| usable(snapshot, call, version).is_some());
+        let to = from.as_ref().filter(|_| keeps).unwrap_or(wish).clone();
+        let stands = claim(app, call, key, from, to).await?;
+        if let Some(version) = usable(snapshot, call, &stands) {
+            app.sessions.put(key, &stands, app.now());
+            return Ok(version);
+        }
+        from = Some(stands);
+    }
+    let detail = "the session's version is changing";
+    Err(Problem::not_run(503, detail).retry_after(RETRY_AFTER))
+}
+
+fn usable(snapshot: &Snapshot, call: &Call, version: &VersionId) -> Option<VersionKey> {
+    let workspace = call.workspace_in(snapshot)?;
+    let version = snapshot.version(version)?;
+    snapshot.allows(workspace, version).then_some(version)
+}
+
+async fn claim(
+    app: &Arc<App>,
+    call: &Call,
+    key: ClaimKey,
+    from: Option<VersionId>,
+    version: VersionId,
+) -> Result<VersionId, Problem> {
+    let op = ClaimOp::Session {
+        key,
+        from,
+        version,
+        ttl: app.settings.callers.session_ttl.0,
+    };
+    match app.apply(op, call.deadline).await {
+        Ok(ClaimReply::Session { version, .. }) => Ok(version),
+        Ok(_) | Err(_) => {
+            let detail = "the ledger cannot tell which version the session keeps";
+            Err(Problem::not_run(503, detail).retry_after(RETRY_AFTER))
+        }
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/routing/cascade.rs
@@ -0,0 +1,196 @@
+//! Cascades: which version to start with, at the least cost for the quality
+//! that a workspace asks.
+//!
+//! The quality of each version is learned for each workspace and class of
+//! request from ratings of a sample. For each request the plan takes the version
+//! with the best value: quality times a price, less cost. The price of quality
+//! rises while what is served is expected to fall short of the target and falls
+//! while it exceeds it, so that over time the target is met at the least cost;
+//! this is the dual method for a linear program with one constraint. Where a
+//! sampled answer is rated below the target, the request escalates to the next
+//! version. Exploration is a small share of requests, all of them rated.
+
+use crate::core::{
+    config::VersionId,
+    id::Name,
+    map::FastMap,
+};
+use rand::{Rng, seq::IndexedRandom as _};
+
+/// Weight of the prior, in ratings.
+const PRIOR_WEIGHT: f64 = 4.0;
+
+/// Ratings after which old ones fade.
+const MEMORY_RATINGS: f64 = 400.0;
+
+/// Share of requests that explore a version other than the planned one.
+const EXPLORE_SHARE: f64 = 0.01;
+
+/// Step of the price of quality at each request.
+const PRICE_STEP: f64 = 0.02;
+
+/// Highest price of quality, in costs of the dearest version.
+const PRICE_LIMIT: f64 = 40.0;
+
+/// Price of quality before anything is known.
+const PRICE_START: f64 = 4.0;
+
+/// Classes of requests by the length of their body.
+pub const CLASSES: usize = 4;
+
+/// Body length in bytes at which the next class begins.
+const CLASS_BYTES: [usize; CLASSES - 1] = [256, 1_024, 4_096];
+
+/// Returns the class of a request.
+#[must_use]
+pub fn class_of(body_bytes: usize) -> u8 {
+    CLASS_BYTES.iter().filter(|b| body_bytes >= **b).count() as u8
+}
+
+/// A workspace by partner and name.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct WorkspaceId {
+    /// The partner.
+    pub partner: Name,
+    /// The workspace.
+    pub name: Name,
+}
+
+/// One step of a cascade.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// The version.
+    pub version: VersionId,
+    /// Cost of a thousand tokens.
+    pub cost: f64,
+}
+
+/// Where a request starts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Plan {
+    /// Position of the step.
+    pub step: usize,
+    /// Whether it explores; its answer is rated in any case.
+    pub explore: bool,
+}
+
+/// Ratings of one version.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cell {
+    weight: f64,
+    sum: f64,
+}
+
+impl Cell {
+    fn add(&mut self, score: f64) {
+        if self.weight >= MEMORY_RATINGS {
+            let keep = 1.0 - 1.0 / MEMORY_RATINGS;
+            self.weight *= keep;
+            self.sum *= keep;
+        }
+        self.weight += 1.0;
+        self.sum += score;
+    }
+
+    fn mean(self, prior: f64) -> f64 {
+        (self.sum + prior * PRIOR_WEIGHT) / (self.weight + PRIOR_WEIGHT)
+    }
+}
+
+/// What is known of one workspace.
+#[derive(Clone, Debug)]
+struct Record {
+    price: f64,
+    cells: FastMap<VersionId, [Cell; CLASSES]>,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Self {
+            price: PRICE_START,
+            cells: FastMap::default(),
+        }
+    }
+}
+
+/// What is known of all workspaces.
+#[derive(Clone, Debug, Default)]
+pub struct Cascades {
+    records: FastMap<WorkspaceId, Record>,
+}
+
+impl Cascades {
+    /// Plans a request: `steps` by rising cost, `target` the quality asked.
+    pub fn plan<R: Rng + ?Sized>(
+        &mut self,
+        workspace: &WorkspaceId,
+        target: f64,
+        steps: &[Step],
+        class: u8,
+        rng: &mut R,
+    ) -> Plan {
+        let record = self.records.entry(workspace.clone()).or_default();
+        let dearest = steps.iter().map(|s| s.cost).fold(f64::MIN_POSITIVE, f64::max);
+        let best = (0..steps.len())
+            .map(|i| (i, record.quality(steps, i, target, class)))
+            .map(|(i, quality)| (i, quality, record.price * quality - steps[i].cost / dearest))
+            .max_by(|a, b| a.2.total_cmp(&b.2));
+        let Some((step, quality, _)) = best else {
+            return Plan { step: 0, explore: false };
+        };
+        let short = target - quality;
+        record.price = (record.price + PRICE_STEP * short).clamp(0.0, PRICE_LIMIT);
+        let explore = steps.len() > 1 && rng.random_bool(EXPLORE_SHARE);
+        let others: Vec<usize> = (0..steps.len()).filter(|i| *i != step).collect();
+        match others.choose(rng) {
+            Some(&other) if explore => Plan { step: other, explore },
+            _ => Plan { step, explore: false },
+        }
+    }
+
+    /// Learns a rating.
+    pub fn rated(&mut self, workspace: &WorkspaceId, version: &VersionId, class: u8, score: f64) {
+        let record = self.records.entry(workspace.clone()).or_default();
+        let cells = record.cells.entry(version.clone()).or_default();
+        cells[usize::from(class).min(CLASSES - 1)].add(score.clamp(0.0, 1.0));
+    }
+
+    /// Returns the expected quality of a step.
+    #[must_use]
+    pub fn quality(
+        &self,
+        workspace: &WorkspaceId,
+        steps: &[Step],
+        step: usize,
+        target: f64,
+        class: u8,
+    ) -> f64 {
+        match self.records.get(workspace) {
+            Some(record) => record.quality(steps, step, target, class),
+            None => prior(steps.len(), step, target),
+        }
+    }
+}
+
+impl Record {
+    fn quality(&self, steps: &[Step], step: usize, target: f64, class: u8) -> f64 {
+        let start = prior(steps.len(), step, target);
+        let Some(cells) = self.cells.get(&steps[step].version) else {
+            return start;
+        };
+        let weight: f64 = cells.iter().map(|c| c.weight).sum();
+        let sum: f64 = cells.iter().map(|c| c.sum).sum();
+        let overall = Cell { weight, sum }.mean(start);
+        cells[usize::from(class).min(CLASSES - 1)].mean(overall)
+    }
+}
+
+/// Returns the quality assumed before any rating: the dearest meets the target,
+/// cheaper ones fall short.
+fn prior(steps: usize, step: usize, target: f64) -> f64 {
+    let missing = steps - 1 - step;
+    if missing == 0 {
+        return target + (1.0 - target) / 2.0;
+    }
+    target * 0.9_f64.powi(missing as i32)
+}
