--- a/src/cardamomtally/entry/app.rs
+++ b/src/cardamomtally/entry/app.rs
@@ -92,6 +92,8 @@
 /// The borders that an entry is built on.
 #[derive(Clone, Debug)]
 pub struct Borders {
+    /// This run of the entry.
+    pub incarnation: Incarnation,
     /// The configuration and its lease.
     pub lease: Arc<dyn Lease>,
     /// The ledger.
@@ -125,7 +127,7 @@
             ratings: Semaphore::new(RATINGS_LIMIT),
             health: Health::default(),
             sessions: Sessions::default(),
-            incarnation: Incarnation::random(),
+            incarnation: borders.incarnation,
             sequence: AtomicU64::new(0),
             router: Mutex::new(router),
         }
--- a/src/cardamomtally/entry/call.rs
+++ b/src/cardamomtally/entry/call.rs
@@ -8,13 +8,14 @@
         id::{AttemptId, Name, RequestId},
         snapshot::{Snapshot, WorkspaceKey},
     },
+    net::run::CRASH_REASON,
     routing::cascade::WorkspaceId,
 };
 use bytes::Bytes;
 use serde_json::{Map, Value};
 use std::sync::{
     Arc, Mutex, PoisonError,
-    atomic::{AtomicU32, Ordering},
+    atomic::{AtomicBool, AtomicU32, Ordering},
 };
 
 /// Option that asks an engine for the usage at the end of a stream.
@@ -47,6 +48,7 @@
     pub key: Option<String>,
     attempts: AtomicU32,
     tried: Mutex<Vec<Name>>,
+    suspect: AtomicBool,
 }
 
 /// What a call is built from.
@@ -97,6 +99,7 @@
             key: parts.key,
             attempts: AtomicU32::new(0),
             tried: Mutex::default(),
+            suspect: AtomicBool::new(false),
         }
     }
 
@@ -126,6 +129,18 @@
         tried.clear();
     }
 
+    /// Takes note of why an attempt failed.
+    pub fn note(&self, reason: &str) {
+        if reason == CRASH_REASON {
+            self.suspect.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Tells whether a backend server has crashed while it ran this.
+    pub fn is_suspect(&self) -> bool {
+        self.suspect.load(Ordering::Relaxed)
+    }
+
     /// Finds its workspace in a configuration.
     #[must_use]
     pub fn workspace_in(&self, snapshot: &Snapshot) -> Option<WorkspaceKey> {
--- a/src/cardamomtally/entry/mod.rs
+++ b/src/cardamomtally/entry/mod.rs
@@ -27,18 +27,23 @@
 pub mod session;
 
 use crate::{
-    core::rater::Rater,
+    core::{id::Incarnation, rater::Rater},
     daemon::{
         Context,
         http::{self, Bound},
     },
+    lease::{Identity, Lease, Poller},
+    ledger,
+    net::{nng, transport::Transport, wire::Role},
     settings::EntrySettings,
 };
 use agents::HttpAgents;
 use app::{App, Borders};
 use front::Front;
 use rating::HttpRater;
+use rocket::fairing::AdHoc;
 use std::{
+    future::ready,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -53,16 +58,34 @@
 /// Returns an error if the process cannot start.
 pub async fn run(settings: EntrySettings, context: Context) -> eyre::Result<()> {
     let rater = HttpRater::new(&settings.rating)?;
+    let transport: Arc<dyn Transport> = Arc::new(nng::Client::default());
+    let incarnation = Incarnation::random();
+    let identity = Identity {
+        name: settings.process.name.as_str().into(),
+        role: Role::Entry,
+        incarnation,
+        centre: settings.process.data_centre.as_str().into(),
+        http: settings.http.listen.as_str().into(),
+    };
+    let poller = Poller::start(
+        settings.control.clone(),
+        identity,
+        Arc::clone(&transport),
+        context.clone(),
+    );
     let borders = Borders {
-        lease: Arc::new(crate::lease::FixedLease::default()),
-        ledger: todo_ledger(),
+        incarnation,
+        lease: Arc::clone(&poller) as Arc<dyn Lease>,
+        ledger: Arc::new(ledger::client::Client::start(&settings.control, transport)),
         agents: Arc::new(HttpAgents::new(&settings.retry)?),
         rater: rater.map(|rater| Arc::new(rater) as Arc<dyn Rater>),
     };
-    serve(settings, context, borders).await
+    let advertise = move |http: &str| poller.advertise(http);
+    serve(settings, context, borders, advertise).await
 }
 
-/// Serves on given borders until a signal stops the process.
+/// Serves on given borders until a signal stops the process. `bound` is told the
+/// address that other processes use.
 ///
 /// # Errors
 ///
@@ -71,16 +94,24 @@
     settings: EntrySettings,
     context: Context,
     borders: Borders,
+    bound: impl Fn(&str) + Send + 'static,
 ) -> eyre::Result<()> {
     let seed = rand::random();
     let app = Arc::new(App::new(settings.clone(), context.clone(), borders, seed));
     let rocket = http::build(&settings.http, &context)?.mount("/", Front(Arc::clone(&app)).routes());
-    let bound = Bound {
+    let advertised = settings.http.advertise.clone();
+    let rocket = rocket.attach(AdHoc::on_liftoff("advertise", move |rocket| {
+        let config = rocket.config();
+        let http = advertised.unwrap_or_else(|| format!("{}:{}", config.address, config.port));
+        bound(&http);
+        Box::pin(ready(()))
+    }));
+    let line = Bound {
         name: settings.process.name.clone(),
         ..Bound::default()
     };
     let upkeep = tokio::spawn(upkeep(app));
-    let outcome = http::serve(rocket, &settings.http, &context, bound).await;
+    let outcome = http::serve(rocket, &settings.http, &context, line).await;
     upkeep.abort();
     outcome
 }
--- a/src/cardamomtally/entry/repeat.rs
+++ b/src/cardamomtally/entry/repeat.rs
@@ -82,7 +82,7 @@
     loop {
         let held = app.held().ok_or_else(|| no_lease(proof))?;
         check_target(&held.snapshot, call, &job.target, proof)?;
-        let quiet = held.snapshot.suspects.contains(&call.digest);
+        let quiet = call.is_suspect() || held.snapshot.suspects.contains(&call.digest);
         let tried = call.tried();
         let ask = Ask {
             target: &job.target,
@@ -139,6 +139,9 @@
             Err(broken) => broken,
         };
         begun.answer.report(outcome_of(&broken));
+        if let Broken::Failed(Ended::Failed { reason, .. }) = &broken {
+            call.note(reason);
+        }
         tries += 1;
         let limit = app.settings.retry.attempts;
         if tries >= limit || !has_time(app, call) || !app.pay(Cause::Failed) {
@@ -190,7 +193,7 @@
         Err(CallError::Ambiguous(why)) => rejoin(app, pick, id, reading, why).await?,
         Err(error) => return Err(failure(&error)),
     };
-    begin(&mut answer).await.map(|(head, first)| Begun {
+    begin(call, &mut answer).await.map(|(head, first)| Begun {
         answer,
         head,
         first,
@@ -224,6 +227,7 @@
             digest: call.digest,
             claim: None,
             agent: None,
+            suspect: call.is_suspect(),
         },
         body: job.body.clone(),
         timeout: left.min(app.settings.retry.idle_timeout.0),
@@ -253,7 +257,7 @@
 }
 
 /// Reads until the head and either data or the end have come.
-async fn begin(answer: &mut Answer) -> Result<(Head, Batch), Failure> {
+async fn begin(call: &Call, answer: &mut Answer) -> Result<(Head, Batch), Failure> {
     let mut head = None;
     loop {
         let mut batch = answer.next().await.map_err(|error| {
@@ -264,6 +268,7 @@
         if let Some(Ended::Failed { verdict, reason, blame }) = &batch.end {
             let outcome = if *blame { Outcome::Neutral } else { Outcome::Bad };
             answer.report(outcome);
+            call.note(reason);
             return Err(Failure {
                 cause: Cause::Failed,
                 proof: *verdict == Verdict::NotRun,
