--- a/src/cardamomtally/entry/answer.rs
+++ b/src/cardamomtally/entry/answer.rs
@@ -175,8 +175,7 @@
                     *failures += 1;
                     return Ok(());
                 }
-                Ok(_) => return Err(last),
-                Err(CallError::Rejected(_)) => return Err(last),
+                Ok(_) | Err(CallError::Rejected(_)) => return Err(last),
                 Err(error) => last = error,
             }
             *failures += 1;
--- a/src/cardamomtally/entry/app.rs
+++ b/src/cardamomtally/entry/app.rs
@@ -109,7 +109,11 @@
     #[must_use]
     pub fn new(settings: EntrySettings, context: Context, borders: Borders, seed: u64) -> Self {
         let process = &settings.process;
-        let board = Board::new(&process.name, &process.data_centre, settings.routing.clone());
+        let board = Board::new(
+            &process.name,
+            &process.data_centre,
+            settings.routing.clone(),
+        );
         let router = Router {
             board,
             budget: Budget::new(settings.retry.budget),
@@ -203,7 +207,9 @@
 
     /// Learns a rating.
     pub fn rated(&self, workspace: &WorkspaceId, version: &VersionId, class: u8, score: f64) {
-        self.router().cascades.rated(workspace, version, class, score);
+        self.router()
+            .cascades
+            .rated(workspace, version, class, score);
     }
 
     /// Leaves out versions that fail at this entry, as long as others are left.
@@ -235,12 +241,7 @@
     pub fn backoff(&self, retry: u32) -> Duration {
         let settings = &self.settings.retry;
         let rng = &mut self.router().rng;
-        crate::routing::backoff::delay(
-            settings.backoff.0,
-            settings.backoff_limit.0,
-            retry,
-            rng,
-        )
+        crate::routing::backoff::delay(settings.backoff.0, settings.backoff_limit.0, retry, rng)
     }
 
     /// Returns true with a probability.
--- a/src/cardamomtally/entry/bill.rs
+++ b/src/cardamomtally/entry/bill.rs
@@ -92,7 +92,10 @@
     /// Commits the bill, or leaves it to the agents after a bounded wait.
     pub async fn commit(&self, app: &Arc<App>) {
         app.count(&self.bill.version, Sign::Good);
-        if tokio::time::timeout(BILL_WAIT, self.record(app)).await.is_err() {
+        if tokio::time::timeout(BILL_WAIT, self.record(app))
+            .await
+            .is_err()
+        {
             slog::warn!(app.context.log, "bill: the ledger gave no answer; agents will bring it";
                 "request" => %self.bill.request);
             metrics::counter!("cardamomtally_entry_late_bills_total").increment(1);
@@ -106,7 +109,12 @@
 
     async fn record(&self, app: &Arc<App>) {
         let mut retry = 0;
-        while app.ledger.apply(ClaimOp::Bill(self.bill.clone())).await.is_err() {
+        while app
+            .ledger
+            .apply(ClaimOp::Bill(self.bill.clone()))
+            .await
+            .is_err()
+        {
             tokio::time::sleep(app.backoff(retry)).await;
             retry += 1;
         }
--- a/src/cardamomtally/entry/call.rs
+++ b/src/cardamomtally/entry/call.rs
@@ -77,11 +77,8 @@
     #[must_use]
     pub fn new(snapshot: &Snapshot, workspace: WorkspaceKey, parts: CallParts) -> Self {
         let workspace = &snapshot.workspaces[workspace];
-        let digest = Digest::of_parts(&[
-            parts.method.as_bytes(),
-            parts.path.as_bytes(),
-            &parts.body,
-        ]);
+        let digest =
+            Digest::of_parts(&[parts.method.as_bytes(), parts.path.as_bytes(), &parts.body]);
         Self {
             request: parts.request,
             workspace: WorkspaceId {
--- a/src/cardamomtally/entry/complete.rs
+++ b/src/cardamomtally/entry/complete.rs
@@ -93,7 +93,10 @@
         let version = session::version(app, call, &body.model, snapshot, &keys).await?;
         return Ok(Route {
             steps: vec![step(snapshot, version)],
-            plan: Plan { step: 0, explore: false },
+            plan: Plan {
+                step: 0,
+                explore: false,
+            },
             target: workspace.quality,
             escalates: false,
         });
@@ -103,7 +106,10 @@
     let plan = if escalates {
         app.plan(&call.workspace, workspace.quality, &steps, class(call))
     } else {
-        Plan { step: 0, explore: false }
+        Plan {
+            step: 0,
+            explore: false,
+        }
     };
     Ok(Route {
         steps,
@@ -228,12 +234,7 @@
     }
 }
 
-async fn stream(
-    app: &Arc<App>,
-    call: &Call,
-    job: &Job,
-    spend: &Spend,
-) -> Result<Reply, Problem> {
+async fn stream(app: &Arc<App>, call: &Call, job: &Job, spend: &Spend) -> Result<Reply, Problem> {
     let mut begun = repeat::open(app, call, job).await?;
     if begun.head.status < ERROR {
         let relay = Relay::new(app, call.request, begun.answer, begun.first, spend.clone());
--- a/src/cardamomtally/entry/front.rs
+++ b/src/cardamomtally/entry/front.rs
@@ -145,14 +145,11 @@
         let body = self.read(request, data).await?;
         let parts = self.parts(request, id, path, body);
         let call = Arc::new(Call::new(snapshot, workspace, parts));
-        let reply = match matched {
-            Some(matched) => service::serve(app, &call, &matched).await?,
-            None => {
-                let body = Arc::new(Completion::parse(&call.body)?);
-                complete::complete(app, &call, &body).await?
-            }
-        };
-        Ok(reply)
+        if let Some(matched) = matched {
+            return service::serve(app, &call, &matched).await;
+        }
+        let body = Arc::new(Completion::parse(&call.body)?);
+        complete::complete(app, &call, &body).await
     }
 
     async fn read(&self, request: &Request<'_>, data: Data<'_>) -> Result<Bytes, Problem> {
@@ -163,7 +160,10 @@
             Problem::not_run(413, detail)
         };
         let length = request.headers().get_one("content-length");
-        if length.and_then(|n| n.parse::<u64>().ok()).is_some_and(|n| n > limit) {
+        if length
+            .and_then(|n| n.parse::<u64>().ok())
+            .is_some_and(|n| n > limit)
+        {
             return Err(too_long());
         }
         let read = data.open(ByteUnit::Byte(limit)).into_bytes();
--- a/src/cardamomtally/entry/health.rs
+++ b/src/cardamomtally/entry/health.rs
@@ -30,15 +30,13 @@
     /// Counts an outcome.
     pub fn count(&self, version: &VersionId, sign: Sign) {
         let mut sums = self.sums.lock().unwrap_or_else(PoisonError::into_inner);
-        let sum = sums
-            .entry(version.clone())
-            .or_insert_with(|| HealthReport {
-                version: version.clone(),
-                good: 0,
-                bad: 0,
-                rated_good: 0,
-                rated_bad: 0,
-            });
+        let sum = sums.entry(version.clone()).or_insert_with(|| HealthReport {
+            version: version.clone(),
+            good: 0,
+            bad: 0,
+            rated_good: 0,
+            rated_bad: 0,
+        });
         match sign {
             Sign::Good => sum.good += 1,
             Sign::Bad => sum.bad += 1,
--- a/src/cardamomtally/entry/mod.rs
+++ b/src/cardamomtally/entry/mod.rs
@@ -94,11 +94,12 @@
     settings: EntrySettings,
     context: Context,
     borders: Borders,
-    bound: impl Fn(&str) + Send + 'static,
+    bound: impl Fn(&str) + Send + Sync + 'static,
 ) -> eyre::Result<()> {
     let seed = rand::random();
     let app = Arc::new(App::new(settings.clone(), context.clone(), borders, seed));
-    let rocket = http::build(&settings.http, &context)?.mount("/", Front(Arc::clone(&app)).routes());
+    let rocket =
+        http::build(&settings.http, &context)?.mount("/", Front(Arc::clone(&app)).routes());
     let advertised = settings.http.advertise.clone();
     let rocket = rocket.attach(AdHoc::on_liftoff("advertise", move |rocket| {
         let config = rocket.config();
@@ -123,7 +124,9 @@
         app.health.flush(app.lease.as_ref());
         let context = &app.context;
         let valid = app.held().is_some();
-        context.ready.store(valid && !context.gate.is_closed(), Ordering::Release);
+        context
+            .ready
+            .store(valid && !context.gate.is_closed(), Ordering::Release);
         if context.gate.is_closed() {
             context.ready.store(false, Ordering::Release);
         }
--- a/src/cardamomtally/entry/once.rs
+++ b/src/cardamomtally/entry/once.rs
@@ -22,7 +22,10 @@
 };
 use crate::{
     core::{
-        claim::{Answer as FirstAnswer, ClaimError, ClaimKey, ClaimOp, ClaimReply, Progress, RequestClaim},
+        claim::{
+            Answer as FirstAnswer, ClaimError, ClaimKey, ClaimOp, ClaimReply, Progress,
+            RequestClaim,
+        },
         clock::Mono,
         digest::Digest,
         id::{AttemptId, Index, Name},
@@ -224,20 +227,19 @@
 
     /// Reads the answer of the claim's attempt to its end.
     async fn read(&self, claim: RequestClaim, mut answer: Answer) -> Turn {
-        let first = match answer.next().await {
-            Ok(batch) => batch,
-            Err(_) => return ControlFlow::Continue(Step::Resolve(claim)),
+        let Ok(first) = answer.next().await else {
+            return ControlFlow::Continue(Step::Resolve(claim));
         };
         answer.first_byte();
         match answer.collect(first).await {
             Ok(whole) => self.done(claim, whole, Origin::of(&answer)).await,
-            Err(Broken::Failed(Ended::Failed { verdict, reason, .. })) => {
+            Err(Broken::Failed(Ended::Failed {
+                verdict, reason, ..
+            })) => {
                 answer.report(crate::routing::board::Outcome::Bad);
                 self.failed(claim, verdict, &reason).await
             }
-            Err(Broken::Failed(_) | Broken::Lost(_)) => {
-                ControlFlow::Continue(Step::Resolve(claim))
-            }
+            Err(Broken::Failed(_) | Broken::Lost(_)) => ControlFlow::Continue(Step::Resolve(claim)),
         }
     }
 
@@ -245,7 +247,8 @@
         if verdict == Verdict::NotRun {
             return ControlFlow::Continue(Step::Replace(claim));
         }
-        self.give_up(claim, Problem::new(502, verdict, reason)).await
+        self.give_up(claim, Problem::new(502, verdict, reason))
+            .await
     }
 
     /// Records that the outcome is unknown for good.
@@ -362,9 +365,9 @@
         let first = answer.next().await.ok()?;
         match answer.collect(first).await {
             Ok(whole) => Some(self.done(claim.clone(), whole, Origin::of(&answer)).await),
-            Err(Broken::Failed(Ended::Failed { verdict, reason, .. })) => {
-                Some(self.failed(claim.clone(), verdict, &reason).await)
-            }
+            Err(Broken::Failed(Ended::Failed {
+                verdict, reason, ..
+            })) => Some(self.failed(claim.clone(), verdict, &reason).await),
             Err(Broken::Failed(_) | Broken::Lost(_)) => None,
         }
     }
--- a/src/cardamomtally/entry/rating.rs
+++ b/src/cardamomtally/entry/rating.rs
@@ -87,7 +87,11 @@
     };
     let class = cascade::class_of(call.body.len());
     app.rated(&call.workspace, &step.version, class, score);
-    let sign = if score >= target { Sign::RatedGood } else { Sign::RatedBad };
+    let sign = if score >= target {
+        Sign::RatedGood
+    } else {
+        Sign::RatedBad
+    };
     app.count(&step.version, sign);
     Some(score)
 }
--- a/src/cardamomtally/entry/relay.rs
+++ b/src/cardamomtally/entry/relay.rs
@@ -45,7 +45,13 @@
 impl Relay {
     /// Builds a relay of an answer whose first batch has come.
     #[must_use]
-    pub fn new(app: &Arc<App>, request: RequestId, answer: Answer, first: Batch, spend: Spend) -> Self {
+    pub fn new(
+        app: &Arc<App>,
+        request: RequestId,
+        answer: Answer,
+        first: Batch,
+        spend: Spend,
+    ) -> Self {
         Self {
             app: Arc::clone(app),
             request,
@@ -95,7 +101,11 @@
                     self.spend.commit(&self.app).await;
                     return Some(self.tail.split().freeze());
                 }
-                Some(Ended::Failed { verdict, reason, blame }) => {
+                Some(Ended::Failed {
+                    verdict,
+                    reason,
+                    blame,
+                }) => {
                     let outcome = if blame {
                         crate::routing::board::Outcome::Neutral
                     } else {
@@ -124,10 +134,11 @@
         }
         self.spend.broken(&self.app);
         let text = problem.to_json(self.request);
-        self.app
-            .context
-            .events
-            .record("stream", &format!("request {}", self.request), problem.detail);
+        self.app.context.events.record(
+            "stream",
+            &format!("request {}", self.request),
+            problem.detail,
+        );
         metrics::counter!("cardamomtally_entry_broken_streams_total").increment(1);
         Bytes::from(format!("event: error\ndata: {text}\n\n"))
     }
@@ -138,7 +149,11 @@
 fn whole_events(tail: &[u8]) -> usize {
     let end = last_boundary(tail);
     if end == 0 {
-        return if tail.len() > EVENT_LIMIT_BYTES { tail.len() } else { 0 };
+        return if tail.len() > EVENT_LIMIT_BYTES {
+            tail.len()
+        } else {
+            0
+        };
     }
     let last = tail[..end].trim_ascii_end();
     if !last.ends_with(DONE) {
--- a/src/cardamomtally/entry/repeat.rs
+++ b/src/cardamomtally/entry/repeat.rs
@@ -122,11 +122,7 @@
 /// # Errors
 ///
 /// Returns the refusal for the caller.
-pub async fn whole(
-    app: &Arc<App>,
-    call: &Call,
-    job: &Job,
-) -> Result<(Whole, Origin), Problem> {
+pub async fn whole(app: &Arc<App>, call: &Call, job: &Job) -> Result<(Whole, Origin), Problem> {
     let mut tries = 0;
     loop {
         let mut begun = open(app, call, job).await?;
@@ -265,8 +261,17 @@
             failure(&error)
         })?;
         head = head.or(batch.head.take());
-        if let Some(Ended::Failed { verdict, reason, blame }) = &batch.end {
-            let outcome = if *blame { Outcome::Neutral } else { Outcome::Bad };
+        if let Some(Ended::Failed {
+            verdict,
+            reason,
+            blame,
+        }) = &batch.end
+        {
+            let outcome = if *blame {
+                Outcome::Neutral
+            } else {
+                Outcome::Bad
+            };
             answer.report(outcome);
             call.note(reason);
             return Err(Failure {
@@ -279,7 +284,9 @@
             continue;
         }
         let Some(head) = head else {
-            return Err(failure(&CallError::Ambiguous("the answer has no head".to_owned())));
+            return Err(failure(&CallError::Ambiguous(
+                "the answer has no head".to_owned(),
+            )));
         };
         if head.status >= SERVER_ERROR {
             answer.report(Outcome::Bad);
@@ -310,7 +317,11 @@
 /// Tells what to say of a request whose attempts are all proved not to have run,
 /// or not.
 fn verdict_of(proof: bool) -> Verdict {
-    if proof { Verdict::NotRun } else { Verdict::Unknown }
+    if proof {
+        Verdict::NotRun
+    } else {
+        Verdict::Unknown
+    }
 }
 
 /// Builds the refusal of an entry without a valid lease.
@@ -329,8 +340,15 @@
 }
 
 fn given_up(failure: &Failure, proof: bool) -> Problem {
-    let detail = format!("no attempt brought an answer; the last one: {}", failure.why);
-    let status = if failure.cause == Cause::Failed { 502 } else { 503 };
+    let detail = format!(
+        "no attempt brought an answer; the last one: {}",
+        failure.why
+    );
+    let status = if failure.cause == Cause::Failed {
+        502
+    } else {
+        503
+    };
     Problem::new(status, verdict_of(proof), detail).retry_after(RETRY_AFTER)
 }
 
--- a/src/cardamomtally/entry/reply.rs
+++ b/src/cardamomtally/entry/reply.rs
@@ -1,12 +1,6 @@
 //! What goes back to the caller.
 
-use super::{
-    answer::Whole,
-    app::App,
-    frames::Head,
-    problem::Problem,
-    relay::Relay,
-};
+use super::{answer::Whole, app::App, frames::Head, problem::Problem, relay::Relay};
 use crate::core::id::{Name, RequestId};
 use bytes::Bytes;
 use rocket::{
--- a/src/cardamomtally/entry/session.rs
+++ b/src/cardamomtally/entry/session.rs
@@ -113,11 +113,9 @@
         version,
         ttl: app.settings.callers.session_ttl.0,
     };
-    match app.apply(op, call.deadline).await {
-        Ok(ClaimReply::Session { version, .. }) => Ok(version),
-        Ok(_) | Err(_) => {
-            let detail = "the ledger cannot tell which version the session keeps";
-            Err(Problem::not_run(503, detail).retry_after(RETRY_AFTER))
-        }
+    if let Ok(ClaimReply::Session { version, .. }) = app.apply(op, call.deadline).await {
+        return Ok(version);
     }
+    let detail = "the ledger cannot tell which version the session keeps";
+    Err(Problem::not_run(503, detail).retry_after(RETRY_AFTER))
 }
--- a/src/cardamomtally/lease/poller.rs
+++ b/src/cardamomtally/lease/poller.rs
@@ -348,7 +348,10 @@
         let ready = valid && !self.context.gate.is_closed();
         let before = self.context.ready.swap(ready, Ordering::AcqRel);
         if before && !valid {
-            slog::warn!(self.context.log, "config: lease ran out; no new work is taken");
+            slog::warn!(
+                self.context.log,
+                "config: lease ran out; no new work is taken"
+            );
             let subject = format!("index {}", self.state.index());
             self.context
                 .events
--- a/src/cardamomtally/net/nng/client.rs
+++ b/src/cardamomtally/net/nng/client.rs
@@ -13,7 +13,7 @@
 use futures::future::BoxFuture;
 use nng::{
     Message, Protocol, RawSocket, Socket,
-    options::{Options as _, RecvMaxSize, ReconnectMaxTime, ReconnectMinTime, SendBufferSize},
+    options::{Options as _, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendBufferSize},
 };
 use std::{
     sync::{
@@ -98,7 +98,10 @@
             return;
         }
         let mut lines = lock(&self.lines);
-        if lines.get(member).is_some_and(|held| Arc::ptr_eq(held, line)) {
+        if lines
+            .get(member)
+            .is_some_and(|held| Arc::ptr_eq(held, line))
+        {
             lines.remove(member);
             let socket = line.socket.clone();
             // Closing may wait for nng's threads, which a caller must not.
--- a/src/cardamomtally/routing/board.rs
+++ b/src/cardamomtally/routing/board.rs
@@ -142,9 +142,9 @@
         }
     }
 
-    /// Takes over a configuration, unless it is held already.
+    /// Takes over a configuration, unless it or a later one is held already.
     pub fn adopt(&mut self, snapshot: &Snapshot) {
-        if self.index == Some(snapshot.index) {
+        if self.index.is_some_and(|held| held >= snapshot.index) {
             return;
         }
         self.index = Some(snapshot.index);
@@ -226,12 +226,15 @@
     /// room for others so that there is somewhere to spill over to.
     fn subset(&self, all: &[SlotKey]) -> Vec<SlotKey> {
         let size = self.settings.subset.max(1);
-        let (local, remote): (Vec<_>, Vec<_>) =
-            all.iter().partition(|key| self.slots[**key].local);
+        let (local, remote): (Vec<_>, Vec<_>) = all.iter().partition(|key| self.slots[**key].local);
         let reserve = remote.len().min(size / REMOTE_SHARE);
         let near = local.len().min(size - reserve);
         let far = remote.len().min(size - near);
-        local[..near].iter().chain(&remote[..far]).copied().collect()
+        local[..near]
+            .iter()
+            .chain(&remote[..far])
+            .copied()
+            .collect()
     }
 
     /// Chooses a backend server.
@@ -320,36 +323,42 @@
             errors: self.settings.breaker_errors,
             open: self.settings.breaker_open.0,
         };
-        let slow = match outcome {
-            Outcome::Good(time) => self.is_slow(target, time),
+        let late = match outcome {
+            Outcome::Good(time) => self.is_late(target, time),
             Outcome::Bad | Outcome::Neutral => false,
         };
         let breaker = &mut self.slots[slot].breaker;
         match outcome {
-            Outcome::Good(_) if !slow => breaker.good(),
+            Outcome::Good(_) if !late => breaker.good(),
             Outcome::Neutral => breaker.neutral(),
             Outcome::Bad | Outcome::Good(_) => breaker.bad(settings, now),
         }
     }
 
     /// Compares a time to first byte with the usual one, and learns from it.
-    fn is_slow(&mut self, target: &Target, time: Duration) -> bool {
+    fn is_late(&mut self, target: &Target, time: Duration) -> bool {
         let Some(pool) = self.pools.get_mut(target) else {
             return false;
         };
         let time_ms = time.as_secs_f64() * 1_000.0;
         let usual = pool.first_byte_ms;
-        let slow = time > SLOW_FLOOR && usual > 0.0 && time_ms > usual * SLOW_FACTOR;
+        let late = time > SLOW_FLOOR && usual > 0.0 && time_ms > usual * SLOW_FACTOR;
         let capped = time_ms.min(if usual > 0.0 { usual * 2.0 } else { time_ms });
         pool.first_byte_ms += MEAN_WEIGHT * (capped - usual);
         if usual <= 0.0 {
             pool.first_byte_ms = time_ms;
         }
-        slow
+        late
     }
 
     /// Learns a load that came with an answer or a rejection.
-    pub fn loaded(&mut self, slot: SlotKey, load: Load, incarnation: Option<Incarnation>, now: Mono) {
+    pub fn loaded(
+        &mut self,
+        slot: SlotKey,
+        load: Load,
+        incarnation: Option<Incarnation>,
+        now: Mono,
+    ) {
         self.report(slot, load, true, incarnation, now);
     }
 
--- a/src/cardamomtally/routing/cascade.rs
+++ b/src/cardamomtally/routing/cascade.rs
@@ -10,16 +10,15 @@
 //! sampled answer is rated below the target, the request escalates to the next
 //! version. Exploration is a small share of requests, all of them rated.
 
-use crate::core::{
-    config::VersionId,
-    id::Name,
-    map::FastMap,
-};
+use crate::core::{config::VersionId, id::Name, map::FastMap};
 use rand::{Rng, seq::IndexedRandom as _};
 
 /// Weight of the prior, in ratings.
 const PRIOR_WEIGHT: f64 = 4.0;
 
+/// Factor of the quality assumed of each cheaper step.
+const PRIOR_STEP: f64 = 0.9;
+
 /// Ratings after which old ones fade.
 const MEMORY_RATINGS: f64 = 400.0;
 
@@ -130,21 +129,33 @@
         rng: &mut R,
     ) -> Plan {
         let record = self.records.entry(workspace.clone()).or_default();
-        let dearest = steps.iter().map(|s| s.cost).fold(f64::MIN_POSITIVE, f64::max);
+        let dearest = steps
+            .iter()
+            .map(|s| s.cost)
+            .fold(f64::MIN_POSITIVE, f64::max);
         let best = (0..steps.len())
             .map(|i| (i, record.quality(steps, i, target, class)))
             .map(|(i, quality)| (i, quality, record.price * quality - steps[i].cost / dearest))
             .max_by(|a, b| a.2.total_cmp(&b.2));
         let Some((step, quality, _)) = best else {
-            return Plan { step: 0, explore: false };
+            return Plan {
+                step: 0,
+                explore: false,
+            };
         };
         let short = target - quality;
         record.price = (record.price + PRICE_STEP * short).clamp(0.0, PRICE_LIMIT);
         let explore = steps.len() > 1 && rng.random_bool(EXPLORE_SHARE);
         let others: Vec<usize> = (0..steps.len()).filter(|i| *i != step).collect();
         match others.choose(rng) {
-            Some(&other) if explore => Plan { step: other, explore },
-            _ => Plan { step, explore: false },
+            Some(&other) if explore => Plan {
+                step: other,
+                explore,
+            },
+            _ => Plan {
+                step,
+                explore: false,
+            },
         }
     }
 
@@ -188,9 +199,9 @@
 /// Returns the quality assumed before any rating: the dearest meets the target,
 /// cheaper ones fall short.
 fn prior(steps: usize, step: usize, target: f64) -> f64 {
-    let missing = steps - 1 - step;
+    let missing = (steps - 1 - step) as u32;
     if missing == 0 {
         return target + (1.0 - target) / 2.0;
     }
-    target * 0.9_f64.powi(missing as i32)
+    target * PRIOR_STEP.powf(f64::from(missing))
 }
--- a/src/cardamomtally/routing/choice.rs
+++ b/src/cardamomtally/routing/choice.rs
@@ -69,7 +69,10 @@
     if candidates.iter().any(is_roomy) {
         candidates.retain(is_roomy);
     }
-    if let Some(key) = wish.affinity.and_then(|a| by_affinity(candidates, a, wish.bound)) {
+    if let Some(key) = wish
+        .affinity
+        .and_then(|a| by_affinity(candidates, a, wish.bound))
+    {
         return Some(key);
     }
     by_delay(candidates, rng).or_else(|| by_two(candidates, rng))
