--- a/src/cardamomtally/settings/entry.rs
+++ b/src/cardamomtally/settings/entry.rs
@@ -145,6 +145,13 @@
     pub idle_timeout: Span,
     /// Time after which a repeatable call of a plain service is hedged.
     pub hedge: Option<Span>,
+    /// How long a resent submission waits for the entry that holds its claim
+    /// before it asks the agent.
+    pub claim_grace: Span,
+    /// How long an agent that does not answer is asked about an attempt.
+    pub ask_wait: Span,
+    /// Longest wait for the ledger.
+    pub ledger_wait: Span,
 }
 
 impl Default for RetrySettings {
@@ -158,6 +165,9 @@
             connect_timeout: Span::ms(500),
             idle_timeout: Span::secs(10),
             hedge: None,
+            claim_grace: Span::secs(1),
+            ask_wait: Span::secs(5),
+            ledger_wait: Span::secs(2),
         }
     }
 }
