--- a/src/cardamomtally/chart/mod.rs
+++ b/src/cardamomtally/chart/mod.rs
@@ -25,6 +25,9 @@
 /// A member's part in a group of the replicated log.
 pub const MEMBER: &str = include_str!("../../../charts/member.toml");
 
+/// A submission that may not be repeated.
+pub const REQUEST: &str = include_str!("../../../charts/request.toml");
+
 /// The roll-out of a model version.
 pub const VERSION: &str = include_str!("../../../charts/version.toml");
 
--- a/src/cardamomtally/entry/app.rs
+++ b/src/cardamomtally/entry/app.rs
@@ -2,7 +2,9 @@
 
 use super::{
     agents::{Agents, CallError, Opened, RunCall},
+    breach::Breach,
     health::{Health, Sign},
+    life::Life,
     rating::RATINGS_LIMIT,
     session::Sessions,
 };
@@ -37,15 +39,14 @@
 };
 use tokio::sync::Semaphore;
 
-/// Longest wait for the ledger.
-const LEDGER_WAIT: Duration = Duration::from_secs(3);
-
 /// An entry's parts, shared by all requests.
 pub struct App {
     /// Its settings.
     pub settings: EntrySettings,
     /// Log, clock, gate, events.
     pub context: Context,
+    /// The rule that a test breaks.
+    pub breach: Breach,
     /// The configuration and its lease.
     pub lease: Arc<dyn Lease>,
     /// The ledger.
@@ -62,6 +63,8 @@
     pub health: Health,
     /// Sessions served lately.
     pub sessions: Sessions,
+    /// The chart of submissions that may not be repeated.
+    pub life: Life,
     sequence: AtomicU64,
     router: Mutex<Router>,
 }
@@ -92,6 +95,8 @@
 /// The borders that an entry is built on.
 #[derive(Clone, Debug)]
 pub struct Borders {
+    /// The rule that a test breaks.
+    pub breach: Breach,
     /// This run of the entry.
     pub incarnation: Incarnation,
     /// The configuration and its lease.
@@ -124,6 +129,7 @@
         Self {
             settings,
             context,
+            breach: borders.breach,
             lease: borders.lease,
             ledger: borders.ledger,
             agents: borders.agents,
@@ -132,6 +138,7 @@
             health: Health::default(),
             sessions: Sessions::default(),
             incarnation: borders.incarnation,
+            life: Life::default(),
             sequence: AtomicU64::new(0),
             router: Mutex::new(router),
         }
@@ -177,7 +184,7 @@
     ///
     /// Returns the last error. The operation may still be committed.
     pub async fn apply(&self, op: ClaimOp, deadline: Mono) -> Result<ClaimReply, ClaimError> {
-        let until = deadline.min(self.now() + LEDGER_WAIT);
+        let until = deadline.min(self.now() + self.settings.retry.ledger_wait.0);
         let mut retry = 0;
         loop {
             let left = until.since(self.now());
--- a/src/cardamomtally/entry/bill.rs
+++ b/src/cardamomtally/entry/bill.rs
@@ -5,7 +5,7 @@
 //! same: the agents keep their usage records until a bill is acknowledged, and
 //! bring it to the ledger by themselves. The request id makes it one bill.
 
-use super::{answer::Answer, app::App, health::Sign};
+use super::{answer::Answer, app::App, breach::Breach, health::Sign};
 use crate::{
     core::{
         claim::{Bill, ClaimOp},
@@ -15,10 +15,7 @@
     net::run::Usage,
     routing::cascade::WorkspaceId,
 };
-use std::{sync::Arc, time::Duration};
-
-/// Longest wait for the ledger before the answer goes out without it.
-const BILL_WAIT: Duration = Duration::from_secs(2);
+use std::sync::Arc;
 
 /// Millionths of the unit of account in a thousandth of it.
 const MICROS_IN_MILLI: f64 = 1_000.0;
@@ -92,7 +89,7 @@
     /// Commits the bill, or leaves it to the agents after a bounded wait.
     pub async fn commit(&self, app: &Arc<App>) {
         app.count(&self.bill.version, Sign::Good);
-        if tokio::time::timeout(BILL_WAIT, self.record(app))
+        if tokio::time::timeout(app.settings.retry.ledger_wait.0, self.record(app))
             .await
             .is_err()
         {
@@ -109,12 +106,11 @@
 
     async fn record(&self, app: &Arc<App>) {
         let mut retry = 0;
-        while app
-            .ledger
-            .apply(ClaimOp::Bill(self.bill.clone()))
-            .await
-            .is_err()
-        {
+        let mut bill = self.bill.clone();
+        if app.breach == Breach::BillAttempts {
+            bill.request = app.next_request();
+        }
+        while app.ledger.apply(ClaimOp::Bill(bill.clone())).await.is_err() {
             tokio::time::sleep(app.backoff(retry)).await;
             retry += 1;
         }
--- a/src/cardamomtally/entry/mod.rs
+++ b/src/cardamomtally/entry/mod.rs
@@ -12,11 +12,13 @@
 pub mod answer;
 pub mod app;
 pub mod bill;
+pub mod breach;
 pub mod call;
 pub mod complete;
 pub mod frames;
 pub mod front;
 pub mod health;
+pub mod life;
 pub mod once;
 pub mod problem;
 pub mod rating;
@@ -39,6 +41,7 @@
 };
 use agents::HttpAgents;
 use app::{App, Borders};
+use breach::Breach;
 use front::Front;
 use rating::HttpRater;
 use rocket::fairing::AdHoc;
@@ -75,6 +78,7 @@
     );
     let borders = Borders {
         incarnation,
+        breach: Breach::None,
         lease: Arc::clone(&poller) as Arc<dyn Lease>,
         ledger: Arc::new(ledger::client::Client::start(&settings.control, transport)),
         agents: Arc::new(HttpAgents::new(&settings.retry)?),
--- a/src/cardamomtally/entry/once.rs
+++ b/src/cardamomtally/entry/once.rs
@@ -14,13 +14,16 @@
     answer::{Answer, Broken, Reading, Whole},
     app::App,
     bill::{Origin, Spend},
+    breach::Breach,
     call::Call,
     frames::Ended,
+    life::{Action, Life, Sign},
     problem::Problem,
     repeat::{self, Job, RETRY_AFTER},
     reply::{self, Reply},
 };
 use crate::{
+    chart::State,
     core::{
         claim::{
             Answer as FirstAnswer, ClaimError, ClaimKey, ClaimOp, ClaimReply, Progress,
@@ -37,12 +40,8 @@
 use rand::Rng as _;
 use std::{ops::ControlFlow, sync::Arc, time::Duration};
 
-/// How long a resent submission waits for the first one's entry before it asks
-/// the agent.
-const GRACE: Duration = Duration::from_secs(1);
-
-/// How long an agent that does not answer is asked.
-const ASK_WAIT: Duration = Duration::from_secs(5);
+/// Least time for the ledger to settle an answer in hand.
+const SETTLE_WAIT: Duration = Duration::from_secs(1);
 
 /// Least number of an attempt that replaces another. Entries draw them at random,
 /// so that two of them never mean the same attempt.
@@ -60,22 +59,45 @@
     key: ClaimKey,
 }
 
-/// What to do next.
+/// What was found out, and the claim that it is about.
 #[derive(Debug)]
-enum Step {
-    /// The claim names our attempt: dispatch it.
-    Dispatch(RequestClaim, Pick, Index),
-    /// Somebody's claim stands: find out its outcome.
-    Follow(RequestClaim),
-    /// The attempt of the claim is proved not to have run: replace it.
-    Replace(RequestClaim),
-    /// The agent of the claim must be asked.
-    Resolve(RequestClaim),
+struct Step {
+    sign: Sign,
+    claim: RequestClaim,
+    /// Where our attempt runs, if it holds the claim.
+    place: Option<(Pick, Index)>,
 }
 
 /// Where an operation on the claim leads.
 type Turn = ControlFlow<Result<Reply, Problem>, Step>;
 
+/// Our attempt holds the claim.
+fn won(claim: RequestClaim, pick: Pick, index: Index) -> Turn {
+    let place = Some((pick, index));
+    let sign = Sign::Won;
+    ControlFlow::Continue(Step { sign, claim, place })
+}
+
+/// Somebody else's claim, or a settled outcome, stands.
+fn taken(claim: RequestClaim) -> Turn {
+    step(Sign::Taken, claim)
+}
+
+/// The claim's attempt is proved not to have run.
+fn not_run(claim: RequestClaim) -> Turn {
+    step(Sign::NotRun, claim)
+}
+
+/// The claim's attempt may have run.
+fn ambiguous(claim: RequestClaim) -> Turn {
+    step(Sign::Ambiguous, claim)
+}
+
+fn step(sign: Sign, claim: RequestClaim) -> Turn {
+    let place = None;
+    ControlFlow::Continue(Step { sign, claim, place })
+}
+
 /// Serves a submission.
 ///
 /// # Errors
@@ -93,21 +115,28 @@
         job,
         key,
     };
+    let life = &app.life;
+    let mut state = life.initial();
     let mut turn = submission.begin().await;
     loop {
-        let step = match turn {
+        state = life
+            .next(state, sign_of(&turn))
+            .ok_or_else(|| unknown("the chart of submissions has no such step"))?;
+        turn = match turn {
             ControlFlow::Break(outcome) => return outcome,
-            ControlFlow::Continue(step) => step,
-        };
-        turn = match step {
-            Step::Dispatch(claim, pick, index) => submission.dispatch(claim, &pick, index).await,
-            Step::Follow(claim) => submission.follow(claim).await,
-            Step::Replace(claim) => submission.replace(claim).await,
-            Step::Resolve(claim) => submission.resolve(claim).await,
+            ControlFlow::Continue(step) => submission.act(life, state, step).await,
         };
     }
 }
 
+fn sign_of(turn: &Turn) -> Sign {
+    match turn {
+        ControlFlow::Continue(step) => step.sign,
+        ControlFlow::Break(Ok(_)) => Sign::Answer,
+        ControlFlow::Break(Err(_)) => Sign::Refusal,
+    }
+}
+
 fn refuse(problem: Problem) -> Turn {
     ControlFlow::Break(Err(problem))
 }
@@ -122,6 +151,18 @@
 }
 
 impl Submission<'_> {
+    /// Does what the state of the chart asks.
+    async fn act(&self, life: &Life, state: State, step: Step) -> Turn {
+        match (life.action(state), step.place) {
+            (Action::Dispatch, Some((pick, index))) => {
+                self.dispatch(step.claim, &pick, index).await
+            }
+            (Action::Follow, _) => self.follow(step.claim).await,
+            (Action::Replace, _) => self.replace(step.claim).await,
+            (Action::Dispatch | Action::Resolve, _) => self.resolve(step.claim).await,
+        }
+    }
+
     /// Takes the key, or finds who has it.
     async fn begin(&self) -> Turn {
         let (pick, index) = match self.pick().await {
@@ -136,8 +177,8 @@
             ttl: self.app.settings.callers.claim_ttl.0,
         };
         match self.apply(op).await {
-            Ok((true, _)) => ControlFlow::Continue(Step::Dispatch(claim, pick, index)),
-            Ok((false, Some(standing))) => ControlFlow::Continue(Step::Follow(standing)),
+            Ok((true, _)) => won(claim, pick, index),
+            Ok((false, Some(standing))) => taken(standing),
             Ok((false, None)) => refuse(unknown("the ledger lost the claim")),
             Err(error) => refuse(no_ledger(&error)),
         }
@@ -146,7 +187,7 @@
     /// Without a place to run: the key may still have run before.
     async fn look_or(&self, problem: Problem) -> Turn {
         match self.apply(ClaimOp::Look { key: self.key }).await {
-            Ok((_, Some(claim))) => ControlFlow::Continue(Step::Follow(claim)),
+            Ok((_, Some(claim))) => taken(claim),
             Ok((_, None)) => refuse(problem),
             Err(error) => refuse(no_ledger(&error)),
         }
@@ -213,11 +254,15 @@
                 let answer = Answer::new(self.app, flight, opened, self.reading());
                 self.read(claim, answer).await
             }
-            Err(error) if error.is_proof() => ControlFlow::Continue(Step::Replace(claim)),
-            Err(_) => ControlFlow::Continue(Step::Resolve(claim)),
+            Err(error) if self.is_proof(&error) => not_run(claim),
+            Err(_) => ambiguous(claim),
         }
     }
 
+    fn is_proof(&self, error: &CallError) -> bool {
+        error.is_proof() || self.app.breach == Breach::TrustFailures
+    }
+
     fn reading(&self) -> Reading {
         Reading {
             deadline: self.call.deadline,
@@ -228,7 +273,7 @@
     /// Reads the answer of the claim's attempt to its end.
     async fn read(&self, claim: RequestClaim, mut answer: Answer) -> Turn {
         let Ok(first) = answer.next().await else {
-            return ControlFlow::Continue(Step::Resolve(claim));
+            return ambiguous(claim);
         };
         answer.first_byte();
         match answer.collect(first).await {
@@ -239,13 +284,13 @@
                 answer.report(crate::routing::board::Outcome::Bad);
                 self.failed(claim, verdict, &reason).await
             }
-            Err(Broken::Failed(_) | Broken::Lost(_)) => ControlFlow::Continue(Step::Resolve(claim)),
+            Err(Broken::Failed(_) | Broken::Lost(_)) => ambiguous(claim),
         }
     }
 
     async fn failed(&self, claim: RequestClaim, verdict: Verdict, reason: &str) -> Turn {
         if verdict == Verdict::NotRun {
-            return ControlFlow::Continue(Step::Replace(claim));
+            return not_run(claim);
         }
         self.give_up(claim, Problem::new(502, verdict, reason))
             .await
@@ -256,7 +301,7 @@
         let settled = self.settle(&claim, Progress::Unknown).await;
         match settled {
             Ok((_, Some(standing))) if matches!(standing.progress, Progress::Done(_)) => {
-                ControlFlow::Continue(Step::Follow(standing))
+                taken(standing)
             }
             Ok(_) | Err(_) => refuse(problem),
         }
@@ -272,10 +317,13 @@
             body: (whole.body.len() <= limit)
                 .then(|| serde_bytes::ByteBuf::from(whole.body.to_vec())),
         };
+        if self.app.breach == Breach::SkipSettle {
+            return ControlFlow::Break(Ok(Reply::Whole(whole)));
+        }
         match self.settle(&claim, Progress::Done(answer.clone())).await {
             Ok((_, Some(standing))) if standing.progress == Progress::Done(answer) => {}
             Ok((_, Some(standing))) if standing.attempt != claim.attempt => {
-                return ControlFlow::Continue(Step::Follow(standing));
+                return taken(standing);
             }
             Ok(_) => return refuse(unknown("another outcome of this key was settled first")),
             Err(error) => {
@@ -300,38 +348,40 @@
         match claim.progress {
             Progress::Done(answer) => ControlFlow::Break(first_answer(answer)),
             Progress::Unknown => refuse(unknown("the outcome of this key is unknown for good")),
-            Progress::Released => ControlFlow::Continue(Step::Replace(claim)),
+            Progress::Released => not_run(claim),
             Progress::Running => self.wait(claim).await,
         }
     }
 
     /// Gives the entry that holds the claim time to settle it.
     async fn wait(&self, claim: RequestClaim) -> Turn {
-        let until = self.call.deadline.min(self.app.now() + GRACE);
+        let grace = self.app.settings.retry.claim_grace.0;
+        let until = self.call.deadline.min(self.app.now() + grace);
         let mut retry = 0;
         while self.app.now() < until {
             tokio::time::sleep(self.app.backoff(retry)).await;
             retry += 1;
             match self.apply(ClaimOp::Look { key: self.key }).await {
                 Ok((_, Some(standing))) if standing != claim => {
-                    return ControlFlow::Continue(Step::Follow(standing));
+                    return taken(standing);
                 }
                 Ok((_, Some(_))) => {}
                 Ok((_, None)) => return refuse(unknown("the claim of this key has expired")),
                 Err(error) => return refuse(no_ledger(&error)),
             }
         }
-        ControlFlow::Continue(Step::Resolve(claim))
+        ambiguous(claim)
     }
 
     /// Asks the agent what became of the claim's attempt.
     async fn resolve(&self, claim: RequestClaim) -> Turn {
-        let until = self.call.deadline.min(self.app.now() + ASK_WAIT);
+        let wait = self.app.settings.retry.ask_wait.0;
+        let until = self.call.deadline.min(self.app.now() + wait);
         let mut retry = 0;
         loop {
             match self.ask(&claim).await {
                 Some(Asked::NotSeen | Asked::NotRun) => {
-                    return ControlFlow::Continue(Step::Replace(claim));
+                    return not_run(claim);
                 }
                 Some(Asked::Running | Asked::Ended) => {
                     let Some(agent) = self.agent(&claim) else {
@@ -377,7 +427,8 @@
     async fn ask(&self, claim: &RequestClaim) -> Option<Asked> {
         let agent = self.agent(claim)?;
         let reply = self.app.agents.ask(agent, claim.attempt).await.ok()?;
-        let same = claim.agent.is_some() && reply.incarnation == claim.agent;
+        let same = (claim.agent.is_some() && reply.incarnation == claim.agent)
+            || self.app.breach == Breach::TrustRestarts;
         Some(if same { reply.asked } else { Asked::Unknown })
     }
 
@@ -409,9 +460,12 @@
             from: claim.attempt,
             claim: next.clone(),
         };
+        if self.app.breach == Breach::SkipClaim {
+            return won(next, pick, index);
+        }
         match self.apply(op).await {
-            Ok((true, _)) => ControlFlow::Continue(Step::Dispatch(next, pick, index)),
-            Ok((false, Some(standing))) => ControlFlow::Continue(Step::Follow(standing)),
+            Ok((true, _)) => won(next, pick, index),
+            Ok((false, Some(standing))) => taken(standing),
             Ok((false, None)) => refuse(unknown("the claim of this key has expired")),
             Err(error) => refuse(no_ledger(&error)),
         }
@@ -425,12 +479,8 @@
     /// Lets go of a claim whose attempt is proved not to have run.
     async fn release(&self, claim: RequestClaim, problem: Problem) -> Turn {
         match self.settle(&claim, Progress::Released).await {
-            Ok((_, Some(standing))) if standing.attempt != claim.attempt => {
-                ControlFlow::Continue(Step::Follow(standing))
-            }
-            Ok((_, Some(standing))) if standing.progress != Progress::Released => {
-                ControlFlow::Continue(Step::Follow(standing))
-            }
+            Ok((_, Some(standing))) if standing.attempt != claim.attempt => taken(standing),
+            Ok((_, Some(standing))) if standing.progress != Progress::Released => taken(standing),
             Ok(_) => refuse(problem),
             // Whoever resends will ask the agent; but somebody else may have
             // replaced the attempt by now.
@@ -463,7 +513,7 @@
 
     /// An answer in hand is settled even if the deadline has just passed.
     fn ledger_deadline(&self) -> Mono {
-        self.call.deadline.max(self.app.now() + GRACE)
+        self.call.deadline.max(self.app.now() + SETTLE_WAIT)
     }
 
     fn event(&self, text: &str) {
@@ -486,9 +536,3 @@
         usage: Usage::default(),
     }))
 }
-
-/// Tells what a failed call proves, for tests.
-#[must_use]
-pub fn proves_not_run(error: &CallError) -> bool {
-    error.is_proof()
-}
