--- a/src/cardamomtally/agent/mod.rs
+++ b/src/cardamomtally/agent/mod.rs
@@ -259,7 +259,7 @@
         platform: platform(&settings, client),
         incarnation,
     };
-    let advertise = move |http: &str| poller.advertise(http);
+    let advertise = |_http: &str| ();
     serve(settings, context, outside, advertise).await
 }
 
--- a/src/cardamomtally/entry/mod.rs
+++ b/src/cardamomtally/entry/mod.rs
@@ -84,7 +84,7 @@
         agents: Arc::new(HttpAgents::new(&settings.retry)?),
         rater: rater.map(|rater| Arc::new(rater) as Arc<dyn Rater>),
     };
-    let advertise = move |http: &str| poller.advertise(http);
+    let advertise = |_http: &str| ();
     serve(settings, context, borders, advertise).await
 }
 
--- a/src/cardamomtally/lease/poller.rs
+++ b/src/cardamomtally/lease/poller.rs
@@ -115,10 +115,6 @@
         self.shared.wake.notify_one();
     }
 
-    fn poll_now(&self) {
-        self.shared.wake.notify_one();
-    }
-
     fn cleared(&self, digest: Digest) {
         lock(&self.shared.reports).add_cleared(digest);
     }
