--- a/tests/testsuite/ledger.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The ledger.
