--- a/src/cardamomtally/daemon/mod.rs
+++ b/src/cardamomtally/daemon/mod.rs
@@ -10,7 +10,10 @@
 pub mod launch;
 
 use crate::{
-    core::clock::{Clock, SystemClock},
+    core::{
+        clock::{Clock, SystemClock},
+        id::Name,
+    },
     settings::common::{LogSettings, ProcessSettings, TimelineSettings},
     timeline::Recorder,
     util::log,
@@ -20,7 +23,7 @@
 use slog::Logger;
 use std::{
     fmt,
-    sync::{Arc, atomic::AtomicBool},
+    sync::{Arc, OnceLock, atomic::AtomicBool},
 };
 
 /// What is handed down through a daemon instead of globals.
@@ -36,6 +39,8 @@
     pub gate: Arc<Gate>,
     /// Whether the process takes work; `/health/ready` shows it.
     pub ready: Arc<AtomicBool>,
+    /// The HTTP address that other processes use, once it is bound.
+    pub http: Arc<OnceLock<Name>>,
     /// Renders metrics.
     pub metrics: PrometheusHandle,
 }
@@ -63,6 +68,7 @@
             events: Arc::new(events),
             gate: Arc::default(),
             ready: Arc::default(),
+            http: Arc::default(),
             metrics,
         })
     }
--- a/src/cardamomtally/lease/poller.rs
+++ b/src/cardamomtally/lease/poller.rs
@@ -53,7 +53,7 @@
     pub incarnation: Incarnation,
     /// Its data centre.
     pub centre: Name,
-    /// Its HTTP address.
+    /// Its HTTP address, until the listener is bound.
     pub http: Name,
 }
 
@@ -67,7 +67,6 @@
 struct Shared {
     held: ArcSwap<Held>,
     reports: Mutex<Reports>,
-    http: Mutex<Name>,
     wake: Notify,
     stop: Notify,
 }
@@ -87,7 +86,6 @@
         let shared = Arc::new(Shared {
             held: ArcSwap::default(),
             reports: Mutex::default(),
-            http: Mutex::new(Arc::clone(&identity.http)),
             wake: Notify::new(),
             stop: Notify::new(),
         });
@@ -101,12 +99,6 @@
             thread: Some(thread),
         })
     }
-
-    /// Sets the process's HTTP address, once it is bound.
-    pub fn advertise(&self, http: &str) {
-        *lock(&self.shared.http) = http.into();
-        self.shared.wake.notify_one();
-    }
 }
 
 impl Lease for Poller {
@@ -123,6 +115,10 @@
         self.shared.wake.notify_one();
     }
 
+    fn poll_now(&self) {
+        self.shared.wake.notify_one();
+    }
+
     fn cleared(&self, digest: Digest) {
         lock(&self.shared.reports).add_cleared(digest);
     }
@@ -247,7 +243,8 @@
         };
         self.state.describe(&mut poll);
         lock(&self.shared.reports).fill(&mut poll);
-        let http = Arc::clone(&lock(&self.shared.http));
+        let bound = self.context.http.get().cloned();
+        let http = bound.unwrap_or_else(|| Arc::clone(&self.identity.http));
         if http != self.identity.http {
             self.identity.http = http;
             self.asked.insert(member.to_owned());
