--- a/src/cardamomtally/agent/mod.rs
+++ b/src/cardamomtally/agent/mod.rs
@@ -47,11 +47,9 @@
 use http_engine::HttpEngine;
 use outside::{FreeWeights, HttpPlatform, HttpWeights};
 use records::{RecordParts, Records};
-use rocket::fairing::AdHoc;
 use slog::Logger;
 use std::{
     fmt,
-    future::ready,
     sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
     time::Duration,
 };
@@ -157,8 +155,7 @@
     }
 }
 
-/// Runs the agent on what it meets outside until a signal stops it. `bound` is
-/// told the address that other processes use.
+/// Runs the agent on what it meets outside until a signal stops it.
 ///
 /// # Errors
 ///
@@ -167,20 +164,12 @@
     settings: AgentSettings,
     context: Context,
     outside: Outside,
-    bound: impl Fn(&str) + Send + Sync + 'static,
 ) -> eyre::Result<()> {
     let parts = Arc::new(build(settings, &context, &outside)?);
     spawn_tasks(&parts, outside);
-    let advertised = parts.settings.http.advertise.clone();
     let rocket = http::build(&parts.settings.http, &context)?
         .manage(Arc::clone(&parts))
-        .mount("/", routes::all())
-        .attach(AdHoc::on_liftoff("advertise", move |rocket| {
-            let config = rocket.config();
-            let http = advertised.unwrap_or_else(|| format!("{}:{}", config.address, config.port));
-            bound(&http);
-            Box::pin(ready(()))
-        }));
+        .mount("/", routes::all());
     let line = http::Bound {
         name: parts.settings.process.name.clone(),
         ..http::Bound::default()
@@ -253,14 +242,13 @@
     let idle = settings.backend.idle_timeout.0;
     let outside = Outside {
         engine: Arc::new(HttpEngine::new(&settings.backend.url, idle)?),
-        lease: Arc::clone(&poller) as Arc<dyn Lease>,
+        lease: poller,
         claims: Arc::new(Client::start(&settings.control, transport)),
         weights: weights(&settings, &client),
         platform: platform(&settings, client),
         incarnation,
     };
-    let advertise = move |http: &str| poller.advertise(http);
-    serve(settings, context, outside, advertise).await
+    serve(settings, context, outside).await
 }
 
 fn identity(settings: &AgentSettings, incarnation: Incarnation) -> Identity {
