--- a/tests/testsuite/entry.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Entries.
--- /dev/null
+++ b/tests/testsuite/entry/fakes.rs
@@ -0,0 +1,549 @@
+//! A small site in memory: entries without sockets, agents and a ledger with
+//! faults drawn from a seed.
+
+use bytes::Bytes;
+use cardamomtally::{
+    core::{
+        claim::{ClaimError, ClaimKey, ClaimOp, ClaimReply, ClaimStore, Progress},
+        config::{
+            BackendSite, BackendState, BackendView, CentreState, Config, PartnerState, Route,
+            Service, ServiceState, Stage, VersionState, WorkspaceState,
+        },
+        snapshot::hash_secret,
+    },
+    daemon::Context,
+    entry::{
+        agents::{Agents, AskReply, CallError, Opened, Rejection, RunCall},
+        app::{App, Borders},
+        breach::Breach,
+        frames::FrameReader,
+    },
+    lease::{FixedLease, Held},
+    ledger::{local::Local, machine::Ledger},
+    net::{
+        codec,
+        run::{Asked, Frame, Load, Probe, Usage},
+    },
+    prelude::*,
+    replica::memory::MemLog,
+    settings::{
+        EntrySettings,
+        common::{Level, LogForm, LogSettings, PollSettings, ProcessSettings, TimelineSettings},
+        entry::RetrySettings,
+        units::Span,
+    },
+};
+use futures::{FutureExt as _, future::BoxFuture, stream};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard},
+};
+
+/// Bearer key of the workspace.
+pub const SECRET: &str = "counter-key";
+
+/// Ledger shards.
+const SHARDS: u16 = 2;
+
+/// A site.
+pub struct Site {
+    pub agents: Arc<FakeAgents>,
+    pub ledger: Arc<FlakyLedger>,
+    pub lease: Arc<FixedLease>,
+}
+
+impl Site {
+    /// Builds a site whose faults come with a probability.
+    pub fn new(seed: u64, faults: f64) -> Self {
+        let lease = FixedLease::default();
+        lease.set(held(&config()));
+        Self {
+            agents: Arc::new(FakeAgents::new(seed, faults)),
+            ledger: Arc::new(FlakyLedger::new(seed, faults)),
+            lease: Arc::new(lease),
+        }
+    }
+
+    /// Builds an entry.
+    pub fn entry(&self, name: &str, breach: Breach) -> Arc<App> {
+        self.entry_with(settings(name), breach)
+    }
+
+    /// Builds an entry with settings.
+    pub fn entry_with(&self, settings: EntrySettings, breach: Breach) -> Arc<App> {
+        let borders = Borders {
+            breach,
+            incarnation: Incarnation::random(),
+            lease: Arc::clone(&self.lease) as _,
+            ledger: Arc::clone(&self.ledger) as _,
+            agents: Arc::clone(&self.agents) as _,
+            rater: None,
+        };
+        Arc::new(App::new(settings.clone(), context(&settings), borders, 7))
+    }
+}
+
+/// Settings with short waits.
+pub fn settings(name: &str) -> EntrySettings {
+    EntrySettings {
+        process: ProcessSettings {
+            name: name.to_owned(),
+            data_centre: "north".to_owned(),
+        },
+        http: Default::default(),
+        control: PollSettings::default(),
+        callers: Default::default(),
+        retry: RetrySettings {
+            deadline: Span::secs(20),
+            backoff: Span::ms(1),
+            backoff_limit: Span::ms(2),
+            claim_grace: Span::ms(5),
+            ask_wait: Span::ms(200),
+            ..RetrySettings::default()
+        },
+        routing: Default::default(),
+        rating: Default::default(),
+        log: LogSettings {
+            level: Level::Error,
+            form: LogForm::Json,
+        },
+        timeline: TimelineSettings::default(),
+    }
+}
+
+pub fn context(settings: &EntrySettings) -> Context {
+    let metrics = PrometheusBuilder::new().build_recorder().handle();
+    Context::new(
+        &settings.process,
+        &settings.log,
+        &settings.timeline,
+        metrics,
+    )
+    .unwrap()
+}
+
+/// Returns a lease that is valid for good.
+pub fn held(config: &Config) -> Held {
+    Held {
+        snapshot: Arc::new(Snapshot::compile(config)),
+        config: Arc::new(config.clone()),
+        until: Mono(u64::MAX),
+    }
+}
+
+/// One partner, two versions, one service, three backend servers.
+pub fn config() -> Config {
+    let version = |cost| VersionState {
+        cost,
+        stage: Stage::InService,
+        share: 1.0,
+    };
+    let route = |method: &str, path: &str, repeatable| Route {
+        method: method.into(),
+        path: path.into(),
+        repeatable,
+    };
+    let partner = PartnerState {
+        versions: BTreeMap::from([
+            ("small@1".into(), version(0.2)),
+            ("large@1".into(), version(2.0)),
+        ]),
+        workspaces: BTreeMap::from([("counter".into(), workspace())]),
+        services: BTreeMap::from([(
+            "queue".into(),
+            ServiceState {
+                path: "/queue".into(),
+                routes: vec![route("POST", "/jobs", false), route("GET", "/jobs/*", true)],
+            },
+        )]),
+        ..PartnerState::default()
+    };
+    let centre = CentreState {
+        region: "region".into(),
+        views: BTreeMap::new(),
+    };
+    Config {
+        index: Index(1),
+        partners: BTreeMap::from([("press".into(), partner)]),
+        centres: BTreeMap::from([("north".into(), centre)]),
+        backends: ["b1", "b2", "b3"].map(|n| (n.into(), backend(n))).into(),
+        ..Config::default()
+    }
+}
+
+fn workspace() -> WorkspaceState {
+    WorkspaceState {
+        keys: vec![hash_secret(SECRET).into()],
+        versions: vec!["small@1".into(), "large@1".into()],
+        cascade: None,
+        quality: 0.8,
+        services: vec!["queue".into()],
+        priority: 1,
+    }
+}
+
+fn backend(name: &str) -> BackendState {
+    let view = BackendView {
+        state: Service::In,
+        versions: vec!["small@1".into(), "large@1".into()],
+        services: vec!["queue".into()],
+    };
+    BackendState {
+        owner: "press".into(),
+        site: BackendSite {
+            centre: "north".into(),
+            agent: name.into(),
+            fencing: true,
+        },
+        views: BTreeMap::from([("press".into(), view)]),
+    }
+}
+
+/// A ledger that sometimes loses a request or an answer.
+#[derive(Debug)]
+pub struct FlakyLedger {
+    inner: Local,
+    rng: Mutex<SmallRng>,
+    faults: f64,
+}
+
+impl FlakyLedger {
+    fn new(seed: u64, faults: f64) -> Self {
+        let log = MemLog::default();
+        for shard in 1..=SHARDS {
+            log.add(GroupId(shard), Box::new(Ledger::default()));
+        }
+        Self {
+            inner: Local::new(Arc::new(log), SHARDS),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+            faults,
+        }
+    }
+
+    fn roll(&self) -> bool {
+        self.rng.lock().unwrap().random_bool(self.faults / 2.0)
+    }
+
+    /// Tells whether a claim holds an answer.
+    pub async fn is_settled(&self, key: ClaimKey) -> bool {
+        let reply = self.inner.apply(ClaimOp::Look { key }).await;
+        let Ok(ClaimReply::Request { claim, .. }) = reply else {
+            return false;
+        };
+        claim.is_some_and(|claim| matches!(claim.progress, Progress::Done(_)))
+    }
+
+    /// Counts the bills.
+    pub async fn bills(&self) -> u64 {
+        let Ok(ClaimReply::Bills(sums)) = self.inner.apply(ClaimOp::Bills).await else {
+            return 0;
+        };
+        sums.iter().map(|sum| sum.requests).sum()
+    }
+}
+
+impl ClaimStore for FlakyLedger {
+    fn apply(&self, op: ClaimOp) -> BoxFuture<'_, Result<ClaimReply, ClaimError>> {
+        async move {
+            tokio::task::yield_now().await;
+            let lost = ClaimError {
+                reason: "lost".to_owned(),
+                refused: false,
+            };
+            if self.roll() {
+                return Err(lost);
+            }
+            let reply = self.inner.apply(op).await;
+            tokio::task::yield_now().await;
+            if self.roll() { Err(lost) } else { reply }
+        }
+        .boxed()
+    }
+}
+
+/// What a fake agent knows of an attempt.
+#[derive(Clone, Debug)]
+enum Fate {
+    Tombstone,
+    Ended(Vec<u8>),
+}
+
+#[derive(Debug)]
+struct FakeAgent {
+    incarnation: Incarnation,
+    fates: FastMap<AttemptId, Fate>,
+}
+
+/// All agents of a site.
+#[derive(Debug)]
+pub struct FakeAgents {
+    state: Mutex<AgentsState>,
+    faults: f64,
+}
+
+#[derive(Debug)]
+struct AgentsState {
+    rng: SmallRng,
+    agents: FastMap<Name, FakeAgent>,
+    late: Vec<RunCall>,
+    runs: FastMap<Option<ClaimKey>, u32>,
+}
+
+impl FakeAgents {
+    fn new(seed: u64, faults: f64) -> Self {
+        let agents = ["b1", "b2", "b3"].map(|name| {
+            let agent = FakeAgent {
+                incarnation: Incarnation(1),
+                fates: FastMap::default(),
+            };
+            (Name::from(name), agent)
+        });
+        Self {
+            state: Mutex::new(AgentsState {
+                rng: SmallRng::seed_from_u64(seed ^ 0xa5),
+                agents: agents.into_iter().collect(),
+                late: Vec::new(),
+                runs: FastMap::default(),
+            }),
+            faults,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AgentsState> {
+        self.state.lock().unwrap()
+    }
+
+    /// Delivers all late copies.
+    pub fn release(&self) {
+        let mut state = self.lock();
+        while let Some(call) = state.late.pop() {
+            let _late = state.deliver(&call);
+        }
+    }
+
+    /// Counts the runs of a claim.
+    pub fn runs(&self, key: ClaimKey) -> u32 {
+        let state = self.lock();
+        state.runs.get(&Some(key)).copied().unwrap_or_default()
+    }
+
+    /// Counts all runs.
+    pub fn all_runs(&self) -> u32 {
+        self.lock().runs.values().sum()
+    }
+}
+
+impl AgentsState {
+    /// Runs an attempt unless its id or incarnation forbids it.
+    fn deliver(&mut self, call: &RunCall) -> Result<Vec<u8>, CallError> {
+        let agent = self.agents.get_mut(&call.agent).unwrap();
+        let stale = call.head.agent.is_some_and(|a| a != agent.incarnation);
+        match agent.fates.get(&call.attempt) {
+            None if !stale => {}
+            None | Some(Fate::Tombstone) => return Err(rejected(Verdict::NotRun)),
+            Some(Fate::Ended(_)) => return Err(rejected(Verdict::Ran)),
+        }
+        let body = format!("done {}", call.attempt.request).into_bytes();
+        agent.fates.insert(call.attempt, Fate::Ended(body.clone()));
+        *self.runs.entry(call.head.claim).or_default() += 1;
+        Ok(body)
+    }
+
+    fn restart(&mut self, agent: &Name) {
+        let agent = self.agents.get_mut(agent).unwrap();
+        agent.incarnation.0 += 1;
+        agent.fates.clear();
+    }
+
+    fn run(&mut self, call: RunCall, faults: f64) -> Result<Opened, CallError> {
+        let fault = self
+            .rng
+            .random_bool(faults)
+            .then(|| self.rng.random_range(0..7));
+        let lost = || Err(CallError::Ambiguous("lost".to_owned()));
+        match fault {
+            Some(0) => Err(CallError::NotSent("refused".to_owned())),
+            Some(1) => {
+                let agent = self.agents.get_mut(&call.agent).unwrap();
+                agent.fates.insert(call.attempt, Fate::Tombstone);
+                Err(rejected(Verdict::NotRun))
+            }
+            Some(2) => {
+                self.late.push(call);
+                lost()
+            }
+            Some(3) => {
+                self.deliver(&call)?;
+                lost()
+            }
+            Some(4) => {
+                let body = self.deliver(&call)?;
+                Ok(self.opened(&call.agent, &body, false))
+            }
+            Some(5) => {
+                self.deliver(&call)?;
+                self.restart(&call.agent);
+                lost()
+            }
+            Some(_) => {
+                self.restart(&call.agent);
+                self.deliver(&call)?;
+                lost()
+            }
+            None => {
+                let body = self.deliver(&call)?;
+                Ok(self.opened(&call.agent, &body, true))
+            }
+        }
+    }
+
+    fn opened(&self, agent: &Name, body: &[u8], whole: bool) -> Opened {
+        Opened {
+            incarnation: Some(self.agents[agent].incarnation),
+            load: Some(Load {
+                limit: 4,
+                ..Load::default()
+            }),
+            frames: reader(&frames(body, whole)),
+        }
+    }
+
+    fn asked(&mut self, agent: &Name, attempt: AttemptId) -> AskReply {
+        let agent = self.agents.get_mut(agent).unwrap();
+        let asked = match agent.fates.get(&attempt) {
+            None => Asked::NotSeen,
+            Some(Fate::Tombstone) => Asked::NotRun,
+            Some(Fate::Ended(_)) => Asked::Ended,
+        };
+        agent.fates.entry(attempt).or_insert(Fate::Tombstone);
+        AskReply {
+            incarnation: Some(agent.incarnation),
+            asked,
+        }
+    }
+}
+
+fn rejected(verdict: Verdict) -> CallError {
+    CallError::Rejected(Box::new(Rejection {
+        status: 503,
+        verdict,
+        load: None,
+        incarnation: None,
+    }))
+}
+
+/// Returns the frames of a body, with its end or without.
+pub fn frames(body: &[u8], whole: bool) -> Vec<Frame> {
+    let head = Frame::Head {
+        status: 201,
+        media: "text/plain".into(),
+    };
+    let (first, rest) = body.split_at(body.len() / 2);
+    let data = |offset: usize, bytes: &[u8]| Frame::Data {
+        offset: offset as u64,
+        bytes: bytes.to_vec(),
+    };
+    let mut all = vec![head, data(0, first)];
+    if whole {
+        all.push(data(first.len(), rest));
+        all.push(Frame::End {
+            length: body.len() as u64,
+            usage: Usage {
+                prompt: 3,
+                completion: 4,
+            },
+        });
+    }
+    all
+}
+
+/// Encodes frames as an agent sends them.
+pub fn encode(frames: &[Frame]) -> Vec<u8> {
+    let mut all = Vec::new();
+    for frame in frames {
+        let bytes = codec::encode(frame);
+        all.extend((bytes.len() as u32).to_be_bytes());
+        all.extend(bytes);
+    }
+    all
+}
+
+/// Builds a reader over frames that arrive in one piece.
+pub fn reader(frames: &[Frame]) -> FrameReader {
+    let bytes = Bytes::from(encode(frames));
+    let pieces = stream::iter([Ok::<_, std::io::Error>(bytes)]);
+    FrameReader::new(pieces, Duration::from_secs(10))
+}
+
+impl Agents for FakeAgents {
+    fn run(&self, call: RunCall) -> BoxFuture<'_, Result<Opened, CallError>> {
+        async move {
+            tokio::task::yield_now().await;
+            let opened = self.lock().run(call, self.faults);
+            tokio::task::yield_now().await;
+            opened
+        }
+        .boxed()
+    }
+
+    fn resume(
+        &self,
+        agent: Name,
+        attempt: AttemptId,
+        from: u64,
+    ) -> BoxFuture<'_, Result<Opened, CallError>> {
+        async move {
+            tokio::task::yield_now().await;
+            let state = self.lock();
+            let Some(Fate::Ended(body)) = state.agents[&agent].fates.get(&attempt) else {
+                return Err(rejected(Verdict::Unknown));
+            };
+            let mut opened = state.opened(&agent, body, true);
+            if from > 0 {
+                // An agent sends no head again when it resumes.
+                opened.frames = reader(&frames(body, true)[1..]);
+            }
+            Ok(opened)
+        }
+        .boxed()
+    }
+
+    fn ask(&self, agent: Name, attempt: AttemptId) -> BoxFuture<'_, Result<AskReply, CallError>> {
+        async move {
+            tokio::task::yield_now().await;
+            let mut state = self.lock();
+            if state.rng.random_bool(self.faults / 2.0) {
+                return Err(CallError::Ambiguous("lost".to_owned()));
+            }
+            Ok(state.asked(&agent, attempt))
+        }
+        .boxed()
+    }
+
+    fn cancel(&self, _agent: Name, _attempt: AttemptId) -> BoxFuture<'_, ()> {
+        async {}.boxed()
+    }
+
+    fn billed(&self, _agent: Name, _attempt: AttemptId) -> BoxFuture<'_, ()> {
+        async {}.boxed()
+    }
+
+    fn probe(&self, agent: Name) -> BoxFuture<'_, Result<Probe, CallError>> {
+        async move {
+            let incarnation = self.lock().agents[&agent].incarnation;
+            Ok(Probe {
+                backend: agent,
+                incarnation,
+                load: Load {
+                    limit: 4,
+                    ..Load::default()
+                },
+                ready: true,
+                prefixes: Vec::new(),
+            })
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/tests/testsuite/entry/mod.rs
@@ -0,0 +1,5 @@
+//! Entries.
+
+mod fakes;
+mod frames;
+mod once;
--- /dev/null
+++ b/tests/testsuite/entry/once.rs
@@ -0,0 +1,261 @@
+//! Submissions that may not be repeated, under faults drawn from seeds.
+
+use super::fakes::{SECRET, Site};
+use bytes::Bytes;
+use cardamomtally::{
+    core::claim::ClaimKey,
+    entry::{
+        app::App,
+        breach::Breach,
+        call::{Call, CallParts},
+        problem::Problem,
+        reply::Reply,
+        service,
+    },
+    prelude::*,
+};
+use futures::poll;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use std::{pin::pin, task::Poll};
+
+/// Seeds of each check.
+const SEEDS: u64 = 300;
+
+/// Times that a caller sends its submission again.
+const RESENDS: usize = 6;
+
+type Outcome = Result<Reply, Problem>;
+
+fn call(app: &App, body: &str, key: Option<&str>) -> Arc<Call> {
+    let held = app.lease.held();
+    let workspace = held.snapshot.workspace_of(SECRET).unwrap();
+    let parts = CallParts {
+        request: app.next_request(),
+        method: "POST".into(),
+        path: "/queue/jobs".into(),
+        media: None,
+        body: Bytes::from(body.to_owned()),
+        deadline: app.now() + app.settings.retry.deadline.0,
+        session: None,
+        key: key.map(str::to_owned),
+    };
+    Arc::new(Call::new(&held.snapshot, workspace, parts))
+}
+
+async fn submit(app: &Arc<App>, body: &str, key: Option<&str>) -> Outcome {
+    let held = app.lease.held();
+    let matched = service::find(&held.snapshot, "POST", "/queue/jobs").unwrap();
+    service::serve(app, &call(app, body, key), &matched).await
+}
+
+/// Polls a submission a number of times and then drops it, as if its entry had
+/// been killed.
+async fn submit_and_die(app: &Arc<App>, polls: u32) -> Option<Outcome> {
+    let mut submission = pin!(submit(app, "job", Some("k")));
+    for _ in 0..polls {
+        if let Poll::Ready(outcome) = poll!(submission.as_mut()) {
+            return Some(outcome);
+        }
+        tokio::task::yield_now().await;
+    }
+    None
+}
+
+fn claim_key(key: &str) -> ClaimKey {
+    ClaimKey::request("press", "counter", key)
+}
+
+/// What the promises say of a submission's outcomes, in the order they came.
+fn check(site: &Site, outcomes: &[Outcome], bills: u64) -> Result<(), String> {
+    let before = site.agents.runs(claim_key("k"));
+    site.agents.release();
+    let runs = site.agents.runs(claim_key("k"));
+    if runs > 1 {
+        return Err(format!("ran {runs} times"));
+    }
+    if before != runs && outcomes.last().is_some_and(says_not_run) {
+        return Err("ran after it was said not to have run".to_owned());
+    }
+    let mut bodies = Vec::new();
+    for outcome in outcomes {
+        match outcome {
+            Ok(Reply::Whole(whole)) => bodies.push(whole.body.clone()),
+            Err(problem) if problem.verdict == Verdict::Ran && runs == 0 => {
+                return Err("said to have run, but did not".to_owned());
+            }
+            _ => {}
+        }
+    }
+    if outcomes.last().is_some_and(says_not_run) && runs > 0 {
+        return Err("said not to have run, but did".to_owned());
+    }
+    if bodies.windows(2).any(|pair| pair[0] != pair[1]) {
+        return Err("two answers to one submission".to_owned());
+    }
+    if bills > u64::from(runs) {
+        return Err(format!("{bills} bills for {runs} runs"));
+    }
+    Ok(())
+}
+
+fn says_not_run(outcome: &Outcome) -> bool {
+    matches!(outcome, Err(problem) if problem.verdict == Verdict::NotRun)
+}
+
+/// One caller whose entry dies, who then resends at the other entry, and another
+/// copy that is on its way meanwhile.
+async fn scenario(seed: u64, breach: Breach) -> Result<(), String> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let site = Site::new(seed, 0.4);
+    let entries = [site.entry("e1", breach), site.entry("e2", breach)];
+    let mut outcomes = Vec::new();
+    outcomes.extend(submit_and_die(&entries[0], rng.random_range(0..40)).await);
+    let (first, second) = futures::join!(
+        submit(&entries[1], "job", Some("k")),
+        submit(&entries[0], "job", Some("k"))
+    );
+    outcomes.extend([first, second]);
+    let answered = outcomes.iter().any(Outcome::is_ok);
+    if answered && !site.ledger.is_settled(claim_key("k")).await {
+        return Err("answered before the answer was settled".to_owned());
+    }
+    for resend in 0..RESENDS {
+        outcomes.push(submit(&entries[resend % 2], "job", Some("k")).await);
+    }
+    check(&site, &outcomes, site.ledger.bills().await)
+}
+
+/// Returns the first violation of a promise, if any seed brings one about.
+fn violation(breach: Breach) -> Option<String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    (0..SEEDS).find_map(|seed| {
+        let outcome = runtime.block_on(scenario(seed, breach));
+        outcome.err().map(|why| format!("seed {seed}: {why}"))
+    })
+}
+
+#[test]
+fn submissions_run_at_most_once_and_refusals_are_true() {
+    let found = violation(Breach::None);
+
+    assert_eq!(found, None);
+}
+
+#[test]
+fn the_check_notices_trust_in_ambiguous_failures() {
+    assert!(violation(Breach::TrustFailures).is_some());
+}
+
+#[test]
+fn the_check_notices_trust_in_restarted_agents() {
+    assert!(violation(Breach::TrustRestarts).is_some());
+}
+
+#[test]
+fn the_check_notices_a_claim_taken_without_comparing() {
+    assert!(violation(Breach::SkipClaim).is_some());
+}
+
+#[test]
+fn the_check_notices_an_answer_that_is_not_settled() {
+    assert!(violation(Breach::SkipSettle).is_some());
+}
+
+#[test]
+fn the_check_notices_bills_by_attempt() {
+    assert!(violation(Breach::BillAttempts).is_some());
+}
+
+#[tokio::test]
+async fn a_resent_submission_gets_the_first_answer_at_another_entry() {
+    let site = Site::new(1, 0.0);
+    let entries = [
+        site.entry("e1", Breach::None),
+        site.entry("e2", Breach::None),
+    ];
+
+    let first = submit(&entries[0], "job", Some("k")).await;
+    let second = submit(&entries[1], "job", Some("k")).await;
+
+    let (Ok(Reply::Whole(first)), Ok(Reply::Whole(second))) = (first, second) else {
+        panic!("both submissions are answered");
+    };
+    assert_eq!(first.body, second.body);
+    assert_eq!(second.head.status, 201);
+    assert_eq!(site.agents.runs(claim_key("k")), 1);
+}
+
+#[tokio::test]
+async fn the_same_key_with_another_body_is_refused() {
+    let site = Site::new(1, 0.0);
+    let entry = site.entry("e1", Breach::None);
+    let _first = submit(&entry, "job", Some("k")).await;
+
+    let second = submit(&entry, "another job", Some("k")).await;
+
+    let problem = second.unwrap_err();
+    assert_eq!((problem.status, problem.verdict), (422, Verdict::NotRun));
+    assert_eq!(site.agents.all_runs(), 1);
+}
+
+#[tokio::test]
+async fn a_submission_without_a_key_is_refused() {
+    let site = Site::new(1, 0.0);
+    let entry = site.entry("e1", Breach::None);
+
+    let problem = submit(&entry, "job", None).await.unwrap_err();
+
+    assert_eq!((problem.status, problem.verdict), (400, Verdict::NotRun));
+    assert_eq!(site.agents.all_runs(), 0);
+}
+
+#[tokio::test]
+async fn a_key_is_derived_from_the_body_if_set() {
+    let site = Site::new(1, 0.0);
+    let mut settings = super::fakes::settings("e1");
+    settings.callers.derive_key = true;
+    let entry = site.entry_with(settings, Breach::None);
+
+    let first = submit(&entry, "job", None).await;
+    let second = submit(&entry, "job", None).await;
+
+    assert!(first.is_ok() && second.is_ok());
+    assert_eq!(site.agents.all_runs(), 1);
+}
+
+#[tokio::test]
+async fn an_answer_above_the_limit_is_told_as_ran_with_its_digest() {
+    let site = Site::new(1, 0.0);
+    let mut settings = super::fakes::settings("e1");
+    settings.callers.answer_limit = cardamomtally::settings::units::Size(4);
+    let entry = site.entry_with(settings, Breach::None);
+    let Ok(Reply::Whole(first)) = submit(&entry, "job", Some("k")).await else {
+        panic!("the first submission is answered");
+    };
+
+    let problem = submit(&entry, "job", Some("k")).await.unwrap_err();
+
+    assert_eq!(problem.verdict, Verdict::Ran);
+    assert_eq!(
+        problem.first,
+        Some((Digest::of(&first.body).to_string(), 201))
+    );
+    assert_eq!(site.agents.all_runs(), 1);
+}
+
+#[tokio::test]
+async fn an_entry_without_a_lease_dispatches_nothing() {
+    let site = Site::new(1, 0.0);
+    let entry = site.entry("e1", Breach::None);
+    let mut held = (*entry.lease.held()).clone();
+    held.until = Mono(0);
+    site.lease.set(held);
+
+    let problem = submit(&entry, "job", Some("k")).await.unwrap_err();
+
+    assert_eq!((problem.status, problem.verdict), (503, Verdict::NotRun));
+    assert_eq!(site.agents.all_runs(), 0);
+}
