--- a/src/cardamomtally/control/machine.rs
+++ b/src/cardamomtally/control/machine.rs
@@ -7,12 +7,7 @@
 
 use super::state::{Command, Reply, State};
 use crate::{
-    core::{
-        config::ConfigRef,
-        digest::Digest,
-        id::Index,
-        log::Machine as LogMachine,
-    },
+    core::{config::ConfigRef, digest::Digest, id::Index, log::Machine as LogMachine},
     net::{codec, delta},
 };
 use eyre::WrapErr as _;
--- a/src/cardamomtally/control/ticket/parse.rs
+++ b/src/cardamomtally/control/ticket/parse.rs
@@ -81,7 +81,10 @@
     let mut objects = BTreeMap::new();
     for item in tables(sink, fields, key) {
         let Some(table) = item.get_ref().as_table() else {
-            sink.add(item.span().start, format!("`{key}` must be a list of tables"));
+            sink.add(
+                item.span().start,
+                format!("`{key}` must be a list of tables"),
+            );
             continue;
         };
         let mut object = Fields::new(table, item.span().start, key);
@@ -91,7 +94,10 @@
         let offset = offset.unwrap_or_else(|| object.start());
         let twice = name.as_ref().is_some_and(|name| objects.contains_key(name));
         if twice {
-            sink.add(offset, format!("{key} `{}` is given twice", &path[key.len() + 1..]));
+            sink.add(
+                offset,
+                format!("{key} `{}` is given twice", &path[key.len() + 1..]),
+            );
         }
         sink.places.add(path.clone(), offset);
         let value = read(sink, &mut object, &path);
--- a/src/cardamomtally/control/ticket/rules.rs
+++ b/src/cardamomtally/control/ticket/rules.rs
@@ -129,7 +129,10 @@
         let held = case.config.and_then(|config| config.centres.get(name));
         match (held, &change.region) {
             (None, None) if case.config.is_some() => {
-                case.add(path, format!("data centre `{name}` is new and needs `region`"));
+                case.add(
+                    path,
+                    format!("data centre `{name}` is new and needs `region`"),
+                );
             }
             (Some(held), Some(region)) if held.region != *region => {
                 let others = held.views.keys().any(|p| *p != case.ticket.partner);
@@ -224,7 +227,10 @@
         .chain(held)
         .find(|(other, agent)| *other != name && **agent == site.agent);
     if let Some((other, _)) = clash {
-        let message = format!("backend server `{other}` has the agent `{}` too", site.agent);
+        let message = format!(
+            "backend server `{other}` has the agent `{}` too",
+            site.agent
+        );
         case.add(at, message);
     }
 }
@@ -237,7 +243,10 @@
                 judge_name(case, &path, model);
                 judge_name(case, &path, number);
             }
-            None => case.add(&path, format!("`{name}` is no version; write `MODEL@VERSION`")),
+            None => case.add(
+                &path,
+                format!("`{name}` is no version; write `MODEL@VERSION`"),
+            ),
         }
         if !version.cost.is_finite() || version.cost < 0.0 {
             case.add(format!("{path}/cost"), "`cost` must be 0 or more");
@@ -275,10 +284,17 @@
         for (i, route) in service.routes.iter().enumerate() {
             let at = format!("{path}/route/{i}");
             if !METHODS.contains(&route.method.as_ref()) {
-                let message = format!("`{}` is no method; use {}", route.method, METHODS.join(", "));
+                let message = format!(
+                    "`{}` is no method; use {}",
+                    route.method,
+                    METHODS.join(", ")
+                );
                 case.add(&at, message);
             }
-            let star = route.path.find('*').is_none_or(|i| i + 1 == route.path.len());
+            let star = route
+                .path
+                .find('*')
+                .is_none_or(|i| i + 1 == route.path.len());
             if !route.path.starts_with('/') || !star {
                 let message = format!(
                     "`{}` is no route; begin with `/` and use `*` only at the end",
@@ -286,9 +302,8 @@
                 );
                 case.add(&at, message);
             }
-            let same = |r: &crate::core::config::Route| {
-                r.method == route.method && r.path == route.path
-            };
+            let same =
+                |r: &crate::core::config::Route| r.method == route.method && r.path == route.path;
             if service.routes[..i].iter().any(same) {
                 let message = format!("route `{} {}` is given twice", route.method, route.path);
                 case.add(&at, message);
@@ -305,7 +320,10 @@
         return;
     }
     if let Some(reserved) = RESERVED_PATHS.iter().find(|r| overlaps(r, path)) {
-        case.add(at, format!("path `{path}` overlaps the reserved `{reserved}`"));
+        case.add(
+            at,
+            format!("path `{path}` overlaps the reserved `{reserved}`"),
+        );
     }
     let partner = &case.ticket.partner;
     let stated = case.ticket.services.iter();
--- a/src/cardamomtally/control/ticket/workspaces.rs
+++ b/src/cardamomtally/control/ticket/workspaces.rs
@@ -105,12 +105,16 @@
 /// serve, or with a cascade that leads outside its versions.
 fn judge_service(case: &mut Case<'_>, path: &str, name: &Name, workspace: &WorkspaceState) {
     if workspace.versions.is_empty() && workspace.services.is_empty() {
-        case.add(path, format!("workspace `{name}` needs a version or a service"));
+        case.add(
+            path,
+            format!("workspace `{name}` needs a version or a service"),
+        );
     }
     let known: Vec<_> = workspace.versions.iter().map(|v| case.version(v)).collect();
     let unknown = known.iter().any(Option::is_none);
     let open = known.iter().flatten().any(|v| v.stage != Stage::Withdrawn);
-    if !known.is_empty() && !open && !(unknown && case.config.is_none()) {
+    let guess = unknown && case.config.is_none();
+    if !known.is_empty() && !open && !guess {
         let message = format!("workspace `{name}` would be left without a version that can serve");
         case.add(path, message);
     }
--- a/src/cardamomtally/lease/mod.rs
+++ b/src/cardamomtally/lease/mod.rs
@@ -46,13 +46,11 @@
     /// Adds a crash of a backend server to the next poll, and polls at once.
     fn crash(&self, crash: CrashReport);
 
+    /// Tells that a suspected request has ended without a crash.
+    fn cleared(&self, _digest: Digest) {}
+
     /// Polls at once, if the process polls at all.
     fn poll_now(&self) {}
-
-    /// Tells that a suspected request has ended without a crash.
-    fn cleared(&self, digest: Digest) {
-        let _not_told = digest;
-    }
 }
 
 /// A lease that is set by hand, for tests and benches.
--- a/src/cardamomtally/net/nng/server.rs
+++ b/src/cardamomtally/net/nng/server.rs
@@ -59,7 +59,7 @@
         socket.set_opt::<RecvMaxSize>(MESSAGE_LIMIT_BYTES)?;
         let listener = Listener::new(&socket, &format!("tcp://{address}"))
             .wrap_err_with(|| format!("failed to listen for polls at {address}"))?;
-        let bound = bound_address(&listener)?;
+        let bound = bound_address(listener)?;
         let traffic = Arc::<Traffic>::default();
         let receiver = (socket.clone(), Arc::clone(&traffic));
         let thread = thread::Builder::new()
@@ -144,10 +144,13 @@
     }
 }
 
-fn bound_address(listener: &Listener) -> eyre::Result<net::SocketAddr> {
-    match listener.get_opt::<LocalAddr>()? {
-        SocketAddr::Inet(address) => Ok(address.into()),
-        SocketAddr::Inet6(address) => Ok(address.into()),
-        other => Err(eyre::eyre!("the poll listener has no IP address: {other}")),
-    }
+fn bound_address(listener: Listener) -> eyre::Result<net::SocketAddr> {
+    let mut address: net::SocketAddr = match listener.get_opt::<LocalAddr>()? {
+        SocketAddr::Inet(address) => address.into(),
+        SocketAddr::Inet6(address) => address.into(),
+        other => return Err(eyre::eyre!("the poll listener has no IP address: {other}")),
+    };
+    // The nng crate leaves the port in network byte order.
+    address.set_port(u16::from_be(address.port()));
+    Ok(address)
 }
