--- /dev/null
+++ b/src/cardamomtally/ops/demo/caller.rs
@@ -0,0 +1,119 @@
+//! Callers of the demo deployment.
+
+use eyre::{WrapErr as _, bail};
+use reqwest::{Client, RequestBuilder};
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Longest time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The end of a streamed answer.
+const DONE: &str = "data: [DONE]\n\n";
+
+/// A chat request.
+#[derive(Clone, Debug, Serialize)]
+struct Chat<'a> {
+    model: &'a str,
+    messages: [Message<'a>; 1],
+    max_tokens: u32,
+    stream: bool,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Message<'a> {
+    role: &'a str,
+    content: &'a str,
+}
+
+/// The part of an answer that names its model.
+#[derive(Debug, Deserialize)]
+struct Answered {
+    model: String,
+}
+
+/// A workspace's caller.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    http: Client,
+    key: String,
+}
+
+impl Caller {
+    /// Builds a caller with a workspace's bearer key.
+    pub fn new(key: String) -> eyre::Result<Self> {
+        let http = Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .timeout(CALL_TIMEOUT)
+            .build()
+            .wrap_err("failed to build the HTTP client")?;
+        Ok(Self { http, key })
+    }
+
+    /// Sends a chat request and returns the model that answered.
+    pub async fn chat(&self, entry: &str, model: &str, prompt: &str) -> eyre::Result<String> {
+        let body = self.ask(entry, model, prompt, 8, false).await?;
+        let answered: Answered =
+            serde_json::from_str(&body).wrap_err("the answer is not a completion")?;
+        Ok(answered.model)
+    }
+
+    /// Sends a chat request of so many tokens, streamed, and checks that the
+    /// answer is whole. Returns the number of its events.
+    pub async fn stream(
+        &self,
+        entry: &str,
+        model: &str,
+        prompt: &str,
+        tokens: u32,
+    ) -> eyre::Result<usize> {
+        let body = self.ask(entry, model, prompt, tokens, true).await?;
+        if !body.ends_with(DONE) {
+            bail!("the stream ended without its terminal marker");
+        }
+        Ok(body.matches("data: ").count())
+    }
+
+    /// Submits a job under an idempotency key and returns the answer's body.
+    pub async fn submit(&self, url: &str, key: &str, job: &str) -> eyre::Result<String> {
+        let request = self.http.post(url).header("Idempotency-Key", key);
+        self.text(request.body(job.to_owned())).await
+    }
+
+    /// Reads a page.
+    pub async fn get(&self, url: &str) -> eyre::Result<String> {
+        self.text(self.http.get(url)).await
+    }
+
+    async fn ask(
+        &self,
+        entry: &str,
+        model: &str,
+        prompt: &str,
+        tokens: u32,
+        stream: bool,
+    ) -> eyre::Result<String> {
+        let chat = Chat {
+            model,
+            messages: [Message {
+                role: "user",
+                content: prompt,
+            }],
+            max_tokens: tokens,
+            stream,
+        };
+        let url = format!("http://{entry}/v1/chat/completions");
+        self.text(self.http.post(url).json(&chat)).await
+    }
+
+    async fn text(&self, request: RequestBuilder) -> eyre::Result<String> {
+        let response = request.bearer_auth(&self.key).send().await?;
+        let status = response.status();
+        let body = response.text().await?;
+        if !status.is_success() {
+            bail!("answered {status}: {body}");
+        }
+        Ok(body)
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/ops/demo/plan.rs
@@ -0,0 +1,198 @@
+//! What a demo deployment consists of, and its tickets.
+
+use crate::core::snapshot::hash_secret;
+use eyre::bail;
+use std::fmt;
+
+/// The first partner.
+pub const CLYDESIDE: &str = "clydeside";
+
+/// The second partner.
+pub const PRAIRIE: &str = "prairie";
+
+/// The cheap version.
+pub const SMALL: &str = "draft-small@1";
+
+/// The expensive version.
+pub const LARGE: &str = "draft-large@1";
+
+/// Cost of a thousand tokens of the cheap version.
+const SMALL_COST: &str = "0.2";
+
+/// Cost of a thousand tokens of the expensive version.
+const LARGE_COST: &str = "1.0";
+
+/// Control members of a demo deployment.
+pub const MEMBERS: usize = 3;
+
+/// A backend server of the deployment.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// Its name.
+    pub name: String,
+    /// Its data centre.
+    pub centre: &'static str,
+    /// Whether it is a model engine or a plain service.
+    pub engine: bool,
+}
+
+/// A deployment.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The partner whose deployment it is.
+    pub partner: &'static str,
+    /// The region.
+    pub region: &'static str,
+    /// The data centres.
+    pub centres: Vec<&'static str>,
+    /// The backend servers.
+    pub backends: Vec<Backend>,
+    /// The plain service.
+    pub service: &'static str,
+    /// The workspace of the demo's callers.
+    pub workspace: &'static str,
+}
+
+impl Plan {
+    /// Returns a partner's deployment, scaled down.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such partner.
+    pub fn of(partner: &str) -> eyre::Result<Self> {
+        match partner {
+            CLYDESIDE => Ok(Self {
+                partner: CLYDESIDE,
+                region: "scot-central",
+                centres: vec!["glasgow", "dundee", "aberdeen"],
+                backends: backends(&["glasgow", "dundee", "aberdeen"], "glasgow"),
+                service: "queue",
+                workspace: "counter",
+            }),
+            PRAIRIE => Ok(Self {
+                partner: PRAIRIE,
+                region: "prairie-west",
+                centres: vec!["saskatoon-a", "regina-b", "brandon-c", "moosejaw-d"],
+                backends: backends(
+                    &["saskatoon-a", "regina-b", "brandon-c", "moosejaw-d"],
+                    "regina-b",
+                ),
+                service: "booking",
+                workspace: "commissions",
+            }),
+            other => bail!("there is no partner `{other}`; take `{CLYDESIDE}` or `{PRAIRIE}`"),
+        }
+    }
+
+    /// Returns the names and data centres of the entries.
+    pub fn entries(&self) -> [(String, &'static str); 2] {
+        [0, 1].map(|n| (format!("entry-{}", n + 1), self.centres[n]))
+    }
+
+    /// Returns the bearer token of the partner's operators.
+    pub fn token(&self) -> String {
+        format!("{}-operator", self.partner)
+    }
+
+    /// Returns the bearer key of the workspace's callers.
+    pub fn key(&self) -> String {
+        format!("{}-key", self.workspace)
+    }
+
+    /// Returns the first ticket: all objects, in service. `agents` are the
+    /// agents' addresses in the order of the backend servers.
+    pub fn opening(&self, agents: &[String]) -> String {
+        let mut text = format!(
+            "partner = \"{}\"\nnumber = 1\nreason = \"the deployment opens\"\n",
+            self.partner
+        );
+        text.extend(self.centres.iter().map(|centre| self.centre(centre)));
+        let backends = self.backends.iter().zip(agents);
+        text.extend(backends.map(|(backend, agent)| self.backend(backend, agent)));
+        text += &version(SMALL, SMALL_COST, "in-service");
+        text += &version(LARGE, LARGE_COST, "in-service");
+        text += &self.service_part();
+        text + &self.workspace_part()
+    }
+
+    fn centre(&self, centre: &str) -> String {
+        format!(
+            "\n[[data_centre]]\nname = \"{centre}\"\nregion = \"{}\"\nstate = \"in\"\n",
+            self.region
+        )
+    }
+
+    fn service_part(&self) -> String {
+        format!(
+            "\n[[cascade]]\nname = \"drafts\"\nsteps = [\"{SMALL}\", \"{LARGE}\"]\n\
+             \n[[service]]\nname = \"{0}\"\npath = \"/{0}\"\nroute = [\n  \
+             {{ method = \"POST\", path = \"/jobs\", repeatable = false }},\n  \
+             {{ method = \"GET\", path = \"/jobs/*\", repeatable = true }},\n]\n",
+            self.service
+        )
+    }
+
+    /// Returns the second ticket: the cheap version is withdrawn.
+    pub fn withdrawal(&self) -> String {
+        let head = format!(
+            "partner = \"{}\"\nnumber = 2\nreason = \"{SMALL} is withdrawn\"\n",
+            self.partner
+        );
+        head + &version(SMALL, SMALL_COST, "withdrawn")
+    }
+
+    fn backend(&self, backend: &Backend, agent: &str) -> String {
+        let list = if backend.engine {
+            format!("versions = [\"{SMALL}\", \"{LARGE}\"]\nservices = []\n")
+        } else {
+            format!("versions = []\nservices = [\"{}\"]\n", self.service)
+        };
+        format!(
+            "\n[[backend_server]]\nname = \"{}\"\nstate = \"in\"\ndata_centre = \"{}\"\n\
+             agent = \"{agent}\"\nchecks_fencing = true\n{list}",
+            backend.name, backend.centre
+        )
+    }
+
+    fn workspace_part(&self) -> String {
+        format!(
+            "\n[[workspace]]\nname = \"{}\"\nkeys = [\"{}\"]\nversions = [\"{SMALL}\", \"{LARGE}\"]\n\
+             cascade = \"drafts\"\nquality = 0.5\nservices = [\"{}\"]\npriority = 3\n",
+            self.workspace,
+            hash_secret(&self.key()),
+            self.service
+        )
+    }
+}
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} at {}: {MEMBERS} control members, {} entries, {} backend servers with their agents",
+            self.partner,
+            self.centres.join(", "),
+            self.entries().len(),
+            self.backends.len()
+        )
+    }
+}
+
+fn backends(centres: &[&'static str], service: &'static str) -> Vec<Backend> {
+    let engine = |centre: &&'static str| Backend {
+        name: format!("{}-e1", &centre[..3]),
+        centre,
+        engine: true,
+    };
+    let mut backends: Vec<_> = centres.iter().map(engine).collect();
+    backends.push(Backend {
+        name: format!("{}-q1", &service[..3]),
+        centre: service,
+        engine: false,
+    });
+    backends
+}
+
+fn version(name: &str, cost: &str, stage: &str) -> String {
+    format!("\n[[version]]\nname = \"{name}\"\ncost = {cost}\nstage = \"{stage}\"\n")
+}
--- /dev/null
+++ b/src/cardamomtally/ops/demo/processes.rs
@@ -0,0 +1,301 @@
+//! The processes of a demo deployment.
+//!
+//! Programs are looked up beside the running one. Each process dies with this
+//! one: it is killed on drop, and the kernel kills it if this process ends
+//! without a drop.
+
+use super::plan::{Backend, MEMBERS, Plan};
+use crate::{core::snapshot::hash_secret, util::shell::Shell};
+use eyre::{WrapErr as _, bail, eyre};
+use serde::Deserialize;
+use std::{
+    fs::{self, File},
+    io::{BufRead as _, BufReader},
+    net::TcpListener,
+    os::unix::process::CommandExt as _,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::mpsc::{self, Receiver},
+    time::{Duration, Instant},
+};
+
+/// Longest wait for a process to print its ready line.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Longest wait for a process to end after SIGTERM.
+const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Pause between two looks at a process that is to end.
+const STOP_PAUSE: Duration = Duration::from_millis(20);
+
+/// Lines of each log that a failed demo prints.
+const LOG_LINES: usize = 8;
+
+/// What a process prints when it is bound.
+#[derive(Debug, Deserialize)]
+struct Ready {
+    http: String,
+}
+
+/// One process.
+#[derive(Debug)]
+struct Process {
+    name: String,
+    child: Child,
+    ready: Receiver<Ready>,
+    log: PathBuf,
+    /// Whether it is a daemon of the product, not a stand-in.
+    daemon: bool,
+}
+
+impl Process {
+    fn start(folder: &Path, name: &str, program: &str, arguments: &[&str]) -> eyre::Result<Self> {
+        let log = folder.join(format!("{name}.log"));
+        let path = beside(program)?;
+        let mut command = Command::new(&path);
+        command
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(File::create(&log).wrap_err("failed to create a log file")?);
+        // SAFETY: both calls are async-signal-safe and take no pointers here.
+        unsafe {
+            command.pre_exec(|| {
+                // An interrupt at the terminal goes to the demo alone.
+                libc::setpgid(0, 0);
+                libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+                Ok(())
+            })
+        };
+        let mut child = command
+            .spawn()
+            .wrap_err_with(|| format!("failed to start `{}`", path.display()))?;
+        let out = child
+            .stdout
+            .take()
+            .ok_or_else(|| eyre!("stdout is not piped"))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+            ready: read_ready(out),
+            log,
+            daemon: !arguments.is_empty() && arguments[0] == "--settings",
+        })
+    }
+
+    fn wait_ready(&self) -> eyre::Result<String> {
+        let ready = self.ready.recv_timeout(READY_TIMEOUT);
+        let ready = ready.wrap_err_with(|| format!("{} did not become ready", self.name))?;
+        Ok(ready.http)
+    }
+
+    fn stop(&mut self) -> eyre::Result<()> {
+        let pid = libc::pid_t::try_from(self.child.id()).wrap_err("the process id is too large")?;
+        // SAFETY: `kill` takes no pointers, and the child has not been waited
+        // for, so the id is still its own.
+        unsafe { libc::kill(pid, libc::SIGTERM) };
+        let end = Instant::now() + STOP_TIMEOUT;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait()? {
+                if status.success() {
+                    return Ok(());
+                }
+                bail!("{} ended with {status}", self.name);
+            }
+            std::thread::sleep(STOP_PAUSE);
+        }
+        bail!("{} did not end within {STOP_TIMEOUT:?}", self.name)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A process that has ended already needs no kill.
+        let _ignored = self.child.kill();
+        let _ignored = self.child.wait();
+    }
+}
+
+fn beside(program: &str) -> eyre::Result<PathBuf> {
+    let own = std::env::current_exe().wrap_err("failed to find the running program")?;
+    let path = own.with_file_name(program);
+    if !path.exists() {
+        bail!(
+            "`{}` is missing; build all programs with `make`",
+            path.display()
+        );
+    }
+    Ok(path)
+}
+
+fn read_ready(out: std::process::ChildStdout) -> Receiver<Ready> {
+    let (tx, ready) = mpsc::channel();
+    std::thread::spawn(move || {
+        for line in BufReader::new(out).lines().map_while(Result::ok) {
+            let parsed = line.strip_prefix("ready ").map(serde_json::from_str);
+            if let Some(Ok(parsed)) = parsed {
+                // The demo may have given up on this process.
+                let _ignored = tx.send(parsed);
+            }
+        }
+    });
+    ready
+}
+
+/// The running deployment.
+#[derive(Debug)]
+pub struct Running {
+    /// HTTP addresses of the control members.
+    pub members: Vec<String>,
+    /// HTTP addresses of the entries.
+    pub entries: Vec<String>,
+    /// Addresses of the agents, in the order of the backend servers.
+    pub agents: Vec<String>,
+    /// Addresses of the backend servers.
+    pub backends: Vec<String>,
+    processes: Vec<Process>,
+}
+
+impl Running {
+    /// Starts all processes and waits until they are bound.
+    pub fn start(plan: &Plan, folder: &Path) -> eyre::Result<Self> {
+        let mut running = Self {
+            members: Vec::new(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            backends: Vec::new(),
+            processes: Vec::new(),
+        };
+        let ports = free_ports(MEMBERS * 2)?;
+        let polls: Vec<_> = ports[..MEMBERS]
+            .iter()
+            .map(|p| format!("127.0.0.1:{p}"))
+            .collect();
+        running.start_control(plan, folder, &ports)?;
+        running.start_backends(plan, folder)?;
+        running.start_agents(plan, folder, &polls)?;
+        for (name, centre) in plan.entries() {
+            let text = process_part(&name, centre) + &poll_part(&polls);
+            running.start_daemon(folder, &name, "cardamomtally-entry", &text)?;
+        }
+        running.entries = running.wait(plan.entries().len())?;
+        Ok(running)
+    }
+
+    /// Stops one process after the other, in the order in which work flows.
+    pub fn stop(&mut self) -> eyre::Result<usize> {
+        let mut stopped = 0;
+        for process in self.processes.iter_mut().rev().filter(|p| p.daemon) {
+            process.stop()?;
+            stopped += 1;
+        }
+        Ok(stopped)
+    }
+
+    /// Prints the last lines of each log.
+    pub fn print_logs(&self, shell: Shell) {
+        for process in &self.processes {
+            // A log that cannot be read has nothing to show.
+            let text = fs::read_to_string(&process.log).unwrap_or_default();
+            let lines: Vec<_> = text.lines().collect();
+            for line in &lines[lines.len().saturating_sub(LOG_LINES)..] {
+                shell.status(&process.name, line);
+            }
+        }
+    }
+
+    fn start_control(&mut self, plan: &Plan, folder: &Path, ports: &[u16]) -> eyre::Result<()> {
+        for n in 0..MEMBERS {
+            let name = format!("control-{}", n + 1);
+            let centre = plan.centres[n % plan.centres.len()];
+            let mut text = process_part(&name, centre);
+            text += &group_part(&folder.join(&name), ports);
+            text += &operator_part(plan);
+            self.start_daemon(folder, &name, "cardamomtally-control", &text)?;
+        }
+        self.members = self.wait(MEMBERS)?;
+        Ok(())
+    }
+
+    fn start_backends(&mut self, plan: &Plan, folder: &Path) -> eyre::Result<()> {
+        for Backend { name, engine, .. } in &plan.backends {
+            let kind = if *engine { "engine" } else { "service" };
+            let name = format!("{name}-backend");
+            let process = Process::start(folder, &name, "cardamomtally-standin", &[kind])?;
+            self.processes.push(process);
+        }
+        self.backends = self.wait(plan.backends.len())?;
+        Ok(())
+    }
+
+    fn start_agents(&mut self, plan: &Plan, folder: &Path, polls: &[String]) -> eyre::Result<()> {
+        for (backend, addr) in plan.backends.iter().zip(self.backends.clone()) {
+            let text = process_part(&backend.name, backend.centre)
+                + &poll_part(polls)
+                + &format!("[backend]\nurl = \"http://{addr}\"\n");
+            self.start_daemon(folder, &backend.name, "cardamomtally-agent", &text)?;
+        }
+        self.agents = self.wait(plan.backends.len())?;
+        Ok(())
+    }
+
+    fn start_daemon(
+        &mut self,
+        folder: &Path,
+        name: &str,
+        program: &str,
+        settings: &str,
+    ) -> eyre::Result<()> {
+        let file = folder.join(format!("{name}.toml"));
+        fs::write(&file, settings).wrap_err("failed to write a settings file")?;
+        let file = file.display().to_string();
+        let process = Process::start(folder, name, program, &["--settings", &file])?;
+        self.processes.push(process);
+        Ok(())
+    }
+
+    /// Waits until the last `count` processes are bound.
+    fn wait(&self, count: usize) -> eyre::Result<Vec<String>> {
+        let last = &self.processes[self.processes.len() - count..];
+        last.iter().map(Process::wait_ready).collect()
+    }
+}
+
+fn process_part(name: &str, centre: &str) -> String {
+    format!("[process]\nname = \"{name}\"\ndata_centre = \"{centre}\"\n[log]\nform = \"text\"\n")
+}
+
+fn group_part(data: &Path, ports: &[u16]) -> String {
+    let mut text = format!("[group]\nfolder = \"{}\"\n", data.display());
+    let (polls, peers) = ports.split_at(MEMBERS);
+    let members = polls.iter().zip(peers).zip(1..);
+    text.extend(members.map(|((poll, peer), n)| {
+        format!(
+            "[[group.member]]\nname = \"control-{n}\"\npoll = \"127.0.0.1:{poll}\"\n\
+             peer = \"127.0.0.1:{peer}\"\n"
+        )
+    }));
+    text
+}
+
+fn operator_part(plan: &Plan) -> String {
+    format!(
+        "[[operator]]\npartner = \"{}\"\ntoken_sha256 = \"{}\"\n",
+        plan.partner,
+        hash_secret(&plan.token())
+    )
+}
+
+fn poll_part(members: &[String]) -> String {
+    format!("[control]\nmembers = {members:?}\ninterval = \"500ms\"\n")
+}
+
+/// Returns ports that were free a moment ago.
+fn free_ports(count: usize) -> eyre::Result<Vec<u16>> {
+    let listeners: Result<Vec<_>, _> = (0..count)
+        .map(|_n| TcpListener::bind("127.0.0.1:0"))
+        .collect();
+    let listeners = listeners.wrap_err("failed to find free ports")?;
+    let port = |listener: &TcpListener| Ok(listener.local_addr()?.port());
+    listeners.iter().map(port).collect()
+}
