--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -1,1 +1,383 @@
-//! Decoders of outside bytes.
+//! Decoders of bytes from outside or from disk: no panic, no unbounded memory.
+//!
+//! Each decoder gets arbitrary bytes and damaged copies of good input. Cases and
+//! random numbers are fixed, so that each run has the same verdict. The memory
+//! that a decoder holds at once is bounded by a multiple of its input's length.
+
+use crate::support::{
+    Ticket,
+    meter::peak_bytes,
+    small::{LARGE, SMALL, WORKSPACE},
+};
+use bytes::Bytes;
+use cardamomtally::{
+    agent::whole::{Checker, Form},
+    control::{machine, ticket},
+    core::{
+        claim::{Bill, ClaimKey, ClaimOp},
+        config::{Config, VersionId},
+        digest::Digest,
+        engine::EngineLoad,
+        id::{AttemptId, Incarnation, Index, RequestId},
+        log::Machine,
+    },
+    entry::{call::Completion, frames::FrameReader},
+    ledger::{self, command::Command},
+    net::{
+        codec, delta,
+        run::{Frame, Probe, RunHead, Usage},
+        wire::{Poll, Request, Response, Role},
+    },
+    settings::{self, AgentSettings, ControlSettings, EntrySettings, units::Size},
+};
+use futures::FutureExt as _;
+use proptest::{
+    prelude::{Just, Strategy, any, prop_oneof},
+    test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner},
+};
+use std::{sync::Arc, time::Duration};
+
+/// Damaged inputs for each decoder.
+const CASES: u32 = 512;
+
+/// Longest arbitrary input in bytes.
+const INPUT_BYTES: usize = 512;
+
+/// Memory that any decoder may hold, whatever its input.
+const BASE_BYTES: usize = 4 << 20;
+
+/// Memory that a decoder may hold for each byte of its input.
+const BYTES_A_BYTE: usize = 1_024;
+
+/// Returns damaged copies of good inputs, and arbitrary bytes.
+fn hostile(good: Vec<Vec<u8>>) -> impl Strategy<Value = Vec<u8>> {
+    let arbitrary = proptest::collection::vec(any::<u8>(), 0..INPUT_BYTES);
+    if good.is_empty() {
+        return arbitrary.boxed();
+    }
+    let index = any::<proptest::sample::Index>();
+    let damage = proptest::collection::vec((index, any::<u8>()), 0..6);
+    let copy = proptest::sample::select(good);
+    let damaged =
+        (copy, damage, index, any::<bool>()).prop_map(|(mut bytes, damage, cut, whole)| {
+            for (at, byte) in damage {
+                if !bytes.is_empty() {
+                    let at = at.index(bytes.len());
+                    bytes[at] = byte;
+                }
+            }
+            if !whole {
+                bytes.truncate(cut.index(bytes.len() + 1));
+            }
+            bytes
+        });
+    prop_oneof![1 => arbitrary, 3 => damaged, 1 => Just(huge_lengths())].boxed()
+}
+
+/// Returns CBOR that claims far more items than it has.
+fn huge_lengths() -> Vec<u8> {
+    let array = [0x9b, 0x00, 0x00, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff];
+    let string = [0x5b, 0x00, 0x00, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff];
+    [array, string].concat()
+}
+
+/// Feeds hostile inputs to a decoder.
+fn feed(good: Vec<Vec<u8>>, decode: impl Fn(&[u8])) {
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let cases = Cases {
+        cases: CASES,
+        failure_persistence: None,
+        ..Cases::default()
+    };
+    let mut runner = TestRunner::new_with_rng(cases, rng);
+    let outcome = runner.run(&hostile(good), |bytes| {
+        let peak = peak_bytes(|| decode(&bytes));
+        let most = BASE_BYTES + BYTES_A_BYTE * bytes.len();
+        proptest::prop_assert!(peak <= most, "{peak} bytes for an input of {}", bytes.len());
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+/// Feeds the text of hostile inputs to a decoder.
+fn feed_text(good: &[&str], decode: impl Fn(&str)) {
+    let good = good.iter().map(|text| text.as_bytes().to_vec()).collect();
+    feed(good, |bytes| decode(&String::from_utf8_lossy(bytes)));
+}
+
+fn some_poll() -> Poll {
+    Poll {
+        name: "entry-1".into(),
+        role: Role::Entry,
+        incarnation: Incarnation(7),
+        centre: "glasgow".into(),
+        http: "127.0.0.1:1".into(),
+        holds: Index(3),
+        digest: Digest::of(b"x"),
+        health: Vec::new(),
+        crashes: Vec::new(),
+        cleared: Vec::new(),
+    }
+}
+
+fn some_bill() -> Bill {
+    let id = VersionId {
+        partner: "clydeside".into(),
+        name: SMALL.into(),
+    };
+    Bill {
+        request: some_request(),
+        partner: "clydeside".into(),
+        workspace: WORKSPACE.into(),
+        version: id,
+        prompt_tokens: 3,
+        completion_tokens: 5,
+        cost_micros: 8,
+    }
+}
+
+const fn some_request() -> RequestId {
+    RequestId {
+        entry: Incarnation(0xfeed),
+        seq: 42,
+    }
+}
+
+fn some_ops() -> Vec<ClaimOp> {
+    let key = ClaimKey::request("clydeside", WORKSPACE, "k");
+    vec![
+        ClaimOp::Bill(some_bill()),
+        ClaimOp::Look { key },
+        ClaimOp::Bills,
+    ]
+}
+
+fn some_frames() -> Vec<u8> {
+    let frames = [
+        Frame::Head {
+            status: 200,
+            media: "text/plain".into(),
+        },
+        Frame::Data {
+            offset: 0,
+            bytes: vec![1, 2, 3],
+        },
+        Frame::End {
+            length: 3,
+            usage: Usage::default(),
+        },
+    ];
+    let framed = frames.iter().flat_map(|frame| {
+        let bytes = codec::encode(frame);
+        let length = u32::try_from(bytes.len()).unwrap();
+        [length.to_be_bytes().to_vec(), bytes].concat()
+    });
+    framed.collect()
+}
+
+#[test]
+fn tickets() {
+    let good = Ticket::new("clydeside", 1)
+        .centre("glasgow", "in")
+        .backend(
+            "gla-e1",
+            Some(("glasgow", "127.0.0.1:1")),
+            &[SMALL],
+            &["queue"],
+        )
+        .version(SMALL, 0.2, "in-service")
+        .rolling(LARGE, 1.0, 0.5)
+        .cascade("summaries", &[SMALL, LARGE])
+        .service("queue", "/queue")
+        .workspace(WORKSPACE, &[SMALL], &["queue"])
+        .text();
+
+    feed_text(&[&good], |text| {
+        let judged = ticket::check("ticket.toml", text, Some(&Config::default()));
+        assert!(judged.is_ok() || judged.is_err_and(|findings| !findings.0.is_empty()));
+    });
+}
+
+#[test]
+fn settings_files() {
+    let good = [
+        include_str!("../cases/settings/good/agent-small.toml"),
+        include_str!("../cases/settings/good/control-small.toml"),
+        include_str!("../cases/settings/good/entry-small.toml"),
+    ];
+
+    feed_text(&good, |text| {
+        let agent = settings::parse::<AgentSettings>("a.toml", text).map(drop);
+        let control = settings::parse::<ControlSettings>("c.toml", text).map(drop);
+        let entry = settings::parse::<EntrySettings>("e.toml", text).map(drop);
+        let refused = [agent, control, entry].into_iter().filter_map(Result::err);
+        assert!(refused.into_iter().all(|findings| !findings.0.is_empty()));
+    });
+}
+
+#[test]
+fn identifiers_and_units() {
+    let good = [
+        some_request().to_string(),
+        "feed-1-2".to_owned(),
+        "64KiB".to_owned(),
+    ];
+    let good: Vec<_> = good.iter().map(String::as_str).collect();
+
+    feed_text(&good, |text| {
+        // What parses must be written and read back the same.
+        if let Ok(id) = text.parse::<RequestId>() {
+            assert_eq!(id.to_string().parse(), Ok(id));
+        }
+        if let Ok(id) = text.parse::<AttemptId>() {
+            assert_eq!(id.to_string().parse(), Ok(id));
+        }
+        if let Some(size) = Size::parse(text) {
+            assert_eq!(Size::parse(&size.to_string()), Some(size));
+        }
+        if let Some(digest) = Digest::parse(text) {
+            assert_eq!(Digest::parse(&digest.to_string()), Some(digest));
+        }
+    });
+}
+
+#[test]
+fn control_messages() {
+    let good = vec![
+        codec::encode(&Request::Poll(some_poll())),
+        codec::encode(&Request::Claims(some_ops())),
+        codec::encode(&Response::Unavailable {
+            reason: "no quorum".to_owned(),
+            refused: true,
+        }),
+        codec::encode(&Config::default()),
+    ];
+
+    feed(good, |bytes| {
+        // What decodes must survive another round.
+        if let Ok(request) = codec::decode::<Request>(bytes) {
+            let again = codec::decode::<Request>(&codec::encode(&request)).unwrap();
+            assert_eq!(format!("{again:?}"), format!("{request:?}"));
+        }
+        if let Ok(response) = codec::decode::<Response>(bytes) {
+            assert!(codec::decode::<Response>(&codec::encode(&response)).is_ok());
+        }
+    });
+}
+
+#[test]
+fn configuration_patches() {
+    let from = Config::default();
+    let to = Config {
+        index: Index(9),
+        ..Config::default()
+    };
+    let good = vec![delta::diff(&from, &to).unwrap()];
+
+    feed(good, |bytes| {
+        if let Ok(config) = delta::apply(&from, bytes) {
+            assert!(codec::decode::<Config>(&codec::encode(&config)).is_ok());
+        }
+    });
+}
+
+#[test]
+fn log_commands_and_snapshots() {
+    let command = Command {
+        tick: None,
+        ops: some_ops(),
+    };
+    let mut shard = ledger::machine::Ledger::default();
+    shard.apply(Index(1), &command.encode());
+    let store = Arc::<machine::Store>::default();
+    let good = vec![
+        command.encode(),
+        shard.snapshot(),
+        machine::Machine::new(Arc::clone(&store)).snapshot(),
+    ];
+
+    feed(good, |bytes| {
+        let mut shard = ledger::machine::Ledger::default();
+        shard.apply(Index(1), bytes);
+        let restored = shard.restore(bytes).is_ok();
+        let mut config = machine::Machine::new(Arc::clone(&store));
+        config.apply(Index(1), bytes);
+        let both = restored && config.restore(bytes).is_ok();
+        assert!(!both || !bytes.is_empty());
+    });
+}
+
+#[test]
+fn frames_of_an_answer() {
+    feed(vec![some_frames()], |bytes| {
+        let whole = Bytes::copy_from_slice(bytes);
+        let stream = futures::stream::iter([Ok::<_, String>(whole)]);
+        let mut reader = FrameReader::new(stream, Duration::from_mins(1));
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .build();
+        let mut offset = 0;
+        let read = runtime.unwrap().block_on(async {
+            while reader
+                .read(&mut offset)
+                .now_or_never()
+                .is_some_and(|batch| batch.is_ok())
+            {}
+        });
+        assert_eq!((read, offset <= bytes.len() as u64), ((), true));
+    });
+}
+
+#[test]
+fn bodies_of_callers() {
+    let good = [
+        r#"{"model":"draft-small@1","messages":[{"role":"user","content":"hello"}],"stream":true}"#,
+        r#"{"prompt":"hello","stream_options":{"include_usage":false}}"#,
+    ];
+    let good = good.iter().map(|text| text.as_bytes().to_vec()).collect();
+
+    feed(good, |bytes| {
+        if let Ok(body) = Completion::parse(bytes) {
+            let sent = body.body_for(LARGE);
+            let again = Completion::parse(&sent).unwrap();
+            assert_eq!(again.model, LARGE);
+        }
+    });
+}
+
+#[test]
+fn answers_of_engines() {
+    let request = some_request();
+    let stream = format!("data: {{\"id\":\"{request}\",\"choices\":[]}}\n\ndata: [DONE]\n\n");
+    let good = [
+        stream.as_str(),
+        r#"{"id":"000000000000feed-42","usage":{"prompt_tokens":1,"completion_tokens":2}}"#,
+    ];
+
+    feed_text(&good, |text| {
+        for form in [Form::Stream, Form::Json, Form::Plain] {
+            let mut checker = Checker::new(form, request);
+            let passed = checker.push(&Bytes::from(text.to_owned()));
+            let passed = passed.map_or(0, |bytes| bytes.len());
+            let rest = checker.finish().map_or(0, |bytes| bytes.len());
+            assert!(passed + rest <= text.len());
+        }
+    });
+}
+
+#[test]
+fn reports_and_headers() {
+    let good = [
+        r#"{"incarnation":1,"running":2,"queued":3,"cache_used":0.5,"versions":["a@1"]}"#,
+        r#"{"backend":"b","incarnation":1,"load":{"running":1,"queued":0,"limit":2,"delay_ms":3,"warming":false,"leaving":false},"ready":true}"#,
+    ];
+
+    feed_text(&good, |text| {
+        if let Ok(load) = serde_json::from_str::<EngineLoad>(text) {
+            assert!(serde_json::to_string(&load).is_ok());
+        }
+        let probe = serde_json::from_str::<Probe>(text);
+        let head = serde_json::from_str::<RunHead>(text);
+        assert!(probe.is_err() || head.is_err());
+    });
+}
--- /dev/null
+++ b/tests/testsuite/support/meter.rs
@@ -0,0 +1,48 @@
+//! Memory used by one piece of work on the test's own thread.
+
+use std::{
+    alloc::{GlobalAlloc, Layout, System},
+    cell::Cell,
+};
+
+thread_local! {
+    static HELD: Cell<isize> = const { Cell::new(0) };
+    static PEAK: Cell<isize> = const { Cell::new(0) };
+}
+
+/// The system's allocator, which counts each thread's bytes.
+struct Meter;
+
+#[global_allocator]
+static METER: Meter = Meter;
+
+// SAFETY: all calls go to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Meter {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        count(layout.size().cast_signed());
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        count(-layout.size().cast_signed());
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+fn count(bytes: isize) {
+    // A thread that is ending has no counters left, and no work to meter.
+    let _ignored = HELD.try_with(|held| {
+        held.set(held.get() + bytes);
+        let _ignored = PEAK.try_with(|peak| peak.set(peak.get().max(held.get())));
+    });
+}
+
+/// Runs some work and returns the most bytes that it held at once.
+pub fn peak_bytes(work: impl FnOnce()) -> usize {
+    let before = HELD.get();
+    PEAK.set(before);
+    work();
+    usize::try_from(PEAK.get() - before).unwrap_or(0)
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod caller;
 pub mod link;
+pub mod meter;
 pub mod process;
 pub mod settings;
 pub mod site;
