--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -8,14 +8,17 @@
 
 pub mod caller;
 pub mod link;
+pub mod meter;
 pub mod process;
 pub mod settings;
 pub mod site;
 pub mod small;
 pub mod tickets;
+pub mod traffic;
 pub mod wait;
 
 pub use caller::{Caller, Reply};
-pub use site::{Site, site};
+pub use site::Site;
 pub use tickets::Ticket;
+pub use traffic::{Sent, Traffic};
 pub use wait::{eventually, until};
