--- a/src/cardamomtally/daemon/http.rs
+++ b/src/cardamomtally/daemon/http.rs
@@ -14,7 +14,11 @@
     serde::json::Json,
 };
 use serde::Serialize;
-use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Seconds that the listener waits for open connections after the drain.
@@ -82,10 +86,17 @@
     context: &Context,
     bound: Bound,
 ) -> eyre::Result<()> {
+    let advertise = settings.advertise.clone();
+    let known = Arc::clone(&context.http);
     let rocket = rocket.attach(AdHoc::on_liftoff("ready line", move |rocket| {
         let mut line = bound;
         line.http = format!("{}:{}", rocket.config().address, rocket.config().port);
-        Box::pin(async move { print_ready(&line) })
+        let http = advertise.unwrap_or_else(|| line.http.clone());
+        Box::pin(async move {
+            // Only this listener sets the address.
+            let _first = known.set(http.into());
+            print_ready(&line);
+        })
     }));
     let rocket = rocket
         .ignite()
--- a/src/cardamomtally/daemon/mod.rs
+++ b/src/cardamomtally/daemon/mod.rs
@@ -10,7 +10,10 @@
 pub mod launch;
 
 use crate::{
-    core::clock::{Clock, SystemClock},
+    core::{
+        clock::{Clock, SystemClock},
+        id::Name,
+    },
     settings::common::{LogSettings, ProcessSettings, TimelineSettings},
     timeline::Recorder,
     util::log,
@@ -20,7 +23,7 @@
 use slog::Logger;
 use std::{
     fmt,
-    sync::{Arc, atomic::AtomicBool},
+    sync::{Arc, OnceLock, atomic::AtomicBool},
 };
 
 /// What is handed down through a daemon instead of globals.
@@ -36,28 +39,38 @@
     pub gate: Arc<Gate>,
     /// Whether the process takes work; `/health/ready` shows it.
     pub ready: Arc<AtomicBool>,
+    /// The HTTP address that other processes use, once it is bound.
+    pub http: Arc<OnceLock<Name>>,
     /// Renders metrics.
     pub metrics: PrometheusHandle,
 }
 
 impl Context {
     /// Builds a context from settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the event file cannot be opened.
     pub fn new(
         process: &ProcessSettings,
         log: &LogSettings,
         timeline: &TimelineSettings,
         metrics: PrometheusHandle,
-    ) -> Self {
+    ) -> eyre::Result<Self> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
-        let events = Recorder::new(&process.name, Arc::clone(&clock), timeline.events);
-        Self {
+        let mut events = Recorder::new(&process.name, Arc::clone(&clock), timeline.events);
+        if let Some(path) = &timeline.file {
+            events = events.with_file(path)?;
+        }
+        Ok(Self {
             log: log::root(log, &process.name),
             clock,
             events: Arc::new(events),
             gate: Arc::default(),
             ready: Arc::default(),
+            http: Arc::default(),
             metrics,
-        }
+        })
     }
 }
 
--- a/src/cardamomtally/settings/agent.rs
+++ b/src/cardamomtally/settings/agent.rs
@@ -1,7 +1,7 @@
 //! Settings of an agent.
 
 use super::{
-    Settings,
+    Document, Settings, checks,
     common::{HttpSettings, LogSettings, PollSettings, ProcessSettings, TimelineSettings},
     units::{Size, Span},
 };
@@ -43,7 +43,54 @@
 }
 
 impl Settings for AgentSettings {
-    fn check(&self, _file: &str, _text: &str, _findings: &mut Findings) {}
+    const EXAMPLE: &'static str = include_str!("../../../examples/agent.toml");
+
+    fn check(&self, document: &Document<'_>, findings: &mut Findings) {
+        checks::process(&self.process, document, findings);
+        checks::http(&self.http, document, findings);
+        checks::poll(&self.control, document, findings);
+        checks::url(&self.backend.url, "backend.url", document, findings);
+        checks::span(
+            self.backend.load_interval,
+            "backend.load_interval",
+            document,
+            findings,
+        );
+        checks::count(
+            self.admission.cold_limit.into(),
+            "admission.cold_limit",
+            document,
+            findings,
+        );
+        checks::span(
+            self.admission.target,
+            "admission.target",
+            document,
+            findings,
+        );
+        if self.admission.cold_limit > self.admission.warm_limit {
+            let message = "`cold_limit` must not be above `warm_limit`";
+            document.fault(findings, "admission.cold_limit", message);
+        }
+        checks::optional_url(
+            self.weights.url.as_deref(),
+            "weights.url",
+            document,
+            findings,
+        );
+        checks::optional_url(
+            self.platform.url.as_deref(),
+            "platform.url",
+            document,
+            findings,
+        );
+        checks::span(
+            self.platform.interval,
+            "platform.interval",
+            document,
+            findings,
+        );
+    }
 }
 
 /// The backend server beside the agent.
@@ -76,6 +123,8 @@
     pub cold_limit: u32,
     /// Attempts that a warm one bears at once.
     pub warm_limit: u32,
+    /// What each good completion adds to the limit while it warms up.
+    pub growth: f64,
     /// Time to first token above which the limit shrinks.
     pub target: Span,
     /// Most attempts that wait.
@@ -89,6 +138,7 @@
         Self {
             cold_limit: 2,
             warm_limit: 64,
+            growth: 0.5,
             target: Span::ms(330),
             queue: 32,
             queue_timeout: Span::secs(2),
