--- a/benches/decisions.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-//! Measurement of decisions; prints one JSON object as its last line.
-
-fn main() {
-    println!("{{}}");
-}
--- /dev/null
+++ b/benches/decisions/cascade.rs
@@ -0,0 +1,244 @@
+//! Cost at a quality target, on a synthetic model.
+//!
+//! Ten workspaces ask requests of four classes, which their length shows. Each
+//! version has a mean quality for each workspace and class; an answer's quality
+//! varies about it. The rating service sees 5% of the answers, with an error, is
+//! down for a tenth of the time and biased for a twentieth. Always-best and
+//! always-cheapest are as named. The fixed-threshold cascade starts with the
+//! cheapest version, has every answer rated and escalates below a threshold; of
+//! all thresholds the one is taken that meets the target at the least cost. The
+//! oracle knows all mean qualities and solves the linear program of each
+//! workspace.
+
+use cardamomtally::{
+    core::config::VersionId,
+    prelude::*,
+    routing::cascade::{CLASSES, Cascades, Step, WorkspaceId},
+};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+
+/// The quality that each workspace asks.
+pub const TARGET: f64 = 0.85;
+
+const WORKSPACES: usize = 10;
+const REQUESTS: usize = 100_000;
+const SAMPLE: f64 = 0.05;
+const COSTS: [f64; 3] = [0.2, 1.0, 5.0];
+const MEANS: [[f64; CLASSES]; 3] = [
+    [0.92, 0.84, 0.70, 0.45],
+    [0.95, 0.92, 0.84, 0.70],
+    [0.97, 0.96, 0.94, 0.91],
+];
+const CLASS_SHARES: [f64; CLASSES] = [0.4, 0.3, 0.2, 0.1];
+const ANSWER_SPREAD: f64 = 0.15;
+const RATER_ERROR: f64 = 0.05;
+const RATER_BIAS: f64 = 0.1;
+const BISECTIONS: u32 = 60;
+
+/// Mean cost and quality of a request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Mean {
+    pub cost: f64,
+    pub quality: f64,
+}
+
+/// What each policy reaches.
+#[derive(Clone, Copy, Debug)]
+pub struct Comparison {
+    pub learned: Mean,
+    pub oracle: Mean,
+    pub best: Mean,
+    pub cheapest: Mean,
+    pub threshold: Mean,
+}
+
+type Means = [[f64; CLASSES]; 3];
+
+fn workspace_means(rng: &mut SmallRng) -> Means {
+    MEANS.map(|version| {
+        version.map(|mean| (mean + rng.random_range(-0.04..0.04_f64)).clamp(0.0, 0.99))
+    })
+}
+
+fn draw_class(rng: &mut SmallRng) -> usize {
+    let mut left = rng.random::<f64>();
+    CLASS_SHARES
+        .iter()
+        .position(|share| {
+            left -= share;
+            left < 0.0
+        })
+        .unwrap_or(CLASSES - 1)
+}
+
+fn answer(means: &Means, version: usize, class: usize, rng: &mut SmallRng) -> f64 {
+    let mean = means[version][class];
+    // The spread shrinks near the edges, so that the mean stays the mean.
+    let spread = ANSWER_SPREAD.min(1.0 - mean).min(mean);
+    mean + rng.random_range(-spread..=spread)
+}
+
+/// Returns the rating of an answer, unless the service is down.
+fn rate(quality: f64, at: usize, rng: &mut SmallRng) -> Option<f64> {
+    let phase = at % 10_000;
+    let bias = if phase < 500 { RATER_BIAS } else { 0.0 };
+    let error = rng.random_range(-RATER_ERROR..=RATER_ERROR);
+    let down = (5_000..6_000).contains(&phase);
+    (!down).then_some((quality + error + bias).clamp(0.0, 1.0))
+}
+
+fn average(parts: &[Mean]) -> Mean {
+    let count = parts.len() as f64;
+    Mean {
+        cost: parts.iter().map(|m| m.cost).sum::<f64>() / count,
+        quality: parts.iter().map(|m| m.quality).sum::<f64>() / count,
+    }
+}
+
+fn per_request(sum: Mean) -> Mean {
+    Mean {
+        cost: sum.cost / REQUESTS as f64,
+        quality: sum.quality / REQUESTS as f64,
+    }
+}
+
+fn steps() -> Vec<Step> {
+    (0..COSTS.len())
+        .map(|i| Step {
+            version: VersionId {
+                partner: "p".into(),
+                name: format!("v@{i}").into(),
+            },
+            cost: COSTS[i],
+        })
+        .collect()
+}
+
+/// The product's policy: plan, sampled ratings, escalation of rated answers.
+fn learned(means: &Means, number: usize, rng: &mut SmallRng) -> Mean {
+    let steps = steps();
+    let id = WorkspaceId {
+        partner: "p".into(),
+        name: format!("w{number}").into(),
+    };
+    let mut cascades = Cascades::default();
+    let mut sum = Mean::default();
+    for at in 0..REQUESTS {
+        let class = draw_class(rng);
+        let plan = cascades.plan(&id, TARGET, &steps, class as u8, rng);
+        let mut step = plan.step;
+        let quality = loop {
+            let quality = answer(means, step, class, rng);
+            sum.cost += COSTS[step];
+            let drawn = plan.explore || rng.random_bool(SAMPLE);
+            let rating = drawn.then(|| rate(quality, at, rng)).flatten();
+            if let Some(score) = rating {
+                cascades.rated(&id, &steps[step].version, class as u8, score);
+            }
+            let escalates = rating.is_some_and(|score| score < TARGET);
+            if !escalates || step + 1 == steps.len() {
+                break quality;
+            }
+            step += 1;
+        };
+        sum.quality += quality;
+    }
+    per_request(sum)
+}
+
+fn fixed(means: &Means, version: usize, rng: &mut SmallRng) -> Mean {
+    let mut sum = Mean::default();
+    for _ in 0..REQUESTS {
+        let class = draw_class(rng);
+        sum.cost += COSTS[version];
+        sum.quality += answer(means, version, class, rng);
+    }
+    per_request(sum)
+}
+
+fn threshold(means: &Means, limit: f64, rng: &mut SmallRng) -> Mean {
+    let mut sum = Mean::default();
+    for at in 0..REQUESTS {
+        let class = draw_class(rng);
+        let mut step = 0;
+        sum.quality += loop {
+            let quality = answer(means, step, class, rng);
+            sum.cost += COSTS[step];
+            let rating = rate(quality, at, rng);
+            let escalates = rating.is_some_and(|score| score < limit);
+            if !escalates || step + 1 == COSTS.len() {
+                break quality;
+            }
+            step += 1;
+        };
+    }
+    per_request(sum)
+}
+
+fn best_threshold(all: &[Means], rng: &mut SmallRng) -> Mean {
+    (50..=95)
+        .step_by(3)
+        .map(|percent| {
+            let limit = f64::from(percent) / 100.0;
+            let parts: Vec<Mean> = all.iter().map(|m| threshold(m, limit, rng)).collect();
+            average(&parts)
+        })
+        .filter(|mean| mean.quality >= TARGET)
+        .min_by(|a, b| a.cost.total_cmp(&b.cost))
+        .unwrap_or_default()
+}
+
+/// Solves the linear program by its price of quality; at the right price two
+/// neighbouring solutions are mixed so that the target is just met.
+fn oracle(means: &Means) -> Mean {
+    let (mut low, mut high) = (0.0, 1_000.0);
+    for _ in 0..BISECTIONS {
+        let price = (low + high) / 2.0;
+        if at_price(means, price).quality < TARGET {
+            low = price;
+        } else {
+            high = price;
+        }
+    }
+    let (under, over) = (at_price(means, low), at_price(means, high));
+    let gap = over.quality - under.quality;
+    let share = if gap > 0.0 && under.quality < TARGET {
+        (TARGET - under.quality) / gap
+    } else {
+        1.0
+    };
+    Mean {
+        cost: under.cost + share * (over.cost - under.cost),
+        quality: under.quality + share * gap,
+    }
+}
+
+fn at_price(means: &Means, price: f64) -> Mean {
+    let mut sum = Mean::default();
+    for (class, share) in CLASS_SHARES.iter().enumerate() {
+        let value = |v: &usize| price * means[*v][class] - COSTS[*v];
+        let version = (0..COSTS.len())
+            .max_by(|a, b| value(a).total_cmp(&value(b)))
+            .unwrap_or_default();
+        sum.cost += share * COSTS[version];
+        sum.quality += share * means[version][class];
+    }
+    sum
+}
+
+/// Runs all policies.
+pub fn compare() -> Comparison {
+    let mut rng = SmallRng::seed_from_u64(5);
+    let all: Vec<Means> = (0..WORKSPACES).map(|_| workspace_means(&mut rng)).collect();
+    let each = |policy: &mut dyn FnMut(usize, &Means) -> Mean| {
+        let parts: Vec<Mean> = all.iter().enumerate().map(|(i, m)| policy(i, m)).collect();
+        average(&parts)
+    };
+    Comparison {
+        learned: each(&mut |i, m| learned(m, i, &mut rng)),
+        oracle: each(&mut |_, m| oracle(m)),
+        best: each(&mut |_, m| fixed(m, COSTS.len() - 1, &mut SmallRng::seed_from_u64(6))),
+        cheapest: each(&mut |_, m| fixed(m, 0, &mut SmallRng::seed_from_u64(7))),
+        threshold: best_threshold(&all, &mut SmallRng::seed_from_u64(8)),
+    }
+}
--- /dev/null
+++ b/benches/decisions/choice.rs
@@ -0,0 +1,154 @@
+//! Time of one routing decision with 600 engines and 34 versions.
+
+use cardamomtally::{
+    core::{
+        config::{
+            BackendSite, BackendState, BackendView, CentreState, Config, PartnerState, Service,
+            Stage, VersionState, WorkspaceState,
+        },
+        snapshot::hash_secret,
+    },
+    net::run::{Load, Probe, Target},
+    prelude::*,
+    routing::{
+        board::{Ask, Board},
+        cascade::{Cascades, Step, WorkspaceId},
+        version,
+    },
+    settings::entry::RoutingSettings,
+};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use std::{collections::BTreeMap, hint::black_box, time::Instant};
+
+const ENGINES: usize = 600;
+const VERSIONS: usize = 34;
+const CENTRES: usize = 7;
+const VERSIONS_PER_ENGINE: usize = 6;
+const DECISIONS: u32 = 200_000;
+
+fn version_name(number: usize) -> Name {
+    format!("model-{}@{}", number / 2, number % 2 + 1).into()
+}
+
+fn config() -> Config {
+    let versions = (0..VERSIONS).map(|i| {
+        let state = VersionState {
+            cost: 0.1 + i as f64,
+            stage: Stage::InService,
+            share: 1.0,
+        };
+        (version_name(i), state)
+    });
+    let workspace = WorkspaceState {
+        keys: vec![hash_secret("key").into()],
+        versions: (0..VERSIONS).map(version_name).collect(),
+        cascade: None,
+        quality: 0.8,
+        services: Vec::new(),
+        priority: 1,
+    };
+    let partner = PartnerState {
+        versions: versions.collect(),
+        workspaces: BTreeMap::from([("w".into(), workspace)]),
+        ..PartnerState::default()
+    };
+    let centre = CentreState {
+        region: "r".into(),
+        views: BTreeMap::new(),
+    };
+    Config {
+        index: Index(1),
+        partners: BTreeMap::from([("p".into(), partner)]),
+        centres: (0..CENTRES)
+            .map(|i| (format!("c{i}").into(), centre.clone()))
+            .collect(),
+        backends: (0..ENGINES)
+            .map(|i| (format!("e{i}").into(), backend(i)))
+            .collect(),
+        ..Config::default()
+    }
+}
+
+fn backend(number: usize) -> BackendState {
+    let view = BackendView {
+        state: Service::In,
+        versions: (0..VERSIONS_PER_ENGINE)
+            .map(|i| version_name((number + i * 7) % VERSIONS))
+            .collect(),
+        services: Vec::new(),
+    };
+    BackendState {
+        owner: "p".into(),
+        site: BackendSite {
+            centre: format!("c{}", number % CENTRES).into(),
+            agent: format!("10.0.{}.{}:7200", number / 250, number % 250).into(),
+            fencing: true,
+        },
+        views: BTreeMap::from([("p".into(), view)]),
+    }
+}
+
+fn board(snapshot: &Snapshot, rng: &mut SmallRng) -> Board {
+    let mut board = Board::new("entry-1", "c0", RoutingSettings::default());
+    board.adopt(snapshot);
+    for number in 0..ENGINES {
+        let probe = Probe {
+            backend: format!("e{number}").into(),
+            incarnation: Incarnation(1),
+            load: Load {
+                running: rng.random_range(0..32),
+                queued: 0,
+                limit: 32,
+                delay_ms: rng.random_range(20..200),
+                ..Load::default()
+            },
+            ready: true,
+            prefixes: Vec::new(),
+        };
+        board.probed(&probe, Mono(0));
+    }
+    board
+}
+
+/// Measures the choice of versions, cascade step and backend server together.
+pub fn route_us() -> f64 {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let snapshot = Snapshot::compile(&config());
+    let mut board = board(&snapshot, &mut rng);
+    let mut cascades = Cascades::default();
+    let key = snapshot.workspace_of("key").expect("the key is known");
+    let workspace = &snapshot.workspaces[key];
+    let id = WorkspaceId {
+        partner: Arc::clone(&workspace.partner),
+        name: Arc::clone(&workspace.name),
+    };
+    let started = Instant::now();
+    for number in 0..DECISIONS {
+        board.adopt(&snapshot);
+        let draw = u64::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let keys = version::versions(&snapshot, workspace, version::AUTO, draw)
+            .expect("versions are open");
+        let steps: Vec<Step> = keys
+            .iter()
+            .map(|key| Step {
+                version: snapshot.versions[*key].id.clone(),
+                cost: snapshot.versions[*key].cost,
+            })
+            .collect();
+        let plan = cascades.plan(&id, workspace.quality, &steps, 1, &mut rng);
+        // Plans learn from nothing here, so all versions are asked for in turn.
+        let step = &steps[(plan.step + number as usize) % steps.len()];
+        let target = Target::Version(step.version.clone());
+        let ask = Ask {
+            target: &target,
+            affinity: (number % 2 == 0).then_some(draw),
+            tried: &[],
+            quiet: false,
+        };
+        let pick = board.choose(&ask, Mono(1_000), &mut rng);
+        let slot = black_box(pick).expect("an engine is found").slot;
+        board.begin(slot);
+        board.end(slot);
+    }
+    started.elapsed().as_secs_f64() * 1e6 / f64::from(DECISIONS)
+}
--- /dev/null
+++ b/benches/decisions/delay.rs
@@ -0,0 +1,334 @@
+//! Time to first token under uneven load, on a model of engines.
+//!
+//! Twenty engines of unlike speed, four of which another party loads in bursts,
+//! serve four entries. An engine runs a number of requests at once and queues the
+//! rest; the first token comes after the wait in the queue and a prefill that
+//! takes longer the more requests run. Each entry decides with what it knows: the
+//! board by probes and its own requests in flight; least load by reports of all
+//! engines that are up to half a second old; random by nothing.
+
+use cardamomtally::{
+    core::config::{
+        BackendSite, BackendState, BackendView, CentreState, Config, PartnerState, Service, Stage,
+        VersionId, VersionState,
+    },
+    net::run::{Load, Probe, Target},
+    prelude::*,
+    routing::board::{Ask, Board, Outcome, SlotKey},
+    settings::entry::RoutingSettings,
+};
+use hdrhistogram::Histogram;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use std::{cmp::Reverse, collections::BTreeMap, collections::BinaryHeap, collections::VecDeque};
+
+const ENGINES: usize = 20;
+const ENTRIES: usize = 4;
+const SLOTS: usize = 8;
+const REQUESTS: u32 = 200_000;
+/// Mean time between requests of all entries, in microseconds.
+const GAP_US: f64 = 7_600.0;
+const SERVICE_US: f64 = 800_000.0;
+const PREFILL_US: f64 = 40_000.0;
+const REPORT_US: u64 = 500_000;
+const BURST_US: u64 = 8_000_000;
+
+/// 99th percentiles of time to first token, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Delays {
+    pub board: f64,
+    pub random: f64,
+    pub least_load: f64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Policy {
+    Board,
+    LeastLoad,
+    Random,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    speed: f64,
+    running: usize,
+    queue: VecDeque<Job>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Job {
+    entry: usize,
+    slot: Option<SlotKey>,
+    arrived: u64,
+    work_us: f64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum What {
+    Arrival,
+    Report,
+    Burst(usize),
+    FirstToken { engine: usize, job: usize },
+    End { engine: usize, job: usize },
+}
+
+struct World {
+    rng: SmallRng,
+    policy: Policy,
+    engines: Vec<Engine>,
+    boards: Vec<Board>,
+    reports: Vec<usize>,
+    jobs: Vec<Job>,
+    events: BinaryHeap<Reverse<(u64, u64, What)>>,
+    sequence: u64,
+    delays: Histogram<u64>,
+}
+
+fn target() -> Target {
+    Target::Version(VersionId {
+        partner: "p".into(),
+        name: "m@1".into(),
+    })
+}
+
+fn snapshot() -> Snapshot {
+    let version = VersionState {
+        cost: 1.0,
+        stage: Stage::InService,
+        share: 1.0,
+    };
+    let partner = PartnerState {
+        versions: BTreeMap::from([("m@1".into(), version)]),
+        ..PartnerState::default()
+    };
+    let centre = CentreState {
+        region: "r".into(),
+        views: BTreeMap::new(),
+    };
+    let backends = (0..ENGINES).map(|i| {
+        let view = BackendView {
+            state: Service::In,
+            versions: vec!["m@1".into()],
+            services: Vec::new(),
+        };
+        let state = BackendState {
+            owner: "p".into(),
+            site: BackendSite {
+                centre: "c".into(),
+                agent: format!("e{i}").into(),
+                fencing: true,
+            },
+            views: BTreeMap::from([("p".into(), view)]),
+        };
+        (Name::from(format!("e{i}")), state)
+    });
+    Snapshot::compile(&Config {
+        index: Index(1),
+        partners: BTreeMap::from([("p".into(), partner)]),
+        centres: BTreeMap::from([("c".into(), centre)]),
+        backends: backends.collect(),
+        ..Config::default()
+    })
+}
+
+impl World {
+    fn new(policy: Policy) -> Self {
+        let snapshot = snapshot();
+        let boards = (0..ENTRIES).map(|i| {
+            let mut board = Board::new(&format!("entry-{i}"), "c", RoutingSettings::default());
+            board.adopt(&snapshot);
+            board
+        });
+        let engine = |i: usize| Engine {
+            speed: [1.0, 1.0, 0.6, 1.5][i % 4],
+            ..Engine::default()
+        };
+        let mut world = Self {
+            rng: SmallRng::seed_from_u64(11),
+            policy,
+            engines: (0..ENGINES).map(engine).collect(),
+            boards: boards.collect(),
+            reports: vec![0; ENGINES],
+            jobs: Vec::new(),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            delays: Histogram::new(3).expect("three digits are allowed"),
+        };
+        world.at(0, What::Arrival);
+        world.at(0, What::Report);
+        for engine in 0..ENGINES / 5 {
+            world.at(BURST_US * (engine as u64 + 1) / 2, What::Burst(engine));
+        }
+        world
+    }
+
+    fn at(&mut self, time: u64, what: What) {
+        self.sequence += 1;
+        self.events.push(Reverse((time, self.sequence, what)));
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.rng.random::<f64>()).ln()
+    }
+
+    fn run(mut self) -> f64 {
+        let mut left = REQUESTS;
+        while let Some(Reverse((now, _, what))) = self.events.pop() {
+            match what {
+                What::Arrival => {
+                    left -= 1;
+                    if left == 0 {
+                        break;
+                    }
+                    let gap = self.exponential(GAP_US) as u64;
+                    self.at(now + gap, What::Arrival);
+                    self.arrive(now);
+                }
+                What::Report => {
+                    self.reports = self
+                        .engines
+                        .iter()
+                        .map(|e| e.running + e.queue.len())
+                        .collect();
+                    self.at(now + REPORT_US, What::Report);
+                }
+                What::Burst(engine) => {
+                    for _ in 0..SLOTS {
+                        self.send(now, engine, ENTRIES, None);
+                    }
+                    self.at(now + BURST_US, What::Burst(engine));
+                }
+                What::FirstToken { engine: _, job } => self.first_token(now, job),
+                What::End { engine, job } => self.end(now, engine, job),
+            }
+        }
+        self.delays.value_at_quantile(0.99) as f64 / 1_000.0
+    }
+
+    fn arrive(&mut self, now: u64) {
+        let entry = self.rng.random_range(0..ENTRIES);
+        let (engine, slot) = match self.policy {
+            Policy::Random => (self.rng.random_range(0..ENGINES), None),
+            Policy::LeastLoad => (self.least_load(), None),
+            Policy::Board => self.by_board(now, entry),
+        };
+        self.send(now, engine, entry, slot);
+    }
+
+    fn least_load(&mut self) -> usize {
+        let least = self.reports.iter().min().copied().unwrap_or_default();
+        let ties: Vec<usize> = (0..ENGINES).filter(|i| self.reports[*i] == least).collect();
+        ties[self.rng.random_range(0..ties.len())]
+    }
+
+    fn by_board(&mut self, now: u64, entry: usize) -> (usize, Option<SlotKey>) {
+        let target = target();
+        let rate = RoutingSettings::default().probe_rate;
+        if self.rng.random_bool(rate) {
+            let engine = self.boards[entry]
+                .to_probe(&target, &mut self.rng)
+                .and_then(|agent| agent[1..].parse().ok())
+                .unwrap_or_default();
+            let probe = self.probe(engine);
+            self.boards[entry].probed(&probe, Mono(now));
+        }
+        let ask = Ask {
+            target: &target,
+            affinity: None,
+            tried: &[],
+            quiet: false,
+        };
+        let pick = self.boards[entry]
+            .choose(&ask, Mono(now), &mut self.rng)
+            .expect("an engine is found");
+        self.boards[entry].begin(pick.slot);
+        (pick.name[1..].parse().unwrap_or_default(), Some(pick.slot))
+    }
+
+    fn load(&self, engine: usize) -> Load {
+        let state = &self.engines[engine];
+        let prefill = PREFILL_US / state.speed * (1.0 + state.running as f64 / SLOTS as f64);
+        let wait = SERVICE_US / state.speed / SLOTS as f64 * state.queue.len() as f64;
+        Load {
+            running: state.running as u32,
+            queued: state.queue.len() as u32,
+            limit: SLOTS as u32,
+            delay_ms: ((prefill + wait) / 1_000.0) as u32,
+            ..Load::default()
+        }
+    }
+
+    fn probe(&self, engine: usize) -> Probe {
+        Probe {
+            backend: format!("e{engine}").into(),
+            incarnation: Incarnation(1),
+            load: self.load(engine),
+            ready: true,
+            prefixes: Vec::new(),
+        }
+    }
+
+    fn send(&mut self, now: u64, engine: usize, entry: usize, slot: Option<SlotKey>) {
+        let work_us = self.exponential(SERVICE_US);
+        let job = Job {
+            entry,
+            slot,
+            arrived: now,
+            work_us,
+        };
+        if self.engines[engine].running < SLOTS {
+            self.start(now, engine, job);
+        } else {
+            self.engines[engine].queue.push_back(job);
+        }
+    }
+
+    fn start(&mut self, now: u64, engine: usize, job: Job) {
+        let number = self.jobs.len();
+        self.jobs.push(job);
+        let state = &mut self.engines[engine];
+        state.running += 1;
+        let crowd = 1.0 + state.running as f64 / SLOTS as f64;
+        let prefill = PREFILL_US / state.speed * crowd;
+        let end = now + (prefill + job.work_us / state.speed) as u64;
+        let first = now + prefill as u64;
+        let job = number;
+        self.at(first, What::FirstToken { engine, job });
+        self.at(end, What::End { engine, job });
+    }
+
+    fn first_token(&mut self, now: u64, job: usize) {
+        let job = self.jobs[job];
+        if job.entry == ENTRIES {
+            return;
+        }
+        let delay = now - job.arrived;
+        // Values above the histogram's range do not occur in this model.
+        self.delays.record(delay).expect("the range grows");
+        if let Some(slot) = job.slot {
+            let took = Duration::from_micros(delay);
+            self.boards[job.entry].outcome(slot, &target(), Outcome::Good(took), Mono(now));
+        }
+    }
+
+    fn end(&mut self, now: u64, engine: usize, job: usize) {
+        self.engines[engine].running -= 1;
+        if let Some(next) = self.engines[engine].queue.pop_front() {
+            self.start(now, engine, next);
+        }
+        let job = self.jobs[job];
+        if let Some(slot) = job.slot {
+            self.boards[job.entry].end(slot);
+            let load = self.load(engine);
+            self.boards[job.entry].loaded(slot, load, None, Mono(now));
+        }
+    }
+}
+
+/// Runs all policies on the same arrivals.
+pub fn compare() -> Delays {
+    Delays {
+        board: World::new(Policy::Board).run(),
+        random: World::new(Policy::Random).run(),
+        least_load: World::new(Policy::LeastLoad).run(),
+    }
+}
--- /dev/null
+++ b/benches/decisions/main.rs
@@ -0,0 +1,54 @@
+//! Measurement of decisions; prints one JSON object as its last line.
+//!
+//! Decision time is measured; costs and waiting times come from small models of
+//! one decision each, over fixed seeds, that are described in their modules.
+
+mod cascade;
+mod choice;
+mod delay;
+
+use serde::Serialize;
+
+/// The figures, in the order of their keys. `None` was not measured.
+#[derive(Debug, Default, Serialize)]
+struct Figures {
+    route_us: Option<f64>,
+    claims_per_s: Option<f64>,
+    claim_p99_ms: Option<f64>,
+    cost_over_oracle: Option<f64>,
+    cost_over_best: Option<f64>,
+    cost_over_cheapest: Option<f64>,
+    cost_over_threshold: Option<f64>,
+    quality_shortfall: Option<f64>,
+    threshold_quality_shortfall: Option<f64>,
+    bad_served: Option<f64>,
+    false_suspensions: Option<f64>,
+    cold_deaths: Option<f64>,
+    ttft_p99_over_random: Option<f64>,
+    ttft_p99_over_least_load: Option<f64>,
+    poison_crashes: Option<f64>,
+    poison_bystanders_failed: Option<f64>,
+}
+
+fn main() {
+    let mut figures = Figures {
+        route_us: Some(choice::route_us()),
+        ..Figures::default()
+    };
+    let costs = cascade::compare();
+    eprintln!("cascade: {costs:?}");
+    figures.cost_over_oracle = Some(costs.learned.cost / costs.oracle.cost);
+    figures.cost_over_best = Some(costs.learned.cost / costs.best.cost);
+    figures.cost_over_cheapest = Some(costs.learned.cost / costs.cheapest.cost);
+    figures.cost_over_threshold = Some(costs.learned.cost / costs.threshold.cost);
+    figures.quality_shortfall = Some(cascade::TARGET - costs.learned.quality);
+    figures.threshold_quality_shortfall = Some(cascade::TARGET - costs.threshold.quality);
+    let delays = delay::compare();
+    eprintln!("delay: {delays:?}");
+    figures.ttft_p99_over_random = Some(delays.board / delays.random);
+    figures.ttft_p99_over_least_load = Some(delays.board / delays.least_load);
+    println!(
+        "{}",
+        serde_json::to_string(&figures).expect("figures encode")
+    );
+}
