--- a/benches/decisions/cascade.rs
+++ b/benches/decisions/cascade.rs
@@ -12,7 +12,6 @@
 
 use cardamomtally::{
     core::config::VersionId,
-    prelude::*,
     routing::cascade::{CLASSES, Cascades, Step, WorkspaceId},
 };
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
@@ -193,7 +192,7 @@
 fn oracle(means: &Means) -> Mean {
     let (mut low, mut high) = (0.0, 1_000.0);
     for _ in 0..BISECTIONS {
-        let price = (low + high) / 2.0;
+        let price = f64::midpoint(low, high);
         if at_price(means, price).quality < TARGET {
             low = price;
         } else {
--- a/benches/decisions/delay.rs
+++ b/benches/decisions/delay.rs
@@ -197,7 +197,7 @@
                     }
                     self.at(now + BURST_US, What::Burst(engine));
                 }
-                What::FirstToken { engine: _, job } => self.first_token(now, job),
+                What::FirstToken { job, .. } => self.first_token(now, job),
                 What::End { engine, job } => self.end(now, engine, job),
             }
         }
--- a/src/cardamomtally/entry/mod.rs
+++ b/src/cardamomtally/entry/mod.rs
@@ -34,7 +34,7 @@
         Context,
         http::{self, Bound},
     },
-    lease::{Identity, Lease, Poller},
+    lease::{Identity, Poller},
     ledger,
     net::{nng, transport::Transport, wire::Role},
     settings::EntrySettings,
@@ -44,9 +44,7 @@
 use breach::Breach;
 use front::Front;
 use rating::HttpRater;
-use rocket::fairing::AdHoc;
 use std::{
-    future::ready,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -79,17 +77,15 @@
     let borders = Borders {
         incarnation,
         breach: Breach::None,
-        lease: Arc::clone(&poller) as Arc<dyn Lease>,
+        lease: poller,
         ledger: Arc::new(ledger::client::Client::start(&settings.control, transport)),
         agents: Arc::new(HttpAgents::new(&settings.retry)?),
         rater: rater.map(|rater| Arc::new(rater) as Arc<dyn Rater>),
     };
-    let advertise = |_http: &str| ();
-    serve(settings, context, borders, advertise).await
+    serve(settings, context, borders).await
 }
 
-/// Serves on given borders until a signal stops the process. `bound` is told the
-/// address that other processes use.
+/// Serves on given borders until a signal stops the process.
 ///
 /// # Errors
 ///
@@ -98,19 +94,11 @@
     settings: EntrySettings,
     context: Context,
     borders: Borders,
-    bound: impl Fn(&str) + Send + Sync + 'static,
 ) -> eyre::Result<()> {
     let seed = rand::random();
     let app = Arc::new(App::new(settings.clone(), context.clone(), borders, seed));
     let rocket =
         http::build(&settings.http, &context)?.mount("/", Front(Arc::clone(&app)).routes());
-    let advertised = settings.http.advertise.clone();
-    let rocket = rocket.attach(AdHoc::on_liftoff("advertise", move |rocket| {
-        let config = rocket.config();
-        let http = advertised.unwrap_or_else(|| format!("{}:{}", config.address, config.port));
-        bound(&http);
-        Box::pin(ready(()))
-    }));
     let line = Bound {
         name: settings.process.name.clone(),
         ..Bound::default()
