--- a/benches/decisions/cascade.rs
+++ b/benches/decisions/cascade.rs
@@ -12,7 +12,7 @@
 
 use cardamomtally::{
     core::config::VersionId,
-    routing::cascade::{CLASSES, Cascades, Step, WorkspaceId},
+    routing::cascade::{CLASSES, Cascades, Rated, Step, WorkspaceId},
 };
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 
@@ -134,8 +134,15 @@
             if let Some(score) = rating {
                 cascades.rated(&id, &steps[step].version, class as u8, score);
             }
-            let escalates = rating.is_some_and(|score| score < TARGET);
-            if !escalates || step + 1 == steps.len() {
+            let escalates = rating.is_some_and(|score| {
+                let at = Rated {
+                    step,
+                    class: class as u8,
+                    score,
+                };
+                cascades.escalates(&id, TARGET, &steps, at)
+            });
+            if !escalates {
                 break quality;
             }
             step += 1;
--- /dev/null
+++ b/benches/decisions/claims.rs
@@ -0,0 +1,148 @@
+//! Claims a second of one shard on three members, each synced on disk.
+
+use cardamomtally::{
+    core::{
+        claim::{ClaimKey, ClaimOp, ClaimStore as _, Progress, RequestClaim},
+        clock::SystemClock,
+        log::Log,
+    },
+    ledger::{local::Local, machine::Ledger},
+    prelude::*,
+    replica::{GroupSpec, Host, HostOptions},
+    settings::{
+        control::{GroupSettings, MemberSettings},
+        units::{Size, Span},
+    },
+    timeline::Recorder,
+    util::log,
+};
+use hdrhistogram::Histogram;
+use std::{net::TcpListener, time::Instant};
+
+const MEMBERS: usize = 3;
+const CALLERS: u64 = 256;
+const SHARD: GroupId = GroupId(1);
+const RUN: Duration = Duration::from_secs(5);
+const TTL: Duration = Duration::from_secs(3_600);
+const ELECTION: Duration = Duration::from_secs(20);
+
+/// Claims a second, and the 99th percentile of their latency.
+#[derive(Clone, Copy, Debug)]
+pub struct Claims {
+    pub per_s: f64,
+    pub p99_ms: f64,
+}
+
+fn free_address() -> eyre::Result<String> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
+}
+
+fn start(folder: &std::path::Path, members: &[MemberSettings], at: usize) -> eyre::Result<Host> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+    let name = members[at].name.clone();
+    Host::start(HostOptions {
+        settings: GroupSettings {
+            folder: folder.join(&name),
+            members: members.to_vec(),
+            bind_poll: None,
+            bind_peer: None,
+            heartbeat: Span::ms(100),
+            election: Span::ms(500),
+            snapshot_entries: 100_000,
+            segment: Size(16 << 20),
+        },
+        groups: vec![GroupSpec {
+            id: SHARD,
+            members: members.iter().map(|m| m.name.clone()).collect(),
+            machine: Box::new(Ledger::default()),
+        }],
+        log: log::discard(),
+        events: Arc::new(Recorder::new(&name, Arc::clone(&clock), 0)),
+        clock,
+        name,
+    })
+}
+
+fn claim(caller: u64, number: u64) -> ClaimOp {
+    let request = RequestId {
+        entry: Incarnation(caller),
+        seq: number,
+    };
+    ClaimOp::Begin {
+        key: ClaimKey::request("p", "w", &request.to_string()),
+        claim: RequestClaim {
+            request,
+            body: Digest::of(b"body"),
+            attempt: AttemptId { request, number: 1 },
+            backend: "queue-1".into(),
+            agent: Some(Incarnation(1)),
+            progress: Progress::Running,
+        },
+        ttl: TTL,
+    }
+}
+
+/// Measures claims from many callers at the leader.
+pub fn measure() -> eyre::Result<Claims> {
+    let folder = tempfile::tempdir()?;
+    let members: Vec<MemberSettings> = (0..MEMBERS)
+        .map(|i| {
+            Ok(MemberSettings {
+                name: format!("c{i}"),
+                poll: String::new(),
+                peer: free_address()?,
+            })
+        })
+        .collect::<eyre::Result<_>>()?;
+    let hosts: Vec<Arc<Host>> = (0..MEMBERS)
+        .map(|at| Ok(Arc::new(start(folder.path(), &members, at)?)))
+        .collect::<eyre::Result<_>>()?;
+    let leader = elected(&hosts)?;
+    let store = Arc::new(Local::new(leader as Arc<dyn Log>, 1));
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
+    Ok(runtime.block_on(drive(&store)))
+}
+
+fn elected(hosts: &[Arc<Host>]) -> eyre::Result<Arc<Host>> {
+    let until = Instant::now() + ELECTION;
+    while Instant::now() < until {
+        if let Some(host) = hosts.iter().find(|host| host.leader(SHARD).here) {
+            return Ok(Arc::clone(host));
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    eyre::bail!("no leader was elected")
+}
+
+async fn drive(store: &Arc<Local>) -> Claims {
+    let started = Instant::now();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| tokio::spawn(call(Arc::clone(store), caller, started + RUN)))
+        .collect();
+    let mut latencies = Histogram::<u64>::new(3).expect("three digits are allowed");
+    for caller in callers {
+        let part = caller.await.expect("no caller panics");
+        latencies.add(part).expect("the range grows");
+    }
+    Claims {
+        per_s: latencies.len() as f64 / started.elapsed().as_secs_f64(),
+        p99_ms: latencies.value_at_quantile(0.99) as f64 / 1_000.0,
+    }
+}
+
+async fn call(store: Arc<Local>, caller: u64, until: Instant) -> Histogram<u64> {
+    let mut latencies = Histogram::new(3).expect("three digits are allowed");
+    let mut number = 0;
+    while Instant::now() < until {
+        number += 1;
+        let sent = Instant::now();
+        if store.apply(claim(caller, number)).await.is_ok() {
+            let took = sent.elapsed().as_micros() as u64;
+            latencies.record(took).expect("the range grows");
+        }
+    }
+    latencies
+}
--- a/benches/decisions/main.rs
+++ b/benches/decisions/main.rs
@@ -5,7 +5,9 @@
 
 mod cascade;
 mod choice;
+mod claims;
 mod delay;
+mod health;
 
 use serde::Serialize;
 
@@ -47,6 +49,15 @@
     eprintln!("delay: {delays:?}");
     figures.ttft_p99_over_random = Some(delays.board / delays.random);
     figures.ttft_p99_over_least_load = Some(delays.board / delays.least_load);
+    figures.bad_served = Some(health::bad_served());
+    figures.false_suspensions = Some(health::false_suspensions());
+    match claims::measure() {
+        Ok(claims) => {
+            figures.claims_per_s = Some(claims.per_s);
+            figures.claim_p99_ms = Some(claims.p99_ms);
+        }
+        Err(error) => eprintln!("claims: not measured: {error:#}"),
+    }
     println!(
         "{}",
         serde_json::to_string(&figures).expect("figures encode")
--- a/src/cardamomtally/entry/complete.rs
+++ b/src/cardamomtally/entry/complete.rs
@@ -213,7 +213,8 @@
 
 fn route_view(route: &Route, position: usize) -> rating::Judged<'_> {
     rating::Judged {
-        step: &route.steps[position],
+        steps: &route.steps,
+        at: position,
         target: route.target,
         explore: route.plan.explore,
         gate: route.escalates && position + 1 < route.steps.len(),
--- a/src/cardamomtally/entry/rating.rs
+++ b/src/cardamomtally/entry/rating.rs
@@ -7,7 +7,7 @@
 use super::{answer::Whole, app::App, call::Call, health::Sign};
 use crate::{
     core::rater::{Rater, Sample},
-    routing::cascade::{self, Step},
+    routing::cascade::{self, Rated, Step},
     settings::entry::RatingSettings,
 };
 use eyre::WrapErr as _;
@@ -24,8 +24,10 @@
 /// An answer that may be rated.
 #[derive(Clone, Copy, Debug)]
 pub struct Judged<'a> {
-    /// The step that gave it.
-    pub step: &'a Step,
+    /// The steps of the request.
+    pub steps: &'a [Step],
+    /// Position of the step that gave it.
+    pub at: usize,
     /// The quality that the workspace asks.
     pub target: f64,
     /// Whether it is rated in any case.
@@ -50,17 +52,26 @@
     let task = tokio::spawn(rate(
         Arc::clone(app),
         Arc::clone(call),
-        judged.step.clone(),
+        judged.steps[judged.at].clone(),
         judged.target,
         whole.body.clone(),
     ));
-    let target = judged.target;
     if !judged.gate {
         return futures::future::ready(false).boxed();
     }
+    let app = Arc::clone(app);
+    let workspace = call.workspace.clone();
+    let class = cascade::class_of(call.body.len());
+    let steps = judged.steps.to_vec();
+    let (step, target) = (judged.at, judged.target);
     async move {
         let rated = tokio::time::timeout(GATE_TIMEOUT, task).await;
-        matches!(rated, Ok(Ok(Some(score))) if score < target)
+        let Ok(Ok(Some(score))) = rated else {
+            return false;
+        };
+        let at = Rated { step, class, score };
+        let router = app.router();
+        router.cascades.escalates(&workspace, target, &steps, at)
     }
     .boxed()
 }
--- a/src/cardamomtally/routing/cascade.rs
+++ b/src/cardamomtally/routing/cascade.rs
@@ -7,8 +7,9 @@
 //! rises while what is served is expected to fall short of the target and falls
 //! while it exceeds it, so that over time the target is met at the least cost;
 //! this is the dual method for a linear program with one constraint. Where a
-//! sampled answer is rated below the target, the request escalates to the next
-//! version. Exploration is a small share of requests, all of them rated.
+//! sampled answer is rated below the target, and the next version's expected gain
+//! is worth its cost at that price, the request escalates. Exploration is a small
+//! share of requests, the smaller the dearer the version, all of them rated.
 
 use crate::core::{config::VersionId, id::Name, map::FastMap};
 use rand::{Rng, seq::IndexedRandom as _};
@@ -73,6 +74,17 @@
     pub explore: bool,
 }
 
+/// An answer that was rated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rated {
+    /// Position of the step that gave it.
+    pub step: usize,
+    /// Class of the request.
+    pub class: u8,
+    /// The rating.
+    pub score: f64,
+}
+
 /// Ratings of one version.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cell {
@@ -129,10 +141,7 @@
         rng: &mut R,
     ) -> Plan {
         let record = self.records.entry(workspace.clone()).or_default();
-        let dearest = steps
-            .iter()
-            .map(|s| s.cost)
-            .fold(f64::MIN_POSITIVE, f64::max);
+        let dearest = dearest(steps);
         let best = (0..steps.len())
             .map(|i| (i, record.quality(steps, i, target, class)))
             .map(|(i, quality)| (i, quality, record.price * quality - steps[i].cost / dearest))
@@ -145,18 +154,28 @@
         };
         let short = target - quality;
         record.price = (record.price + PRICE_STEP * short).clamp(0.0, PRICE_LIMIT);
-        let explore = steps.len() > 1 && rng.random_bool(EXPLORE_SHARE);
-        let others: Vec<usize> = (0..steps.len()).filter(|i| *i != step).collect();
-        match others.choose(rng) {
-            Some(&other) if explore => Plan {
-                step: other,
-                explore,
-            },
-            _ => Plan {
-                step,
-                explore: false,
-            },
+        explore(steps, step, rng)
+    }
+
+    /// Tells whether an answer that was rated below the target is worth the cost
+    /// of the next step.
+    #[must_use]
+    pub fn escalates(
+        &self,
+        workspace: &WorkspaceId,
+        target: f64,
+        steps: &[Step],
+        at: Rated,
+    ) -> bool {
+        let next = at.step + 1;
+        let Some(record) = self.records.get(workspace) else {
+            return false;
+        };
+        if next >= steps.len() || at.score >= target {
+            return false;
         }
+        let gain = record.quality(steps, next, target, at.class) - at.score;
+        record.price * gain > steps[next].cost / dearest(steps)
     }
 
     /// Learns a rating.
@@ -196,6 +215,36 @@
     }
 }
 
+/// Draws whether the request explores another step, the dearer the rarer.
+fn explore<R: Rng + ?Sized>(steps: &[Step], step: usize, rng: &mut R) -> Plan {
+    let planned = Plan {
+        step,
+        explore: false,
+    };
+    if steps.len() < 2 || !rng.random_bool(EXPLORE_SHARE) {
+        return planned;
+    }
+    let others: Vec<usize> = (0..steps.len()).filter(|i| *i != step).collect();
+    let Some(&other) = others.choose(rng) else {
+        return planned;
+    };
+    let ratio = steps[step].cost / steps[other].cost.max(f64::MIN_POSITIVE);
+    if rng.random_bool(ratio.clamp(0.0, 1.0)) {
+        return Plan {
+            step: other,
+            explore: true,
+        };
+    }
+    planned
+}
+
+fn dearest(steps: &[Step]) -> f64 {
+    steps
+        .iter()
+        .map(|step| step.cost)
+        .fold(f64::MIN_POSITIVE, f64::max)
+}
+
 /// Returns the quality assumed before any rating: the dearest meets the target,
 /// cheaper ones fall short.
 fn prior(steps: usize, step: usize, target: f64) -> f64 {
