--- a/benches/decisions/claims.rs
+++ b/benches/decisions/claims.rs
@@ -23,7 +23,7 @@
 const CALLERS: u64 = 256;
 const SHARD: GroupId = GroupId(1);
 const RUN: Duration = Duration::from_secs(5);
-const TTL: Duration = Duration::from_secs(3_600);
+const TTL: Duration = Duration::from_hours(1);
 const ELECTION: Duration = Duration::from_secs(20);
 
 /// Claims a second, and the 99th percentile of their latency.
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -1,1 +1,289 @@
-//! Routing decisions.
+//! Routing decisions, over seeds.
+
+use cardamomtally::{
+    core::config::VersionId,
+    prelude::*,
+    routing::{
+        backoff,
+        breaker::{Breaker, BreakerSettings},
+        budget::{Budget, Cause},
+        cascade::{Cascades, Rated, Step, WorkspaceId},
+        choice::{Candidate, Wish, choose},
+        guard::Guards,
+        rendezvous,
+    },
+};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+
+const SEEDS: u64 = 500;
+
+const BREAKER: BreakerSettings = BreakerSettings {
+    errors: 3,
+    open: Duration::from_secs(2),
+};
+
+const WISH: Wish = Wish {
+    affinity: None,
+    bound: 1.25,
+    quiet: false,
+};
+
+fn candidate(key: usize, local: bool, running: f64) -> Candidate<usize> {
+    Candidate {
+        key,
+        seed: rendezvous::seed(&format!("b{key}")),
+        local,
+        running,
+        limit: 10.0,
+        delay: Some(100.0 + running),
+    }
+}
+
+fn random_candidates(rng: &mut SmallRng) -> Vec<Candidate<usize>> {
+    (0..rng.random_range(1..30))
+        .map(|key| {
+            let running = f64::from(rng.random_range(0..14));
+            Candidate {
+                delay: rng.random_bool(0.8).then(|| rng.random_range(1.0..500.0)),
+                ..candidate(key, rng.random_bool(0.5), running)
+            }
+        })
+        .collect()
+}
+
+#[test]
+fn a_near_backend_server_with_room_is_always_preferred() {
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let all = random_candidates(&mut rng);
+        let affinity = rng.random_bool(0.5).then(|| rng.random());
+
+        let wish = Wish { affinity, ..WISH };
+        let chosen = choose(&mut all.clone(), wish, &mut rng).unwrap();
+
+        let is_near = |c: &Candidate<usize>| c.local && c.running < 9.0;
+        if all.iter().any(is_near) {
+            assert!(is_near(&all[chosen]), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn no_full_backend_server_is_chosen_while_the_sample_has_room() {
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let full = rng.random_range(0..4);
+        let mut all: Vec<_> = (0..5)
+            .map(|key| candidate(key, true, if key == full { 10.0 } else { 1.0 }))
+            .collect();
+
+        let chosen = choose(&mut all, WISH, &mut rng);
+
+        assert_ne!(chosen, Some(full), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_suspect_goes_only_where_little_runs() {
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let all = random_candidates(&mut rng);
+
+        let wish = Wish { quiet: true, ..WISH };
+        let chosen = choose(&mut all.clone(), wish, &mut rng);
+
+        let quiet = all.iter().any(|c| c.running < 2.0);
+        assert_eq!(chosen.is_some(), quiet, "seed {seed}");
+        assert!(chosen.is_none_or(|c| all[c].running < 2.0), "seed {seed}");
+    }
+}
+
+#[test]
+fn affinity_is_stable_when_another_backend_server_goes() {
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let all: Vec<_> = (0..10).map(|key| candidate(key, true, 1.0)).collect();
+        let wish = Wish {
+            affinity: Some(seed),
+            ..WISH
+        };
+        let first = choose(&mut all.clone(), wish, &mut rng).unwrap();
+        let gone = (first + 1) % all.len();
+
+        let mut rest: Vec<_> = all.into_iter().filter(|c| c.key != gone).collect();
+        let second = choose(&mut rest, wish, &mut rng);
+
+        assert_eq!(second, Some(first), "seed {seed}");
+    }
+}
+
+#[test]
+fn affinity_gives_way_above_the_load_bound() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut all: Vec<_> = (0..10).map(|key| candidate(key, true, 1.0)).collect();
+    let wish = Wish {
+        affinity: Some(7),
+        ..WISH
+    };
+    let favourite = choose(&mut all.clone(), wish, &mut rng).unwrap();
+    all[favourite].running = 8.0;
+
+    let chosen = choose(&mut all, wish, &mut rng);
+
+    assert_ne!(chosen, Some(favourite));
+}
+
+#[test]
+fn an_open_breaker_lets_one_trial_through_at_a_time() {
+    let mut breaker = Breaker::default();
+    for _ in 0..BREAKER.errors {
+        assert!(breaker.allows(Mono(0)));
+        breaker.begin();
+        breaker.bad(BREAKER, Mono(0));
+    }
+    let after = Mono(0) + BREAKER.open;
+
+    assert!(!breaker.allows(Mono(1)));
+    assert!(breaker.allows(after));
+    breaker.begin();
+    assert!(!breaker.allows(after));
+    breaker.bad(BREAKER, after);
+    assert!(!breaker.allows(after + BREAKER.open));
+    assert!(breaker.allows(after + BREAKER.open * 2));
+    breaker.good();
+    assert!(breaker.is_closed());
+}
+
+#[test]
+fn retries_stay_within_the_share_of_requests() {
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut budget = Budget::new(0.2);
+        let requests = rng.random_range(100..2_000);
+        let mut retries = 0;
+        for _ in 0..requests {
+            budget.earn();
+            for _ in 0..rng.random_range(0..4) {
+                retries += u32::from(budget.spend(Cause::Failed));
+            }
+        }
+
+        assert!(f64::from(retries) <= 32.0 + 0.2 * f64::from(requests));
+    }
+}
+
+#[test]
+fn backoff_doubles_up_to_its_limit_with_jitter() {
+    let (first, limit) = (Duration::from_millis(20), Duration::from_millis(100));
+    for seed in 0..SEEDS {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for (retry, full_ms) in [20, 40, 80, 100, 100].into_iter().enumerate() {
+            let wait = backoff::delay(first, limit, retry as u32, &mut rng);
+
+            let full = Duration::from_millis(full_ms);
+            assert!(wait >= full / 2 && wait <= full, "seed {seed}: {wait:?}");
+        }
+    }
+}
+
+fn version(name: &str) -> VersionId {
+    VersionId {
+        partner: "p".into(),
+        name: name.into(),
+    }
+}
+
+fn steps() -> Vec<Step> {
+    [("small@1", 0.2), ("large@1", 2.0)]
+        .map(|(name, cost)| Step {
+            version: version(name),
+            cost,
+        })
+        .into()
+}
+
+fn workspace() -> WorkspaceId {
+    WorkspaceId {
+        partner: "p".into(),
+        name: "w".into(),
+    }
+}
+
+/// Sends requests to versions of known quality; returns the share of the dear
+/// one and the mean quality of the second half.
+fn learn(seed: u64, quality: [f64; 2], target: f64) -> (f64, f64) {
+    const REQUESTS: u32 = 20_000;
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut cascades = Cascades::default();
+    let (mut dear, mut sum) = (0_u32, 0.0);
+    for at in 0..REQUESTS {
+        let plan = cascades.plan(&workspace(), target, &steps(), 0, &mut rng);
+        if plan.explore || rng.random_bool(0.05) {
+            let score = quality[plan.step] + rng.random_range(-0.1..0.1);
+            let step = &steps()[plan.step];
+            cascades.rated(&workspace(), &step.version, 0, score);
+        }
+        if at >= REQUESTS / 2 {
+            dear += plan.step as u32;
+            sum += quality[plan.step];
+        }
+    }
+    let half = f64::from(REQUESTS / 2);
+    (f64::from(dear) / half, sum / half)
+}
+
+#[test]
+fn a_cheap_version_that_is_good_enough_serves_nearly_all() {
+    for seed in 0..20 {
+        let (dear, _) = learn(seed, [0.9, 0.95], 0.8);
+
+        assert!(dear < 0.05, "seed {seed}: {dear}");
+    }
+}
+
+#[test]
+fn the_dear_version_serves_no_more_than_the_target_needs() {
+    for seed in 0..20 {
+        let (dear, quality) = learn(seed, [0.6, 0.9], 0.75);
+
+        assert!(quality > 0.73, "seed {seed}: {quality}");
+        assert!(dear < 0.6, "seed {seed}: {dear}");
+    }
+}
+
+#[test]
+fn a_target_out_of_reach_takes_the_best_version() {
+    let (dear, _) = learn(1, [0.5, 0.7], 0.95);
+
+    assert!(dear > 0.95, "{dear}");
+}
+
+#[test]
+fn an_answer_at_the_target_never_escalates() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut cascades = Cascades::default();
+    let _plan = cascades.plan(&workspace(), 0.8, &steps(), 0, &mut rng);
+    let rated = |score| Rated {
+        step: 0,
+        class: 0,
+        score,
+    };
+
+    assert!(!cascades.escalates(&workspace(), 0.8, &steps(), rated(0.8)));
+    assert!(cascades.escalates(&workspace(), 0.8, &steps(), rated(0.0)));
+}
+
+#[test]
+fn a_version_that_turns_bad_is_left_out_and_tried_again() {
+    let mut guards = Guards::default();
+    for _ in 0..1_000 {
+        guards.count(&version("m@1"), false, Mono(0));
+    }
+    for _ in 0..4 {
+        assert!(guards.allows(&version("m@1"), Mono(0)));
+        guards.count(&version("m@1"), true, Mono(0));
+    }
+
+    assert!(!guards.allows(&version("m@1"), Mono(0)));
+    assert!(guards.allows(&version("m@1"), Mono(0) + Duration::from_secs(5)));
+}
