--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -26,13 +26,14 @@
     net::{
         codec, delta,
         run::{Frame, Probe, RunHead, Usage},
-        wire::{Poll, Request, Response, Role},
+        wire::{Identity, Poll, Request, Response, Role},
     },
     settings::{self, AgentSettings, ControlSettings, EntrySettings, units::Size},
 };
 use futures::FutureExt as _;
 use proptest::{
     prelude::{Just, Strategy, any, prop_oneof},
+    sample::Index as Place,
     test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner},
 };
 use std::{sync::Arc, time::Duration};
@@ -55,11 +56,11 @@
     if good.is_empty() {
         return arbitrary.boxed();
     }
-    let index = any::<proptest::sample::Index>();
-    let damage = proptest::collection::vec((index, any::<u8>()), 0..6);
+    let place = any::<Place>();
+    let damage = proptest::collection::vec((any::<Place>(), any::<u8>()), 0..6);
     let copy = proptest::sample::select(good);
     let damaged =
-        (copy, damage, index, any::<bool>()).prop_map(|(mut bytes, damage, cut, whole)| {
+        (copy, damage, place, any::<bool>()).prop_map(|(mut bytes, damage, cut, whole)| {
             for (at, byte) in damage {
                 if !bytes.is_empty() {
                     let at = at.index(bytes.len());
@@ -107,16 +108,16 @@
 
 fn some_poll() -> Poll {
     Poll {
-        name: "entry-1".into(),
-        role: Role::Entry,
         incarnation: Incarnation(7),
-        centre: "glasgow".into(),
-        http: "127.0.0.1:1".into(),
         holds: Index(3),
         digest: Digest::of(b"x"),
-        health: Vec::new(),
-        crashes: Vec::new(),
-        cleared: Vec::new(),
+        identity: Some(Identity {
+            name: "entry-1".into(),
+            role: Role::Entry,
+            centre: "glasgow".into(),
+            http: "127.0.0.1:1".into(),
+        }),
+        ..Poll::default()
     }
 }
 
