--- a/src/cardamomtally/lease/poller.rs
+++ b/src/cardamomtally/lease/poller.rs
@@ -115,17 +115,9 @@
         self.shared.wake.notify_one();
     }
 
-    fn poll_now(&self) {
-        self.shared.wake.notify_one();
-    }
-
     fn cleared(&self, digest: Digest) {
         lock(&self.shared.reports).add_cleared(digest);
     }
-
-    fn poll_now(&self) {
-        self.shared.wake.notify_one();
-    }
 }
 
 impl fmt::Debug for Poller {
