--- a/src/cardamomtally/routing/cascade.rs
+++ b/src/cardamomtally/routing/cascade.rs
@@ -23,6 +23,9 @@
 /// Ratings after which old ones fade.
 const MEMORY_RATINGS: f64 = 400.0;
 
+/// How far above the target the plan aims, since ratings err.
+const AIM_MARGIN: f64 = 0.01;
+
 /// Share of requests that explore a version other than the planned one.
 const EXPLORE_SHARE: f64 = 0.01;
 
@@ -152,7 +155,7 @@
                 explore: false,
             };
         };
-        let short = target - quality;
+        let short = target + AIM_MARGIN - quality;
         record.price = (record.price + PRICE_STEP * short).clamp(0.0, PRICE_LIMIT);
         explore(steps, step, rng)
     }
