--- a/tests/testsuite/entry/fakes.rs
+++ b/tests/testsuite/entry/fakes.rs
@@ -22,7 +22,7 @@
     ledger::{local::Local, machine::Ledger},
     net::{
         codec,
-        run::{Asked, Frame, Load, Probe, Usage},
+        run::{Asked, Frame, Load, Probe, Target, Usage},
     },
     prelude::*,
     replica::memory::MemLog,
@@ -288,6 +288,8 @@
     rng: SmallRng,
     agents: FastMap<Name, FakeAgent>,
     late: Vec<RunCall>,
+    last: Option<Target>,
+    fixed: Option<(String, bool)>,
     runs: FastMap<Option<ClaimKey>, u32>,
 }
 
@@ -305,6 +307,8 @@
                 rng: SmallRng::seed_from_u64(seed ^ 0xa5),
                 agents: agents.into_iter().collect(),
                 late: Vec::new(),
+                last: None,
+                fixed: None,
                 runs: FastMap::default(),
             }),
             faults,
@@ -323,6 +327,18 @@
         }
     }
 
+    /// Fixes the body of all answers, and whether they come whole and can be
+    /// resumed.
+    pub fn answer_with(&self, body: &str, whole: bool) {
+        self.lock().fixed = Some((body.to_owned(), whole));
+    }
+
+    /// Returns the name of the version or service that ran last.
+    pub fn last_target(&self) -> String {
+        let (Target::Version(id) | Target::Service(id)) = self.lock().last.clone().unwrap();
+        id.name.to_string()
+    }
+
     /// Counts the runs of a claim.
     pub fn runs(&self, key: ClaimKey) -> u32 {
         let state = self.lock();
@@ -345,7 +361,11 @@
             None | Some(Fate::Tombstone) => return Err(rejected(Verdict::NotRun)),
             Some(Fate::Ended(_)) => return Err(rejected(Verdict::Ran)),
         }
-        let body = format!("done {}", call.attempt.request).into_bytes();
+        let body = match &self.fixed {
+            Some((body, _)) => body.clone().into_bytes(),
+            None => format!("done {}", call.attempt.request).into_bytes(),
+        };
+        self.last = Some(call.head.target.clone());
         agent.fates.insert(call.attempt, Fate::Ended(body.clone()));
         *self.runs.entry(call.head.claim).or_default() += 1;
         Ok(body)
@@ -394,7 +414,8 @@
             }
             None => {
                 let body = self.deliver(&call)?;
-                Ok(self.opened(&call.agent, &body, true))
+                let whole = self.fixed.as_ref().is_none_or(|(_, whole)| *whole);
+                Ok(self.opened(&call.agent, &body, whole))
             }
         }
     }
@@ -497,9 +518,13 @@
         async move {
             tokio::task::yield_now().await;
             let state = self.lock();
+            let broken = state.fixed.as_ref().is_some_and(|(_, whole)| !whole);
             let Some(Fate::Ended(body)) = state.agents[&agent].fates.get(&attempt) else {
                 return Err(rejected(Verdict::Unknown));
             };
+            if broken {
+                return Err(rejected(Verdict::Unknown));
+            }
             let mut opened = state.opened(&agent, body, true);
             if from > 0 {
                 // An agent sends no head again when it resumes.
--- a/tests/testsuite/entry/mod.rs
+++ b/tests/testsuite/entry/mod.rs
@@ -2,4 +2,5 @@
 
 mod fakes;
 mod frames;
+mod http;
 mod once;
