--- a/src/cardamomtally/lease/poller.rs
+++ b/src/cardamomtally/lease/poller.rs
@@ -39,6 +39,10 @@
 /// Shortest wait after a failed poll.
 const BACKOFF_MIN: Duration = Duration::from_millis(20);
 
+/// Pause before a poll that does not wait for its turn, so that a burst of
+/// reports travels in few polls.
+const URGENT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Share by which the time between polls varies, either way.
 const JITTER: f64 = 0.1;
 
@@ -112,7 +116,13 @@
     }
 
     fn report(&self, health: HealthReport) {
-        lock(&self.shared.reports).add_health(health);
+        let mut reports = lock(&self.shared.reports);
+        reports.add_health(health);
+        let urgent = reports.is_urgent();
+        drop(reports);
+        if urgent {
+            self.shared.wake.notify_one();
+        }
     }
 
     fn crash(&self, crash: CrashReport) {
@@ -123,6 +133,10 @@
     fn cleared(&self, digest: Digest) {
         lock(&self.shared.reports).add_cleared(digest);
     }
+
+    fn poll_now(&self) {
+        self.shared.wake.notify_one();
+    }
 }
 
 impl fmt::Debug for Poller {
@@ -200,7 +214,7 @@
             self.show_ready();
             let shared = Arc::clone(&self.shared);
             tokio::select! {
-                () = shared.wake.notified() => {}
+                () = shared.wake.notified() => tokio::time::sleep(URGENT_PAUSE).await,
                 () = tokio::time::sleep(wait) => {}
             }
         }
--- a/src/cardamomtally/lease/reports.rs
+++ b/src/cardamomtally/lease/reports.rs
@@ -11,6 +11,9 @@
 /// Digests and crashes that wait at most; more are dropped, oldest first.
 const WAITING_MAX: usize = 256;
 
+/// Failed answers of one version that are reported at once.
+const URGENT_BAD: u32 = 3;
+
 /// Reports that wait, and the batch that is under way.
 #[derive(Clone, Debug, Default)]
 pub struct Reports {
@@ -43,6 +46,12 @@
         self.waiting.health.insert(id, report);
     }
 
+    /// Tells whether so many answers failed that control should hear at once.
+    pub fn is_urgent(&self) -> bool {
+        let mut health = self.waiting.health.values();
+        health.any(|report| report.bad >= URGENT_BAD)
+    }
+
     /// Adds a crash.
     pub fn add_crash(&mut self, crash: CrashReport) {
         push_bounded(&mut self.waiting.crashes, crash);
--- a/src/cardamomtally/ops/ticket.rs
+++ b/src/cardamomtally/ops/ticket.rs
@@ -1,1 +1,352 @@
 //! The verb `ticket`: submit, show, diff, history, wait.
+
+use super::{Exit, Format, OpContext, client::Client};
+use crate::{
+    control::{
+        ticket as reader,
+        view::{HistoryLine, Status, Submitted, TicketView},
+    },
+    core::finding::Finding,
+};
+use eyre::WrapErr as _;
+use reqwest::{Method, StatusCode};
+use serde::Deserialize;
+use std::{
+    path::{Path, PathBuf},
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Pause between two looks at the status while waiting.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Options of `ticket submit`.
+#[derive(Clone, Debug, Default)]
+pub struct SubmitOptions {
+    /// The ticket's file.
+    pub file: PathBuf,
+    /// How long to wait until it is in force everywhere; none does not wait.
+    pub wait: Option<Duration>,
+}
+
+/// Options of `ticket show`.
+#[derive(Clone, Debug, Default)]
+pub struct ShowOptions {
+    /// The partner.
+    pub partner: String,
+    /// The ticket's number; the one in force if none.
+    pub number: Option<u64>,
+}
+
+/// Options of `ticket diff`.
+#[derive(Clone, Debug, Default)]
+pub struct DiffOptions {
+    /// The partner.
+    pub partner: String,
+    /// The older ticket; the one before the newer if none.
+    pub from: Option<u64>,
+    /// The newer ticket; the one in force if none.
+    pub to: Option<u64>,
+}
+
+/// Options of `ticket history`.
+#[derive(Clone, Debug, Default)]
+pub struct HistoryOptions {
+    /// The partner.
+    pub partner: String,
+}
+
+/// Options of `ticket wait`.
+#[derive(Clone, Debug, Default)]
+pub struct WaitOptions {
+    /// The partner.
+    pub partner: String,
+    /// The ticket's number; the one in force if none.
+    pub number: Option<u64>,
+    /// Longest wait.
+    pub timeout: Duration,
+}
+
+/// The part of a problem document that is shown.
+#[derive(Debug, Default, Deserialize)]
+struct Problem {
+    #[serde(default)]
+    detail: String,
+    #[serde(default)]
+    verdict: String,
+    #[serde(default)]
+    findings: Vec<Finding>,
+}
+
+/// Submits a ticket to the first control member that can decide.
+///
+/// # Errors
+///
+/// Returns [`Exit::Refused`] if it is faulty, in conflict or superseded,
+/// [`Exit::Unknown`] if it may have been accepted, [`Exit::Unreachable`] if it
+/// was not.
+pub fn submit(context: &OpContext, options: &SubmitOptions) -> eyre::Result<()> {
+    let text = read(&options.file)?;
+    let client = Client::new(context)?;
+    let submitted = send(context, &client, &options.file, &text)?;
+    if context.format == Format::Json {
+        context.shell.result(serde_json::to_string(&submitted)?);
+    }
+    let verb = if submitted.repeated {
+        "Repeated"
+    } else {
+        "Accepted"
+    };
+    let subject = format!("ticket {}/{}", submitted.partner, submitted.number);
+    let detail = format!("{subject} at index {}", submitted.index);
+    context.shell.status(verb, detail);
+    let Some(timeout) = options.wait else {
+        return Ok(());
+    };
+    let wait_options = WaitOptions {
+        partner: submitted.partner.to_string(),
+        number: Some(submitted.number),
+        timeout,
+    };
+    wait(context, &wait_options)
+}
+
+fn read(path: &Path) -> eyre::Result<String> {
+    std::fs::read_to_string(path).wrap_err_with(|| format!("failed to read `{}`", path.display()))
+}
+
+fn send(context: &OpContext, client: &Client, file: &Path, text: &str) -> eyre::Result<Submitted> {
+    let mut exit = Exit::Unreachable;
+    let mut last = "no control member was named; give `--control IP:PORT`".to_owned();
+    for member in &context.members {
+        let reply = match client.call(member, &Method::POST, "/tickets", Some(text)) {
+            Ok(reply) => reply,
+            Err(error) => {
+                if !nothing_sent(&error) {
+                    exit = Exit::Unknown;
+                }
+                last = format!("{error:#}");
+                continue;
+            }
+        };
+        if reply.status == StatusCode::OK {
+            return reply.json();
+        }
+        let problem: Problem = reply.json().unwrap_or_default();
+        if reply.status != StatusCode::SERVICE_UNAVAILABLE {
+            return Err(refused(context, file, &problem)?);
+        }
+        if problem.verdict != "not-run" {
+            exit = Exit::Unknown;
+        }
+        last = format!("{member}: {}", problem.detail);
+    }
+    Err(eyre::Report::new(exit).wrap_err(last))
+}
+
+/// Tells whether a call failed before anything was sent.
+fn nothing_sent(error: &eyre::Report) -> bool {
+    let mut causes = error.chain();
+    causes.any(|cause| {
+        let http = cause.downcast_ref::<reqwest::Error>();
+        http.is_some_and(reqwest::Error::is_connect)
+    })
+}
+
+/// Prints what is wrong with a ticket and builds the error.
+fn refused(context: &OpContext, file: &Path, problem: &Problem) -> eyre::Result<eyre::Report> {
+    if context.format == Format::Json {
+        context
+            .shell
+            .result(serde_json::to_string(&problem.findings)?);
+    } else {
+        for finding in &problem.findings {
+            let (line, column) = (finding.line, finding.column);
+            let place = format!("{}:{line}:{column}", file.display());
+            context
+                .shell
+                .result(format_args!("{place}: {}", finding.message));
+        }
+    }
+    Ok(eyre::Report::new(Exit::Refused).wrap_err(problem.detail.clone()))
+}
+
+/// Prints a ticket as it was accepted.
+///
+/// # Errors
+///
+/// Returns an error if the ticket is unknown or no member answers.
+pub fn show(context: &OpContext, options: &ShowOptions) -> eyre::Result<()> {
+    let client = Client::new(context)?;
+    let number = match options.number {
+        Some(number) => number,
+        None => last_number(&client, &options.partner)?,
+    };
+    let text = fetch_text(&client, &options.partner, number)?;
+    context.shell.result(text.trim_end());
+    Ok(())
+}
+
+/// Prints the lines in which two tickets differ.
+///
+/// # Errors
+///
+/// Returns an error if a ticket is unknown or no member answers.
+pub fn diff(context: &OpContext, options: &DiffOptions) -> eyre::Result<()> {
+    let client = Client::new(context)?;
+    let lines = fetch_history(&client, &options.partner)?;
+    let to = match options.to {
+        Some(number) => number,
+        None => last_number(&client, &options.partner)?,
+    };
+    let earlier = lines.iter().map(|line| line.accepted.number);
+    let before = earlier.filter(|number| *number < to).max();
+    let from = options.from.or(before).ok_or_else(|| {
+        let what = format!("no ticket precedes {}/{to}", options.partner);
+        eyre::Report::new(Exit::Refused).wrap_err(what)
+    })?;
+    let old = fetch_text(&client, &options.partner, from)?;
+    let new = fetch_text(&client, &options.partner, to)?;
+    for line in diff_lines(&old, &new) {
+        context.shell.result(line);
+    }
+    Ok(())
+}
+
+/// Returns the lines of two texts, marked by `-`, `+` or a space.
+#[must_use]
+pub fn diff_lines(old: &str, new: &str) -> Vec<String> {
+    let old: Vec<_> = old.lines().collect();
+    let new: Vec<_> = new.lines().collect();
+    let common = common_lengths(&old, &new);
+    let (mut i, mut j) = (0, 0);
+    let mut lines = Vec::new();
+    while i < old.len() || j < new.len() {
+        if i < old.len() && j < new.len() && old[i] == new[j] {
+            lines.push(format!(" {}", old[i]));
+            i += 1;
+            j += 1;
+        } else if j == new.len() || (i < old.len() && common[i + 1][j] >= common[i][j + 1]) {
+            lines.push(format!("-{}", old[i]));
+            i += 1;
+        } else {
+            lines.push(format!("+{}", new[j]));
+            j += 1;
+        }
+    }
+    lines
+}
+
+/// Returns the length of the longest common subsequence of each pair of tails.
+fn common_lengths(old: &[&str], new: &[&str]) -> Vec<Vec<u32>> {
+    let mut lengths = vec![vec![0; new.len() + 1]; old.len() + 1];
+    for i in (0..old.len()).rev() {
+        for j in (0..new.len()).rev() {
+            lengths[i][j] = if old[i] == new[j] {
+                lengths[i + 1][j + 1] + 1
+            } else {
+                lengths[i + 1][j].max(lengths[i][j + 1])
+            };
+        }
+    }
+    lengths
+}
+
+/// Prints the accepted tickets of a partner.
+///
+/// # Errors
+///
+/// Returns an error if the partner has none or no member answers.
+pub fn history(context: &OpContext, options: &HistoryOptions) -> eyre::Result<()> {
+    let client = Client::new(context)?;
+    let lines = fetch_history(&client, &options.partner)?;
+    if context.format == Format::Json {
+        context.shell.result(serde_json::to_string(&lines)?);
+        return Ok(());
+    }
+    for line in lines {
+        let accepted = line.accepted;
+        context.shell.result(format_args!(
+            "{:>8}  {}  index {}",
+            accepted.number, accepted.digest, accepted.index
+        ));
+    }
+    Ok(())
+}
+
+/// Waits until a ticket is in force at all processes: each holds it, or its
+/// lease has run out.
+///
+/// # Errors
+///
+/// Returns [`Exit::Timeout`] with those that still lag.
+pub fn wait(context: &OpContext, options: &WaitOptions) -> eyre::Result<()> {
+    let client = Client::new(context)?;
+    let until = Instant::now() + options.timeout;
+    loop {
+        let status: Status = client.control(&Method::GET, "/status", None)?.json()?;
+        let ticket = status.tickets.into_iter();
+        let ticket = ticket.into_iter().find(|t| *t.partner == *options.partner);
+        let reached = ticket.as_ref().is_some_and(|ticket| {
+            let number = options.number.unwrap_or_default();
+            status.confirmed && ticket.ticket.number >= number && ticket.laggards.is_empty()
+        });
+        if let Some(ticket) = ticket.as_ref().filter(|_| reached) {
+            show_in_force(context, ticket);
+            return Ok(());
+        }
+        if Instant::now() >= until {
+            let lagging = ticket.map(|t| t.laggards.join(", ")).unwrap_or_default();
+            let what = format!("not yet in force everywhere; lagging: {lagging}");
+            return Err(eyre::Report::new(Exit::Timeout).wrap_err(what));
+        }
+        thread::sleep(LOOK_PAUSE);
+    }
+}
+
+fn show_in_force(context: &OpContext, ticket: &TicketView) {
+    let subject = format!("ticket {}/{}", ticket.partner, ticket.ticket.number);
+    let detail = format!("{subject} is held by {} processes", ticket.holders);
+    context.shell.status("In force", detail);
+    if !ticket.silent.is_empty() {
+        let silent = ticket.silent.join(", ");
+        let what = format!("silent and without a lease, so taking no new work: {silent}");
+        context.shell.warn(what);
+    }
+}
+
+fn fetch_history(client: &Client, partner: &str) -> eyre::Result<Vec<HistoryLine>> {
+    let reply = client.control(&Method::GET, &format!("/tickets/{partner}"), None)?;
+    if reply.status != StatusCode::OK {
+        let problem: Problem = reply.json().unwrap_or_default();
+        return Err(eyre::Report::new(Exit::Refused).wrap_err(problem.detail));
+    }
+    reply.json()
+}
+
+fn last_number(client: &Client, partner: &str) -> eyre::Result<u64> {
+    let lines = fetch_history(client, partner)?;
+    let last = lines.last().map(|line| line.accepted.number);
+    last.ok_or_else(|| eyre::eyre!("partner `{partner}` has no ticket"))
+}
+
+fn fetch_text(client: &Client, partner: &str, number: u64) -> eyre::Result<String> {
+    let path = format!("/tickets/{partner}/{number}");
+    let reply = client.control(&Method::GET, &path, None)?;
+    if reply.status != StatusCode::OK {
+        let problem: Problem = reply.json().unwrap_or_default();
+        return Err(eyre::Report::new(Exit::Refused).wrap_err(problem.detail));
+    }
+    String::from_utf8(reply.body).wrap_err("the ticket's text is not UTF-8")
+}
+
+/// Checks a ticket's file offline, within itself.
+///
+/// # Errors
+///
+/// Returns an error if the file cannot be read, or all its findings.
+pub fn check(path: &Path) -> eyre::Result<()> {
+    let text = read(path)?;
+    reader::check(&path.display().to_string(), &text, None)?;
+    Ok(())
+}
--- a/tests/testsuite/control/group.rs
+++ b/tests/testsuite/control/group.rs
@@ -1,1 +1,284 @@
-//! Control members as real processes.
+//! Control members as real processes behind fault proxies.
+
+use crate::support::{
+    Site, Ticket, eventually, site,
+    site::{PARTNER, SiteBuilder},
+    until,
+};
+use cardamomtally::control::view::{Standing, Status, Submitted};
+
+/// Three members and two entries that poll them.
+fn group() -> SiteBuilder {
+    site()
+        .entry("entry-1", "glasgow")
+        .entry("entry-2", "dundee")
+}
+
+/// A ticket that changes one data centre.
+fn ticket(number: u64) -> Ticket {
+    let state = if number.is_multiple_of(2) {
+        "out"
+    } else {
+        "in"
+    };
+    Ticket::new(PARTNER, number).centre("glasgow", state)
+}
+
+fn status(site: &Site, member: &str) -> Option<Status> {
+    serde_json::from_slice(&site.ask(member, "/status").body).ok()
+}
+
+/// Waits until all processes hold what is in force, with a number at least.
+fn wait_in_force(site: &Site, member: &str, number: u64) {
+    until("the ticket is in force everywhere", || {
+        let status = status(site, member)?;
+        let ticket = status.tickets.iter().find(|t| *t.partner == *PARTNER)?;
+        let held = status.processes.len() >= 2
+            && status
+                .processes
+                .iter()
+                .all(|p| p.standing == Standing::Holds);
+        (status.confirmed && ticket.ticket.number >= number && held).then_some(())
+    });
+}
+
+fn submitted(body: &[u8]) -> Submitted {
+    serde_json::from_slice(body).unwrap()
+}
+
+fn leader(site: &Site, among: &[String]) -> String {
+    until("a member leads", || {
+        among.iter().find_map(|member| {
+            let status = status(site, member)?;
+            let leads = status.members.iter().find(|m| m.leads)?;
+            among.iter().find(|name| ***name == *leads.name).cloned()
+        })
+    })
+}
+
+fn others(site: &Site, name: &str) -> Vec<String> {
+    let members = site.members().iter();
+    members.filter(|member| *member != name).cloned().collect()
+}
+
+#[test]
+fn a_ticket_is_in_force_at_all_processes() {
+    let site = group().build();
+
+    site.submit(&ticket(1));
+
+    wait_in_force(&site, "control-2", 1);
+    eventually("the entries are ready", || {
+        ["entry-1", "entry-2"]
+            .iter()
+            .all(|entry| site.ask(entry, "/health/ready").status == 200)
+    });
+}
+
+#[test]
+fn a_lost_answer_is_given_again_elsewhere_after_a_change_of_leader() {
+    let mut site = group().build();
+    site.submit(&ticket(1));
+    let first = site.submit_to("control-1", &ticket(1));
+    let old = leader(&site, site.members());
+    let rest = others(&site, &old);
+
+    site.process(&old).kill();
+    let again = until("another member answers", || {
+        let reply = site.submit_to(&rest[0], &ticket(1));
+        (reply.status == 200).then_some(reply)
+    });
+
+    let (first, again) = (submitted(&first.body), submitted(&again.body));
+    assert!(again.repeated);
+    assert_eq!((first.index, first.digest), (again.index, again.digest));
+}
+
+#[test]
+fn two_operators_with_one_number_have_one_winner() {
+    let site = group().build();
+    site.submit(&ticket(1));
+    for number in 2..12 {
+        let one = ticket(number);
+        let two = Ticket::new(PARTNER, number).centre("dundee", "out");
+
+        let (a, b) = std::thread::scope(|scope| {
+            let a = scope.spawn(|| site.submit_to("control-1", &one));
+            let b = scope.spawn(|| site.submit_to("control-2", &two));
+            (a.join().unwrap(), b.join().unwrap())
+        });
+
+        let (won, lost) = if a.status == 200 { (a, b) } else { (b, a) };
+        assert_eq!((won.status, lost.status), (200, 409), "{}", lost.text());
+        let winner = submitted(&won.body).digest.to_string();
+        assert!(lost.text().contains(&winner), "{}", lost.text());
+    }
+}
+
+#[test]
+fn tickets_go_on_while_the_leader_is_killed() {
+    let mut site = group().build();
+    site.submit(&ticket(1));
+    let old = leader(&site, site.members());
+    let rest = others(&site, &old);
+
+    let killer = ticket(2);
+    std::thread::scope(|scope| {
+        let send = scope.spawn(|| site.submit_to(&rest[0], &killer));
+        send.join().unwrap()
+    });
+    site.process(&old).kill();
+    for number in 2..6 {
+        until("the ticket is accepted", || {
+            let reply = site.submit_to(&rest[0], &ticket(number));
+            assert!(!(400..500).contains(&reply.status), "{}", reply.text());
+            (reply.status == 200).then_some(())
+        });
+    }
+
+    wait_in_force(&site, &rest[1], 5);
+    site.restart(&old);
+    eventually("the killed member has caught up", || {
+        status(&site, &old).is_some_and(|s| s.confirmed && s.tickets[0].ticket.number == 5)
+    });
+}
+
+#[test]
+fn a_leader_behind_a_silent_one_way_partition_holds_nothing_up() {
+    let lease = "[lease]\nlength = \"1s\"\n";
+    let site = group().control_settings(lease).build();
+    site.submit(&ticket(1));
+    let old = leader(&site, site.members());
+    let rest = others(&site, &old);
+
+    site.links.outward_faults(&old, |faults| faults.hold = true);
+    for number in 2..8 {
+        until("the ticket is accepted", || {
+            let reply = site.submit_to(&rest[0], &ticket(number));
+            (reply.status == 200).then_some(())
+        });
+        wait_in_force(&site, &rest[0], number);
+    }
+    let stale = site.ask(&old, "/tickets/clydeside/7").status;
+    site.links.heal();
+
+    assert_ne!(stale, 200);
+    eventually("the old leader has caught up", || {
+        site.ask(&old, "/tickets/clydeside/7").status == 200
+    });
+}
+
+#[test]
+fn a_wiped_member_comes_back_and_another_may_be_lost() {
+    let mut site = group().build();
+    for number in 1..20 {
+        site.submit(&ticket(number));
+    }
+    site.wipe("control-3");
+    site.restart("control-3");
+    eventually("the wiped member counts again", || {
+        let Some(status) = status(&site, "control-3") else {
+            return false;
+        };
+        status.confirmed && status.tickets.iter().any(|t| t.ticket.number == 19)
+    });
+    until("all three members vote", || {
+        let status = status(&site, "control-1")?;
+        let leads = status.members.iter().find(|m| m.leads)?;
+        let replica = leads.replicas.first()?;
+        let voters = replica.members.iter().filter(|m| {
+            m.standing == cardamomtally::replica::host::Standing::Voter && m.silent_ms < 2_000
+        });
+        (voters.count() == 3).then_some(())
+    });
+
+    site.process("control-1").kill();
+    until("the ticket is accepted", || {
+        let reply = site.submit_to("control-3", &ticket(20));
+        (reply.status == 200).then_some(())
+    });
+
+    wait_in_force(&site, "control-3", 20);
+}
+
+#[test]
+fn a_process_that_restarts_after_many_tickets_holds_the_latest() {
+    let mut site = group().build();
+    site.submit(&ticket(1));
+    site.process("entry-1").kill();
+    for number in 2..=500 {
+        site.submit(&ticket(number));
+    }
+
+    site.restart("entry-1");
+
+    wait_in_force(&site, "control-1", 500);
+    let again = until("the first answer is given again", || {
+        let reply = site.submit_to("control-2", &ticket(7));
+        (reply.status == 200).then_some(reply)
+    });
+    assert!(submitted(&again.body).repeated);
+}
+
+#[test]
+fn the_whole_group_restarts_with_all_that_was_accepted() {
+    let mut site = group().build();
+    for number in 1..10 {
+        site.submit(&ticket(number));
+    }
+    let before = submitted(&site.submit_to("control-1", &ticket(4)).body);
+
+    for member in site.members().to_vec() {
+        site.process(&member).kill();
+    }
+    for member in site.members().to_vec() {
+        site.restart(&member);
+    }
+    wait_in_force(&site, "control-1", 9);
+    let after = submitted(&site.submit_to("control-1", &ticket(4)).body);
+
+    assert_eq!(before, after);
+}
+
+#[test]
+fn a_process_cut_off_from_control_stops_and_comes_back() {
+    let lease = "[lease]\nlength = \"1s\"\n";
+    let site = group().control_settings(lease).build();
+    site.submit(&ticket(1));
+    let ready = || site.ask("entry-1", "/health/ready").status == 200;
+    eventually("the entry is ready", ready);
+
+    site.isolate("entry-1");
+    eventually("the entry takes no new work", || !ready());
+    site.submit(&ticket(2));
+    until("the entry is silent", || {
+        let status = status(&site, "control-1")?;
+        let ticket = status.tickets.first()?;
+        ticket
+            .silent
+            .iter()
+            .any(|p| **p == *"entry-1")
+            .then_some(())
+    });
+    site.rejoin("entry-1");
+
+    eventually("the entry is ready again", ready);
+    wait_in_force(&site, "control-1", 2);
+}
+
+#[test]
+fn credentials_are_per_partner() {
+    let site = site().members(1).build();
+    site.submit(&ticket(1));
+    let url = format!("http://{}/tickets", site.http("control-1"));
+    let text = ticket(2).text().into_bytes();
+    let send = |token: &str| {
+        let bearer = format!("Bearer {token}");
+        let headers = [("authorization", bearer.as_str())];
+        crate::support::caller::send("POST", &url, &headers, text.clone()).status
+    };
+
+    assert_eq!(send("wrong"), 401);
+    assert_eq!(send("prairie-token"), 403);
+    assert_eq!(send("clydeside-token"), 200);
+}
