border: Print the replication port in the right byte order

Cause: nng leaves the port of a bound address in network byte order; the poll listener turned it round, the replication listener did not, so a member on port 0 printed a port where nobody listens.

Conclusion: both use one function.

--- a/src/cardamomtally/net/nng/mod.rs
+++ b/src/cardamomtally/net/nng/mod.rs
@@ -12,7 +12,7 @@
 mod server;
 
 pub use client::Client;
-pub use server::{Call, Server};
+pub use server::{Call, Server, bound_address};
 
 /// Longest message in bytes that either end accepts.
 const MESSAGE_LIMIT_BYTES: usize = 32 << 20;
--- a/src/cardamomtally/net/nng/server.rs
+++ b/src/cardamomtally/net/nng/server.rs
@@ -144,11 +144,16 @@
     }
 }
 
-fn bound_address(listener: Listener) -> eyre::Result<net::SocketAddr> {
+/// Returns the address at which a listener is bound.
+///
+/// # Errors
+///
+/// Returns an error if the listener has no IP address.
+pub fn bound_address(listener: Listener) -> eyre::Result<net::SocketAddr> {
     let mut address: net::SocketAddr = match listener.get_opt::<LocalAddr>()? {
         SocketAddr::Inet(address) => address.into(),
         SocketAddr::Inet6(address) => address.into(),
-        other => return Err(eyre::eyre!("the poll listener has no IP address: {other}")),
+        other => return Err(eyre::eyre!("the listener has no IP address: {other}")),
     };
     // The nng crate leaves the port in network byte order.
     address.set_port(u16::from_be(address.port()));
--- a/src/cardamomtally/replica/peers/nng.rs
+++ b/src/cardamomtally/replica/peers/nng.rs
@@ -7,11 +7,15 @@
 //! connections of silent members with [`Peers::renew`].
 
 use super::{Deliver, Envelope, Peers};
-use crate::{net::codec, prelude::*, settings::control::MemberSettings};
+use crate::{
+    net::{codec, nng::bound_address},
+    prelude::*,
+    settings::control::MemberSettings,
+};
 use nng::{
     Listener, Protocol, Socket,
     options::SendBufferSize,
-    options::{LocalAddr, Options as _, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize},
+    options::{Options as _, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize},
 };
 use slog::{Logger, debug};
 use std::{
@@ -59,11 +63,7 @@
         socket.set_opt::<RecvMaxSize>(MESSAGE_BYTES)?;
         let listener = Listener::new(&socket, &format!("tcp://{listen}"))
             .wrap_err_with(|| format!("failed to listen for replication at `{listen}`"))?;
-        let bound = match listener.get_opt::<LocalAddr>()? {
-            nng::SocketAddr::Inet(address) => address.to_string(),
-            nng::SocketAddr::Inet6(address) => address.to_string(),
-            _ => listen.to_owned(),
-        };
+        let bound = bound_address(listener)?.to_string();
         let (queue, jobs) = sync_channel(QUEUE_MESSAGES);
         let links = others.iter().map(Link::open).collect();
         let sender_log = log.clone();
