--- a/tests/testsuite/support/site.rs
+++ b/tests/testsuite/support/site.rs
@@ -6,7 +6,7 @@
     process::{Daemon, Process},
     settings::{self, MemberAddr},
     tickets::{Ticket, sha256_hex},
-    wait::{eventually, until},
+    wait::{eventually, eventually_or, until},
 };
 use cardamomtally_standin::{Engine, EngineOptions, Faults, Proxy, Service, engine::Served};
 use std::{
@@ -336,8 +336,10 @@
     /// Waits until an entry answers a chat request of a workspace.
     pub fn wait_served(&self, entry: &str, workspace: &str, model: &str) {
         let caller = self.caller(entry, workspace);
-        eventually(&format!("{entry} serves {model}"), || {
-            caller.chat(model, "hello", 2).content().is_some()
+        eventually_or(&format!("{entry} serves {model}"), || {
+            let reply = caller.chat(model, "hello", 2);
+            let told = || format!("{} {}", reply.status, reply.text());
+            reply.content().map(drop).ok_or_else(told)
         });
     }
 
--- a/tests/testsuite/support/wait.rs
+++ b/tests/testsuite/support/wait.rs
@@ -8,6 +8,25 @@
 /// Pause between two looks.
 const PAUSE: Duration = Duration::from_millis(25);
 
+/// Waits until a look succeeds; its last failure is told otherwise.
+///
+/// # Panics
+///
+/// Panics if it does not succeed within [`PATIENCE`].
+pub fn eventually_or(what: &str, mut look: impl FnMut() -> Result<(), String>) {
+    let mut last = String::new();
+    let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        until(what, || match look() {
+            Ok(()) => Some(()),
+            Err(told) => {
+                last = told;
+                None
+            }
+        });
+    }));
+    assert!(outcome.is_ok(), "waited in vain: {what}; last seen: {last}");
+}
+
 /// Waits until a look gives a value.
 ///
 /// # Panics
