--- a/src/bin/cardamomtally/commands/mod.rs
+++ b/src/bin/cardamomtally/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod completions;
+mod demo;
 mod timeline;
 
 use cardamomtally::ops::OpContext;
@@ -9,7 +10,12 @@
 
 /// Returns the commands of all verbs.
 pub fn builtin() -> Vec<Command> {
-    vec![check::cli(), completions::cli(), timeline::cli()]
+    vec![
+        check::cli(),
+        completions::cli(),
+        demo::cli(),
+        timeline::cli(),
+    ]
 }
 
 /// Runs a verb.
@@ -17,6 +23,7 @@
     match verb {
         "check" => check::exec(context, arguments),
         "completions" => completions::exec(arguments),
+        "demo" => demo::exec(context, arguments),
         "timeline" => timeline::exec(context, arguments),
         _ => unreachable!("clap knows only the verbs of `builtin`"),
     }
