--- a/src/cardamomtally/agent/orders.rs
+++ b/src/cardamomtally/agent/orders.rs
@@ -23,9 +23,12 @@
 }
 
 /// Which orders were given to one engine run.
+///
+/// Several orders may share a fencing number: those of one log entry.
 #[derive(Debug, Default)]
 pub struct Orders {
     highest: Index,
+    given: Vec<Order>,
     run: Option<u64>,
     breach: Breach,
 }
@@ -45,6 +48,7 @@
     pub fn note_run(&mut self, run: u64) {
         if self.run.replace(run) != Some(run) {
             self.highest = Index::default();
+            self.given.clear();
         }
     }
 
@@ -54,12 +58,15 @@
         orders
             .iter()
             .filter(|order| is_in_force(order, orders))
-            .find(|order| order.fence > self.highest || self.breach == Breach::AnyFence)
+            .filter(|order| !self.given.contains(order))
+            .find(|order| order.fence >= self.highest || self.breach == Breach::AnyFence)
     }
 
     /// Notes that an order was given, or that the engine had seen a higher one.
-    pub fn given(&mut self, fence: Index) {
-        self.highest = self.highest.max(fence);
+    pub fn given(&mut self, order: Order) {
+        self.highest = self.highest.max(order.fence);
+        self.given.retain(|old| subject(old) != subject(&order));
+        self.given.push(order);
     }
 
     /// Returns the highest fencing number given to this engine run.
--- a/src/cardamomtally/agent/watch.rs
+++ b/src/cardamomtally/agent/watch.rs
@@ -103,14 +103,14 @@
         match give(&parts, weights.as_ref(), &order).await {
             Ok(()) => {
                 slog::info!(parts.log, "orders: given"; "fence" => order.fence.0);
-                orders.given(order.fence);
+                orders.given(order);
                 parts.desk.read_now.notify_one();
                 pause_ms = ORDER_PAUSE_MS;
             }
             Err(Delay::Fenced(highest)) => {
                 slog::info!(parts.log, "orders: engine has seen a higher fencing number";
                     "fence" => order.fence.0, "highest" => highest);
-                orders.given(order.fence);
+                orders.given(order);
             }
             Err(Delay::Wait(wait)) => tokio::time::sleep(wait).await,
             Err(Delay::Failed(why)) => {
