--- a/src/cardamomtally/lease/poller.rs
+++ b/src/cardamomtally/lease/poller.rs
@@ -118,6 +118,10 @@
     fn cleared(&self, digest: Digest) {
         lock(&self.shared.reports).add_cleared(digest);
     }
+
+    fn poll_now(&self) {
+        self.shared.wake.notify_one();
+    }
 }
 
 impl fmt::Debug for Poller {
