--- a/src/cardamomtally/ops/bills.rs
+++ b/src/cardamomtally/ops/bills.rs
@@ -1,1 +1,130 @@
 //! The verb `bills`: sums of bills.
+
+use super::{Exit, Format, OpContext, client::Client};
+use crate::core::claim::BillSum;
+use reqwest::{Method, StatusCode};
+use std::fmt::Write as _;
+
+/// Millionths in one unit of account.
+const MICROS: f64 = 1_000_000.0;
+
+/// Options of the verb `bills`.
+#[derive(Clone, Debug, Default)]
+pub struct BillsOptions {
+    /// Only this partner's bills.
+    pub partner: Option<String>,
+    /// Only this workspace's bills.
+    pub workspace: Option<String>,
+}
+
+/// Prints the sums of bills by partner, workspace and version.
+///
+/// # Errors
+///
+/// Returns an error if no control member answers.
+pub fn run(context: &OpContext, options: &BillsOptions) -> eyre::Result<()> {
+    let client = Client::new(context)?;
+    let reply = client.control(&Method::GET, "/bills", None)?;
+    if reply.status != StatusCode::OK {
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        return Err(eyre::Report::new(Exit::Refused).wrap_err(text));
+    }
+    let mut sums: Vec<BillSum> = reply.json()?;
+    sums.retain(|sum| options.wants(sum));
+    sums.sort_by_key(sort_key);
+    context
+        .shell
+        .result(render(&sums, context.format)?.trim_end());
+    Ok(())
+}
+
+impl BillsOptions {
+    fn wants(&self, sum: &BillSum) -> bool {
+        let fits = |wanted: &Option<String>, name: &str| {
+            wanted.as_deref().is_none_or(|wanted| wanted == name)
+        };
+        fits(&self.partner, &sum.partner) && fits(&self.workspace, &sum.workspace)
+    }
+}
+
+fn sort_key(sum: &BillSum) -> (String, String, String) {
+    let BillSum {
+        partner,
+        workspace,
+        version,
+        ..
+    } = sum;
+    (
+        partner.to_string(),
+        workspace.to_string(),
+        version.to_string(),
+    )
+}
+
+/// Writes the sums in a form.
+///
+/// # Errors
+///
+/// Returns an error if the sums do not encode as JSON.
+pub fn render(sums: &[BillSum], format: Format) -> eyre::Result<String> {
+    match format {
+        Format::Csv => Ok(csv(sums)),
+        Format::Json => Ok(serde_json::to_string(sums)?),
+        Format::Text => Ok(text(sums)),
+    }
+}
+
+fn csv(sums: &[BillSum]) -> String {
+    let mut out = String::from(
+        "partner,workspace,version,requests,prompt_tokens,completion_tokens,cost_micros\n",
+    );
+    for sum in sums {
+        let names = [
+            quote(&sum.partner),
+            quote(&sum.workspace),
+            quote(&sum.version.to_string()),
+        ];
+        // Writing to a string cannot fail.
+        let _infallible = writeln!(
+            out,
+            "{},{},{},{},{}",
+            names.join(","),
+            sum.requests,
+            sum.prompt_tokens,
+            sum.completion_tokens,
+            sum.cost_micros
+        );
+    }
+    out
+}
+
+/// Quotes a field that holds a separator.
+fn quote(field: &str) -> String {
+    if field.contains([',', '"', '\n', '\r']) {
+        format!("\"{}\"", field.replace('"', "\"\""))
+    } else {
+        field.to_owned()
+    }
+}
+
+fn text(sums: &[BillSum]) -> String {
+    let mut out = format!(
+        "{:<16} {:<16} {:<32} {:>10} {:>14} {:>14} {:>14}\n",
+        "PARTNER", "WORKSPACE", "VERSION", "REQUESTS", "PROMPT", "COMPLETION", "COST"
+    );
+    for sum in sums {
+        let cost = sum.cost_micros as f64 / MICROS;
+        // Writing to a string cannot fail.
+        let _infallible = writeln!(
+            out,
+            "{:<16} {:<16} {:<32} {:>10} {:>14} {:>14} {cost:>14.6}",
+            sum.partner,
+            sum.workspace,
+            sum.version.to_string(),
+            sum.requests,
+            sum.prompt_tokens,
+            sum.completion_tokens,
+        );
+    }
+    out
+}
--- /dev/null
+++ b/tests/testsuite/agent/guard.rs
@@ -0,0 +1,165 @@
+//! The configuration at the moment of use.
+
+use super::fixtures::*;
+use cardamomtally::{
+    agent::guard::{Forbidden, check},
+    core::config::{
+        BackendSite, BackendState, BackendView, CentreState, Config, PartnerState, Service, Stage,
+        Suspect, VersionState, WorkspaceState,
+    },
+    lease::Held,
+    net::run::{RunHead, Target},
+    prelude::*,
+};
+use std::collections::BTreeMap;
+
+const BACKEND: &str = "gla-e1";
+
+fn name(text: &str) -> Name {
+    text.into()
+}
+
+fn config() -> Config {
+    let partner = PartnerState {
+        versions: BTreeMap::from([(name("a@1"), open()), (name("b@1"), open())]),
+        workspaces: BTreeMap::from([(name("counter"), workspace())]),
+        ..PartnerState::default()
+    };
+    let view = BackendView {
+        state: Service::In,
+        versions: vec![name("a@1")],
+        services: Vec::new(),
+    };
+    Config {
+        index: Index(3),
+        partners: BTreeMap::from([(name("clydeside"), partner)]),
+        centres: BTreeMap::from([(name("glasgow"), centre(Service::In))]),
+        backends: BTreeMap::from([(
+            name(BACKEND),
+            BackendState {
+                owner: name("clydeside"),
+                site: BackendSite {
+                    centre: name("glasgow"),
+                    agent: name("127.0.0.1:1"),
+                    fencing: false,
+                },
+                views: BTreeMap::from([(name("clydeside"), view)]),
+            },
+        )]),
+        ..Config::default()
+    }
+}
+
+fn open() -> VersionState {
+    VersionState {
+        cost: 1.0,
+        stage: Stage::InService,
+        share: 1.0,
+    }
+}
+
+fn workspace() -> WorkspaceState {
+    WorkspaceState {
+        keys: Vec::new(),
+        versions: vec![name("a@1"), name("b@1")],
+        cascade: None,
+        quality: 0.5,
+        services: Vec::new(),
+        priority: 3,
+    }
+}
+
+fn centre(state: Service) -> CentreState {
+    CentreState {
+        region: name("scot-central"),
+        views: BTreeMap::from([(name("clydeside"), Service::In), (name("prairie"), state)]),
+    }
+}
+
+fn held(config: &Config) -> Held {
+    Held {
+        snapshot: Arc::new(Snapshot::compile(config)),
+        config: Arc::new(config.clone()),
+        until: at(1_000),
+    }
+}
+
+fn run_a() -> RunHead {
+    head(Target::Version(version("a@1")))
+}
+
+fn outcome(config: &Config, head: &RunHead) -> Result<(), Forbidden> {
+    check(&held(config), at(500), BACKEND, head)
+}
+
+#[test]
+fn allowed_attempt_passes() {
+    assert_eq!(outcome(&config(), &run_a()), Ok(()));
+}
+
+#[test]
+fn lease_past_its_end_forbids() {
+    let late = check(&held(&config()), at(1_000), BACKEND, &run_a());
+
+    assert_eq!(late, Err(Forbidden::NoLease));
+}
+
+#[test]
+fn entry_with_a_newer_configuration_is_told() {
+    let newer = RunHead {
+        index: Index(4),
+        ..run_a()
+    };
+
+    assert_eq!(outcome(&config(), &newer), Err(Forbidden::Behind));
+}
+
+#[test]
+fn withdrawn_version_is_forbidden_although_the_entry_is_older() {
+    let mut config = config();
+    config.index = Index(9);
+    let partner = config.partners.get_mut("clydeside").unwrap();
+    partner.versions.get_mut("a@1").unwrap().stage = Stage::Withdrawn;
+
+    assert_eq!(outcome(&config, &run_a()), Err(Forbidden::NotAllowed));
+}
+
+#[test]
+fn version_of_another_backend_server_is_forbidden() {
+    let other = head(Target::Version(version("b@1")));
+
+    assert_eq!(outcome(&config(), &other), Err(Forbidden::NotServed));
+}
+
+#[test]
+fn one_partner_takes_a_data_centre_out_for_both() {
+    let mut config = config();
+    config.centres.insert(name("glasgow"), centre(Service::Out));
+
+    assert_eq!(outcome(&config, &run_a()), Err(Forbidden::OutOfService));
+}
+
+#[test]
+fn unknown_backend_server_or_workspace_is_forbidden() {
+    let stranger = RunHead {
+        workspace: name("nobody"),
+        ..run_a()
+    };
+
+    let elsewhere = check(&held(&config()), at(500), "gla-e9", &run_a());
+
+    assert_eq!(elsewhere, Err(Forbidden::OutOfService));
+    assert_eq!(outcome(&config(), &stranger), Err(Forbidden::NoWorkspace));
+}
+
+#[test]
+fn quarantined_request_is_forbidden() {
+    let mut config = config();
+    let suspect = Suspect {
+        crashes: Vec::new(),
+        quarantined: true,
+    };
+    config.suspects.insert(run_a().digest, suspect);
+
+    assert_eq!(outcome(&config, &run_a()), Err(Forbidden::Quarantined));
+}
--- /dev/null
+++ b/tests/testsuite/agent/process.rs
@@ -0,0 +1,1 @@
+//! Agents as real processes.
--- /dev/null
+++ b/tests/testsuite/agent/records.rs
@@ -0,0 +1,191 @@
+//! Usage records until they are billed.
+
+use super::fixtures::*;
+use cardamomtally::{
+    agent::{
+        records::{RecordParts, Records},
+        usage::{Usage, cost_micros},
+    },
+    core::{
+        claim::{ClaimError, ClaimOp, ClaimReply, ClaimStore},
+        clock::SystemClock,
+    },
+    ledger::{local::Local, machine::Ledger},
+    prelude::*,
+    replica::memory::MemLog,
+};
+use futures::future::BoxFuture;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
+use std::{
+    path::Path,
+    sync::atomic::{AtomicBool, Ordering},
+};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A ledger that may be out of reach.
+#[derive(Debug)]
+struct Flaky {
+    ledger: Local,
+    down: AtomicBool,
+}
+
+impl ClaimStore for Flaky {
+    fn apply(&self, op: ClaimOp) -> BoxFuture<'_, Result<ClaimReply, ClaimError>> {
+        if self.down.load(Ordering::Relaxed) {
+            let error = ClaimError {
+                reason: "out of reach".to_owned(),
+                refused: false,
+            };
+            return Box::pin(std::future::ready(Err(error)));
+        }
+        self.ledger.apply(op)
+    }
+}
+
+fn ledger() -> Arc<Flaky> {
+    let log = MemLog::default();
+    log.add(GroupId(1), Box::new(Ledger::default()));
+    Arc::new(Flaky {
+        ledger: Local::new(Arc::new(log), 1),
+        down: AtomicBool::new(false),
+    })
+}
+
+fn open(claims: &Arc<Flaky>, folder: Option<&Path>) -> Arc<Records> {
+    let records = Records::open(RecordParts {
+        folder: folder.map(Path::to_owned),
+        grace: Duration::from_secs(3_600),
+        clock: Arc::new(SystemClock::default()),
+        claims: Arc::clone(claims) as Arc<dyn ClaimStore>,
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+    });
+    Arc::new(records.expect("records open"))
+}
+
+fn usage(seq: u64, number: u32) -> Usage {
+    let attempt = AttemptId {
+        number,
+        ..attempt(seq)
+    };
+    Usage {
+        attempt,
+        bill: bill(seq),
+    }
+}
+
+async fn billed(claims: &Flaky) -> u64 {
+    match claims.ledger.apply(ClaimOp::Bills).await {
+        Ok(ClaimReply::Bills(sums)) => sums.iter().map(|sum| sum.requests).sum(),
+        other => panic!("expected sums, got {other:?}"),
+    }
+}
+
+#[tokio::test]
+async fn agent_bills_what_a_dead_entry_did_not() {
+    let claims = ledger();
+    let records = open(&claims, None);
+    records.add(usage(1, 1)).await;
+
+    let done = records.flush(PATIENCE).await;
+
+    assert!(done, "records are left");
+    assert_eq!(billed(&claims).await, 1);
+}
+
+#[tokio::test]
+async fn billed_record_is_dropped() {
+    let claims = ledger();
+    let records = open(&claims, None);
+    records.add(usage(1, 1)).await;
+    records.add(usage(1, 2)).await;
+
+    records.billed(usage(1, 2).attempt);
+
+    assert!(records.is_empty(), "records are left");
+    assert_eq!(billed(&claims).await, 0);
+}
+
+#[tokio::test]
+async fn record_waits_for_a_ledger_out_of_reach() {
+    let claims = ledger();
+    claims.down.store(true, Ordering::Relaxed);
+    let records = open(&claims, None);
+    records.add(usage(1, 1)).await;
+
+    let early = records.flush(Duration::ZERO).await;
+    claims.down.store(false, Ordering::Relaxed);
+    let late = records.flush(PATIENCE).await;
+
+    assert!(!early, "billed without a ledger");
+    assert!(late, "records are left");
+    assert_eq!(billed(&claims).await, 1);
+}
+
+#[tokio::test]
+async fn record_on_disk_outlives_the_agent() {
+    let claims = ledger();
+    let folder = tempfile::tempdir().expect("a folder");
+    let first = open(&claims, Some(folder.path()));
+    first.add(usage(1, 1)).await;
+    drop(first);
+
+    let second = open(&claims, Some(folder.path()));
+    let found = second.len();
+    second.flush(PATIENCE).await;
+
+    assert_eq!(found, 1);
+    assert_eq!(billed(&claims).await, 1);
+}
+
+#[tokio::test]
+async fn record_that_does_not_decode_stops_nothing() {
+    let claims = ledger();
+    let folder = tempfile::tempdir().expect("a folder");
+    std::fs::write(folder.path().join("x.usage"), b"nonsense").expect("the file is written");
+
+    let records = open(&claims, Some(folder.path()));
+
+    assert!(records.is_empty(), "a record was read from nonsense");
+}
+
+/// One bill for each request, whoever reports it and in whatever order.
+#[tokio::test]
+async fn one_bill_a_request_whatever_the_order() {
+    for seed in 0..30 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let claims = ledger();
+        let agents: Vec<Arc<Records>> = (0..3).map(|_| open(&claims, None)).collect();
+        let mut reports: Vec<(u64, u32)> = Vec::new();
+        for seq in 1..=30 {
+            for number in 1..=rng.random_range(1..=3) {
+                reports.push((seq, number));
+            }
+        }
+        reports.shuffle(&mut rng);
+        for (seq, number) in reports {
+            let agent = &agents[rng.random_range(0..3)];
+            agent.add(usage(seq, number)).await;
+            if rng.random_bool(0.4) {
+                let entry = claims.apply(ClaimOp::Bill(bill(seq))).await;
+                assert!(matches!(entry, Ok(ClaimReply::Bill { .. })), "{entry:?}");
+            }
+            if rng.random_bool(0.3) {
+                agent.billed(usage(seq, number).attempt);
+                let entry = claims.apply(ClaimOp::Bill(bill(seq))).await;
+                assert!(matches!(entry, Ok(ClaimReply::Bill { .. })), "{entry:?}");
+            }
+        }
+        for agent in &agents {
+            assert!(agent.flush(PATIENCE).await, "records are left");
+        }
+
+        assert_eq!(billed(&claims).await, 30, "seed {seed}");
+    }
+}
+
+#[test]
+fn cost_is_by_a_thousand_tokens() {
+    assert_eq!(cost_micros(0.2, 1_000), 200_000);
+    assert_eq!(cost_micros(1.5, 1), 1_500);
+}
--- /dev/null
+++ b/tests/testsuite/agent/whole.rs
@@ -0,0 +1,141 @@
+//! Checks of whole answers.
+
+use super::fixtures::*;
+use bytes::Bytes;
+use cardamomtally::{
+    agent::whole::{Checker, Fault, Form, check_echo},
+    net::run::{Target, Usage},
+    prelude::*,
+};
+
+const OTHER: &str = "000000000000beef-9";
+
+fn request() -> RequestId {
+    attempt(1).request
+}
+
+fn event(id: &str, text: &str) -> String {
+    format!("data: {{\"id\":\"{id}\",\"choices\":[{{\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n")
+}
+
+fn usage(id: &str) -> String {
+    format!(
+        "data: {{\"id\":\"{id}\",\"choices\":[],\"usage\":{{\"prompt_tokens\":3,\"completion_tokens\":2}}}}\n\n"
+    )
+}
+
+fn stream() -> String {
+    let id = request().to_string();
+    event(&id, "one") + &event(&id, "two") + &usage(&id) + "data: [DONE]\n\n"
+}
+
+fn push(checker: &mut Checker, text: &str) -> Result<Bytes, Fault> {
+    checker.push(&Bytes::copy_from_slice(text.as_bytes()))
+}
+
+#[test]
+fn whole_stream_passes_in_any_cut() {
+    let text = stream();
+    for cut in 1..text.len() {
+        let mut checker = Checker::new(Form::Stream, request());
+        let mut passed = push(&mut checker, &text[..cut]).unwrap().to_vec();
+        passed.extend(push(&mut checker, &text[cut..]).unwrap());
+
+        assert_eq!(checker.finish(), Ok(Bytes::new()), "cut at {cut}");
+        assert_eq!(String::from_utf8(passed).unwrap(), text, "cut at {cut}");
+        assert_eq!(checker.events(), 4);
+        assert_eq!(
+            checker.usage(),
+            Usage {
+                prompt: 3,
+                completion: 2
+            }
+        );
+    }
+}
+
+#[test]
+fn stream_without_its_marker_is_not_whole() {
+    let mut checker = Checker::new(Form::Stream, request());
+    let text = stream().replace("data: [DONE]\n\n", "");
+
+    push(&mut checker, &text).unwrap();
+
+    assert_eq!(checker.finish(), Err(Fault::Truncated));
+}
+
+#[test]
+fn event_of_another_request_is_never_passed_on() {
+    let mut checker = Checker::new(Form::Stream, request());
+    let first = push(&mut checker, &event(&request().to_string(), "mine"));
+
+    let crossed = push(&mut checker, &event(OTHER, "secret"));
+
+    assert!(first.is_ok(), "{first:?}");
+    assert_eq!(crossed, Err(Fault::OtherRequest));
+}
+
+#[test]
+fn body_is_held_back_until_it_is_checked() {
+    let mut checker = Checker::new(Form::Json, request());
+    let body = format!("{{\"id\":\"{OTHER}\",\"choices\":[]}}");
+
+    let passed = push(&mut checker, &body);
+
+    assert_eq!(passed, Ok(Bytes::new()));
+    assert_eq!(checker.finish(), Err(Fault::OtherRequest));
+}
+
+#[test]
+fn half_a_body_is_not_whole() {
+    let mut checker = Checker::new(Form::Json, request());
+    let body = format!("{{\"id\":\"{}\",\"choices\":[", request());
+
+    push(&mut checker, &body).unwrap();
+
+    assert_eq!(checker.finish(), Err(Fault::Truncated));
+}
+
+#[test]
+fn rewound_stream_goes_on_at_the_next_event() {
+    let id = request().to_string();
+    let mut checker = Checker::new(Form::Stream, request());
+    let half = event(&id, "two");
+    push(&mut checker, &event(&id, "one")).unwrap();
+    push(&mut checker, &half[..20]).unwrap();
+
+    checker.rewind();
+    let resumed = push(&mut checker, &half).unwrap();
+
+    assert_eq!(resumed, Bytes::from(half));
+    assert_eq!(checker.events(), 2);
+}
+
+#[test]
+fn echo_is_checked_before_anything_is_passed_on() {
+    let model = Target::Version(version("a@1"));
+    let service = Target::Service(version("queue"));
+    let mine = request().to_string();
+
+    assert_eq!(check_echo(&model, request(), Some(&mine)), Ok(()));
+    assert_eq!(
+        check_echo(&model, request(), Some(OTHER)),
+        Err(Fault::OtherRequest)
+    );
+    assert_eq!(check_echo(&model, request(), None), Err(Fault::Nameless));
+    assert_eq!(check_echo(&service, request(), None), Ok(()));
+    assert_eq!(
+        check_echo(&service, request(), Some(OTHER)),
+        Err(Fault::OtherRequest)
+    );
+}
+
+#[test]
+fn endless_event_is_cut_off() {
+    let mut checker = Checker::new(Form::Stream, request());
+    let chunk = "x".repeat(1 << 20);
+
+    let outcome = (0..8).try_for_each(|_| push(&mut checker, &chunk).map(drop));
+
+    assert_eq!(outcome, Err(Fault::TooLong));
+}
