--- /dev/null
+++ b/benches/control/main.rs
@@ -0,0 +1,163 @@
+//! Measurement of control with real processes on loopback: tickets, changes of
+//! leader, repair, and what polls cost. Prints one JSON object as its last
+//! line; a figure that was not measured is `null`.
+//!
+//! Bytes are those that the messages carry plus an estimate of all headers and
+//! acknowledgements, see [`cardamomtally::net::nng::OVERHEAD_BYTES`].
+
+mod group;
+mod pollers;
+mod relay;
+
+use group::Group;
+use pollers::Pollers;
+use serde_json::{Map, Value, json};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Tickets whose acceptance is timed.
+const TICKETS: u64 = 400;
+
+/// Tickets of history before a repair.
+const HISTORY: u64 = 10_000;
+
+/// Repeats of each trial with a fault.
+const REPEATS: usize = 5;
+
+/// Pollers while a ticket's way into force is timed.
+const IN_FORCE_POLLERS: usize = 100;
+
+/// Window over which traffic and processor time are counted.
+const WINDOW: Duration = Duration::from_secs(15);
+
+/// Members of the group in which a member's cost is counted.
+const LARGE_GROUP: usize = 7;
+
+fn main() {
+    let mut figures = Map::new();
+    measure_tickets(&mut figures);
+    measure_repair(&mut figures);
+    measure_cost(&mut figures);
+    println!("{}", Value::Object(figures));
+}
+
+fn set(figures: &mut Map<String, Value>, key: &str, value: f64) {
+    let rounded = (value * 1_000.0).round() / 1_000.0;
+    eprintln!("{key} {rounded}");
+    figures.insert(key.to_owned(), json!(rounded));
+}
+
+fn ms(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+fn measure_tickets(figures: &mut Map<String, Value>) {
+    let mut group = Group::start(3);
+    group.submit_next(0);
+    let mut times: Vec<_> = (0..TICKETS)
+        .map(|i| group.submit_next(i as usize % 3))
+        .collect();
+    times.sort();
+    let at = |share: f64| ms(times[((times.len() - 1) as f64 * share) as usize]);
+    set(figures, "accept_p50_ms", at(0.5));
+    set(figures, "accept_p99_ms", at(0.99));
+    let pollers = Pollers::start(IN_FORCE_POLLERS, &group.polls());
+    pollers.wait_valid();
+    let well = (0..REPEATS * 2).map(|_| in_force(&mut group, &pollers, 0));
+    let well = well.max().unwrap_or_default();
+    set(figures, "in_force_max_ms", ms(well));
+    let cut = (0..REPEATS).map(|i| partition(&mut group, &pollers, i % 2 == 0));
+    let cut = cut.max().unwrap_or_default();
+    set(figures, "in_force_partition_max_ms", ms(cut));
+    drop(pollers);
+    let elected = (0..REPEATS).map(|_| new_leader(&mut group));
+    let elected = elected.max().unwrap_or_default();
+    set(figures, "new_leader_max_ms", ms(elected));
+}
+
+/// Submits a ticket and returns the time until every poller holds it or has no
+/// lease.
+fn in_force(group: &mut Group, pollers: &Pollers, member: usize) -> Duration {
+    group.submit_next(member);
+    let accepted = Instant::now();
+    let index = group.index();
+    pollers.wait_past(index);
+    accepted.elapsed()
+}
+
+/// Stops a member without closing its connections, and times a ticket.
+fn partition(group: &mut Group, pollers: &Pollers, of_leader: bool) -> Duration {
+    let leader = group.leader();
+    let cut = if of_leader { leader } else { (leader + 1) % 3 };
+    group.pause(cut);
+    let took = in_force(group, pollers, (cut + 1) % 3);
+    group.resume(cut);
+    group.wait_caught_up(cut);
+    pollers.wait_valid();
+    took
+}
+
+/// Kills the leader and returns the time until another member accepts a ticket.
+fn new_leader(group: &mut Group) -> Duration {
+    let leader = group.leader();
+    group.kill(leader);
+    let killed = Instant::now();
+    group.submit_next((leader + 1) % 3);
+    let took = killed.elapsed();
+    group.restart(leader);
+    group.wait_caught_up(leader);
+    took
+}
+
+fn measure_repair(figures: &mut Map<String, Value>) {
+    let mut group = Group::start(3);
+    for _ in 0..HISTORY {
+        group.submit_next(0);
+    }
+    let mut worst = Duration::ZERO;
+    for round in 0..REPEATS {
+        let wiped = 1 + round % 2;
+        let old = group.wipe(wiped);
+        let started = Instant::now();
+        group.restart(wiped);
+        group.wait_new_voter(wiped, old);
+        worst = worst.max(started.elapsed());
+    }
+    set(figures, "repair_max_ms", ms(worst));
+    set(figures, "member_rss_mb", group.rss_mb(0));
+}
+
+fn measure_cost(figures: &mut Map<String, Value>) {
+    let mut group = Group::start(LARGE_GROUP);
+    group.submit_next(0);
+    let leader = group.leader();
+    let address = vec![group.polls()[leader].clone()];
+    for count in [10, 100, 133, 300] {
+        let pollers = Pollers::start(count, &address);
+        pollers.wait_valid();
+        // The first polls, which tell who each process is, are over.
+        thread::sleep(Duration::from_secs(3));
+        let before = (group.bytes(leader), group.cpu_secs(leader));
+        let own = (pollers.bytes(), group::own_cpu_secs());
+        thread::sleep(WINDOW);
+        let secs = WINDOW.as_secs_f64();
+        let per_s = |after: u64, before: u64| (after - before) as f64 / secs;
+        let bytes = per_s(group.bytes(leader), before.0);
+        let percent = (group.cpu_secs(leader) - before.1) / secs * 100.0;
+        set(figures, &format!("member_bytes_per_s_{count}"), bytes);
+        set(figures, &format!("member_core_percent_{count}"), percent);
+        if count == 300 {
+            let share = per_s(pollers.bytes(), own.0) / 300.0;
+            let cpu = (group::own_cpu_secs() - own.1) / secs / 300.0 * 100.0;
+            set(figures, "poller_bytes_per_s", share);
+            set(figures, "poller_core_percent", cpu);
+        }
+    }
+    let follower = (leader + 1) % LARGE_GROUP;
+    let before = group.bytes(follower);
+    thread::sleep(WINDOW);
+    let idle = (group.bytes(follower) - before) as f64 / WINDOW.as_secs_f64();
+    set(figures, "follower_bytes_per_s_0", idle);
+}
--- /dev/null
+++ b/benches/control/pollers.rs
@@ -0,0 +1,93 @@
+//! Pollers as entries and agents run them, many in one process.
+
+use cardamomtally::{
+    daemon::Context,
+    lease::{Identity, Lease as _, Poller},
+    net::{nng::Client, transport::Transport, wire::Role},
+    prelude::*,
+    settings::common::{LogSettings, PollSettings, ProcessSettings, TimelineSettings},
+};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use std::{thread, time::Instant};
+
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_mins(1);
+
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(2);
+
+/// Many pollers.
+pub struct Pollers {
+    context: Context,
+    pollers: Vec<(Arc<Poller>, Arc<Client>)>,
+}
+
+impl Pollers {
+    /// Starts pollers with the default settings.
+    pub fn start(count: usize, members: &[String]) -> Self {
+        let process = ProcessSettings {
+            name: "pollers".to_owned(),
+            data_centre: "glasgow".to_owned(),
+        };
+        let metrics = PrometheusBuilder::new().build_recorder().handle();
+        let timeline = TimelineSettings {
+            events: 0,
+            ..TimelineSettings::default()
+        };
+        let context = Context::new(&process, &LogSettings::default(), &timeline, metrics);
+        let context = context.expect("no file is opened");
+        let settings = PollSettings {
+            members: members.to_vec(),
+            ..PollSettings::default()
+        };
+        let start = |number| {
+            let client = Arc::<Client>::default();
+            let identity = Identity {
+                name: format!("poller-{number}").into(),
+                role: Role::Agent,
+                incarnation: Incarnation::random(),
+                centre: "glasgow".into(),
+                http: "127.0.0.1:1".into(),
+            };
+            let transport = Arc::clone(&client) as Arc<dyn Transport>;
+            let poller = Poller::start(settings.clone(), identity, transport, context.clone());
+            (poller, client)
+        };
+        Self {
+            pollers: (0..count).map(start).collect(),
+            context: context.clone(),
+        }
+    }
+
+    /// Waits until each has a lease.
+    pub fn wait_valid(&self) {
+        let now = || self.context.clock.now();
+        self.wait(|poller| poller.held().is_valid(now()));
+    }
+
+    /// Waits until each holds an index, or has no lease.
+    pub fn wait_past(&self, index: u64) {
+        let now = || self.context.clock.now();
+        self.wait(|poller| {
+            let held = poller.held();
+            held.config.index >= Index(index) || !held.is_valid(now())
+        });
+    }
+
+    /// Returns the bytes that all have sent and received.
+    pub fn bytes(&self) -> u64 {
+        let both = |client: &Client| {
+            let (sent, received) = client.traffic();
+            sent + received
+        };
+        self.pollers.iter().map(|(_, client)| both(client)).sum()
+    }
+
+    fn wait(&self, holds: impl Fn(&Poller) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !self.pollers.iter().all(|(poller, _)| holds(poller)) {
+            assert!(Instant::now() < end, "the pollers never got there");
+            thread::sleep(PAUSE);
+        }
+    }
+}
--- a/tests/testsuite/control/group.rs
+++ b/tests/testsuite/control/group.rs
@@ -185,7 +185,7 @@
     }
     let stale = site.ask(&old, "/tickets/clydeside/7").status;
     site.links.outward_faults(&old, |faults| {
-        *faults = cardamomtally_standin::Faults::default()
+        *faults = cardamomtally_standin::Faults::default();
     });
 
     assert_ne!(stale, 200);
--- a/tests/testsuite/control/health.rs
+++ b/tests/testsuite/control/health.rs
@@ -132,11 +132,15 @@
     let mut judge = Judge::new(HealthSettings::default());
     let names = ["a@1", "b@1", "c@1"];
     for _ in 0..100 {
-        names.iter().for_each(|n| judge.note(&rated(n, 9, 1)));
+        for name in names {
+            judge.note(&rated(name, 9, 1));
+        }
     }
 
     for _ in 0..20 {
-        names.iter().for_each(|n| judge.note(&rated(n, 0, 10)));
+        for name in names {
+            judge.note(&rated(name, 0, 10));
+        }
     }
 
     assert!(judge.bad().is_empty());
