Let the demo wait until engines have loaded the versions

Cause: the first chat request met engines whose weights were still being loaded, and was refused with 503, not-run.

--- a/src/cardamomtally/ops/demo/steps.rs
+++ b/src/cardamomtally/ops/demo/steps.rs
@@ -103,7 +103,8 @@
     /// Goes through all steps and leaves a stream running.
     pub fn run(self) -> eyre::Result<LastStream> {
         self.submit(&self.plan.opening(&self.running.agents), 1)?;
-        let chats = self.chat().wrap_err("chat requests failed")?;
+        let loaded = self.loaded()?;
+        let chats = loaded + self.chat().wrap_err("chat requests failed")?;
         let jobs = self.jobs().wrap_err("submissions failed")?;
         self.bills(chats + jobs)?;
         self.withdraw().wrap_err("the withdrawal failed")?;
@@ -168,6 +169,21 @@
         Ok(line.holders)
     }
 
+    /// Waits until engines have loaded both versions that the ticket names, and
+    /// returns the number of requests that were answered meanwhile.
+    fn loaded(&self) -> eyre::Result<u64> {
+        let mut answered = 0;
+        for entry in &self.running.entries {
+            for model in [SMALL, LARGE] {
+                self.eventually("an engine has loaded the version", || {
+                    self.block(self.caller.chat(entry, model, "is it loaded?"))
+                })?;
+                answered += 1;
+            }
+        }
+        Ok(answered)
+    }
+
     /// Sends chat requests to each entry, plain and streamed.
     fn chat(&self) -> eyre::Result<u64> {
         let mut sent = 0;
