Trust no completion and send no attempt from before a cold turn

Twenty cold turns under load killed the engine once in 907 answers: an attempt let in before the turn was sent after it. Attempts now carry the epoch of admission. A stream that ends without its marker is judged like a broken connection, since a dying engine may close its connections in order.

--- a/src/cardamomtally/agent/admission.rs
+++ b/src/cardamomtally/agent/admission.rs
@@ -146,6 +146,7 @@
 struct Running {
     attempt: AttemptId,
     suspect: bool,
+    epoch: u64,
 }
 
 /// Admission of one backend server.
@@ -165,8 +166,12 @@
     incarnation: Option<u64>,
     /// Since when a reading is needed before anything starts.
     checking: Option<Mono>,
-    /// The limit before a connection broke, until a reading tells more.
-    before: Option<f64>,
+    /// Limit and epoch before a connection broke, until a reading tells more.
+    before: Option<(f64, u64)>,
+    /// Counts cold turns. What started in an earlier epoch says nothing of how
+    /// warm the backend server is now.
+    epoch: u64,
+    epochs: u64,
     cache_used: f64,
     average_ms: f64,
     samples: u32,
@@ -189,6 +194,8 @@
             incarnation: None,
             checking: Some(Mono::default()),
             before: None,
+            epoch: 0,
+            epochs: 0,
             cache_used: 0.0,
             average_ms: 0.0,
             samples: 0,
@@ -218,7 +225,10 @@
     }
 
     /// Notes the time to first token of an attempt that runs.
-    pub fn first_token(&mut self, delay: Duration, now: Mono) {
+    pub fn first_token(&mut self, attempt: AttemptId, delay: Duration, now: Mono) {
+        if !self.is_current(attempt) {
+            return;
+        }
         let delay_ms = delay.as_secs_f64() * 1_000.0;
         let target_ms = self.settings.target.0.as_secs_f64() * 1_000.0;
         let jumped = self.samples >= JUMP_SAMPLES && delay_ms > self.average_ms * JUMP_FACTOR;
@@ -235,8 +245,10 @@
 
     /// Notes the end of a started attempt.
     pub fn end(&mut self, attempt: AttemptId, outcome: Outcome, now: Mono) -> Vec<Effect> {
+        let current = self.is_current(attempt);
         self.running.retain(|r| r.attempt != attempt);
         match outcome {
+            Outcome::Good if !current => {}
             Outcome::Good => {
                 self.evidence = Some(now);
                 self.grow();
@@ -251,7 +263,7 @@
     /// asked for after this tells whether the backend server restarted.
     pub fn broke(&mut self, now: Mono) {
         if !self.life.is(Phase::Failed) {
-            self.before.get_or_insert(self.limit);
+            self.before.get_or_insert((self.limit, self.epoch));
         }
         self.turn_cold(now);
         self.checking = Some(now);
@@ -303,6 +315,7 @@
             self.running.push(Running {
                 attempt: arrival.attempt,
                 suspect: arrival.suspect,
+                epoch: self.epoch,
             });
             effects.push(Effect::Start(arrival.attempt));
         }
@@ -328,6 +341,13 @@
         self.limit as u32
     }
 
+    /// Returns the number of cold turns. An attempt that was started in an
+    /// earlier epoch and is not sent yet must not be sent any more.
+    #[must_use]
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// Returns the engine's run, if it has been read.
     #[must_use]
     pub const fn incarnation(&self) -> Option<u64> {
@@ -362,6 +382,11 @@
         }
     }
 
+    fn is_current(&self, attempt: AttemptId) -> bool {
+        let running = self.running.iter().find(|r| r.attempt == attempt);
+        running.is_some_and(|r| r.epoch == self.epoch || self.breach == Breach::StayWarm)
+    }
+
     fn refusal(&self) -> Option<Reason> {
         if self.life.is(Phase::Leaving) {
             return Some(Reason::Leaving);
@@ -436,6 +461,8 @@
 
     fn turn_cold(&mut self, now: Mono) {
         self.life.note(Sign::TurnedCold);
+        self.epochs += 1;
+        self.epoch = self.epochs;
         self.samples = 0;
         self.average_ms = 0.0;
         self.shrunk = Some(now);
@@ -449,8 +476,9 @@
 
     /// Restores the limit after a break that was no restart.
     fn forgive(&mut self, now: Mono) {
-        if let Some(limit) = self.before.take() {
+        if let Some((limit, epoch)) = self.before.take() {
             self.limit = limit;
+            self.epoch = epoch;
             self.evidence = Some(now);
         }
     }
--- a/src/cardamomtally/agent/desk.rs
+++ b/src/cardamomtally/agent/desk.rs
@@ -61,8 +61,17 @@
     pub retry: bool,
 }
 
+/// An attempt may be sent to the backend server.
+#[derive(Clone, Debug)]
+pub struct Go {
+    /// Where its answer goes.
+    pub answer: Arc<Answer>,
+    /// The epoch of admission; in a later one it must not be sent any more.
+    pub epoch: u64,
+}
+
 /// Answer to an attempt that arrives.
-pub type Admitted = Result<Arc<Answer>, Rejection>;
+pub type Admitted = Result<Go, Rejection>;
 
 /// An attempt that arrives.
 #[derive(Clone, Copy, Debug)]
@@ -111,6 +120,8 @@
     pub versions: Option<Vec<String>>,
     /// The engine's run.
     pub incarnation: Option<u64>,
+    /// The epoch of admission.
+    pub epoch: u64,
 }
 
 /// A handle to the control thread.
@@ -347,9 +358,7 @@
                 let _gone = reply.send(self.cancel(attempt, now));
             }
             Message::FirstToken(attempt, delay) => {
-                if self.live.contains_key(&attempt) {
-                    self.admission.first_token(delay, now);
-                }
+                self.admission.first_token(attempt, delay, now);
             }
             Message::Broke(attempt, reply) => self.broke(attempt, reply, now),
             Message::Ended(attempt, outcome, state) => self.end(attempt, outcome, state, now),
@@ -401,7 +410,11 @@
             return;
         };
         self.crashes.start(attempt, live.digest);
-        if reply.send(Ok(Arc::clone(&live.answer))).is_err() {
+        let go = Go {
+            answer: Arc::clone(&live.answer),
+            epoch: self.admission.epoch(),
+        };
+        if reply.send(Ok(go)).is_err() {
             // Its handler has gone, so nothing will be sent.
             let (outcome, state) = (admission::Outcome::Cancelled, State::NotRun);
             self.end(attempt, outcome, state, self.now());
@@ -564,6 +577,7 @@
             load,
             versions: self.versions.clone(),
             incarnation: self.admission.incarnation(),
+            epoch: self.admission.epoch(),
         }));
     }
 }
--- a/src/cardamomtally/agent/pump.rs
+++ b/src/cardamomtally/agent/pump.rs
@@ -43,6 +43,8 @@
     pub body: Bytes,
     /// Where the answer goes.
     pub answer: Arc<Answer>,
+    /// The epoch of admission in which it was let in.
+    pub epoch: u64,
     /// When the answer is due.
     pub deadline: Mono,
     /// Told when the attempt is cancelled.
@@ -57,6 +59,8 @@
     Status(u16),
     Cancelled,
     Deadline,
+    /// The backend server turned cold before the call was sent.
+    TurnedCold,
 }
 
 impl From<EngineError> for Failure {
@@ -96,6 +100,9 @@
 
 impl Run<'_> {
     async fn go(&mut self) -> Result<Usage, Failure> {
+        if self.parts.desk.view().epoch != self.job.epoch {
+            return Err(Failure::TurnedCold);
+        }
         let answer = self.or_cut(self.parts.engine.call(self.call())).await??;
         self.take_head(&answer)?;
         let mut body = answer.body;
@@ -286,6 +293,11 @@
         };
         let (outcome, reason, blame) = match failure {
             Failure::Engine(error) => self.judge(&error).await,
+            Failure::Fault(Fault::Truncated) => {
+                // A backend server that dies may still close its connections.
+                let broken = EngineError::Broken(Fault::Truncated.to_string());
+                self.judge(&broken).await
+            }
             Failure::Fault(fault) => (Outcome::Error, fault.to_string(), blames(fault)),
             Failure::Status(status) => {
                 let reason = format!("the backend server answered {status}");
@@ -296,6 +308,10 @@
                 "the attempt was cancelled".into(),
                 false,
             ),
+            Failure::TurnedCold => {
+                let reason = "the backend server has turned cold";
+                (Outcome::Cancelled, reason.into(), false)
+            }
             Failure::Deadline => (
                 Outcome::Error,
                 "the time for the answer ran out".into(),
@@ -320,6 +336,7 @@
 
     fn verdict(&self, failure: &Failure) -> Verdict {
         match failure {
+            Failure::TurnedCold => Verdict::NotRun,
             Failure::Engine(EngineError::NotSent(_)) if !self.headed => Verdict::NotRun,
             _ if self.headed => Verdict::Ran,
             _ => Verdict::Unknown,
--- a/src/cardamomtally/agent/routes.rs
+++ b/src/cardamomtally/agent/routes.rs
@@ -3,9 +3,9 @@
 use super::{
     Parts,
     admission::{Arrival, Outcome},
-    answer::{Answer, Reader},
+    answer::Reader,
     attempts::State as AttemptState,
-    desk::{Cancelled, Incoming, Rejection},
+    desk::{Cancelled, Go, Incoming, Rejection},
     guard::{self, Forbidden},
     problem::Problem,
     pump,
@@ -152,7 +152,7 @@
         Ok(body) => body,
         Err(why) => return Err(early(parts, attempt, why).await),
     };
-    let answer = parts
+    let go = parts
         .desk
         .arrive(incoming(parts, attempt, &head, deadline))
         .await
@@ -163,7 +163,7 @@
             .ended(attempt, Outcome::Cancelled, AttemptState::NotRun);
         return Err(unavailable(parts, attempt, &not_run(&why.to_string())));
     }
-    start(parts, attempt, head, body, answer, deadline, pass)
+    start(parts, attempt, head, body, go, deadline, pass)
 }
 
 #[get("/attempts/<attempt>?<from>")]
@@ -254,11 +254,11 @@
     attempt: AttemptId,
     head: RunHead,
     body: Bytes,
-    answer: Arc<Answer>,
+    go: Go,
     deadline: Mono,
     pass: Arc<Pass>,
 ) -> Result<Frames, Box<Problem>> {
-    let Some(reader) = answer.reader(None) else {
+    let Some(reader) = go.answer.reader(None) else {
         return Err(unavailable(
             parts,
             attempt,
@@ -270,7 +270,8 @@
         attempt,
         head,
         body,
-        answer,
+        answer: go.answer,
+        epoch: go.epoch,
         deadline,
         cancel: parts.cancels.add(attempt),
     };
--- a/tests/testsuite/agent/admission.rs
+++ b/tests/testsuite/agent/admission.rs
@@ -211,13 +211,41 @@
         admission.read(reading(now, 1), now);
     }),
     ("late first token", |admission, now| {
+        let one = started(admission, now);
         for _ in 0..10 {
-            admission.first_token(Duration::from_millis(100), now);
+            admission.first_token(one, Duration::from_millis(100), now);
         }
-        admission.first_token(Duration::from_millis(900), now);
+        admission.first_token(one, Duration::from_millis(900), now);
     }),
 ];
 
+/// Starts one attempt more.
+fn started(admission: &mut Admission, now: Mono) -> AttemptId {
+    let effects = admission.arrive(arrival(5_000, 0, now + SECOND), now);
+    assert_eq!(effects, vec![Effect::Start(attempt(5_000))]);
+    attempt(5_000)
+}
+
+#[test]
+fn completion_from_before_a_cold_turn_proves_nothing() {
+    let (mut admission, now) = warmed(Breach::None);
+    let old: Vec<AttemptId> = (0..8)
+        .map(|n| started_as(&mut admission, 6_000 + n, now))
+        .collect();
+
+    admission.read(reading(now, 2), now);
+    for attempt in old {
+        admission.end(attempt, Outcome::Good, now);
+    }
+
+    assert_eq!(admission.limit(now), COLD);
+}
+
+fn started_as(admission: &mut Admission, seq: u64, now: Mono) -> AttemptId {
+    admission.arrive(arrival(seq, 0, now + SECOND), now);
+    attempt(seq)
+}
+
 #[test]
 fn each_sign_of_a_cold_turn_starts_the_ramp_again() {
     for (name, turn) in SIGNS {
@@ -242,6 +270,12 @@
         let effects = admission.arrive(arrival(seq, 5, now + SECOND), now);
         collect(effects, &mut running);
     }
+    for done in running {
+        admission.end(done, Outcome::Cancelled, now);
+    }
+    for seq in 0..200 {
+        admission.withdraw(attempt(seq));
+    }
     (admission, now)
 }
 
@@ -273,7 +307,8 @@
     let before = admission.limit(now);
     let later = now + Duration::from_millis(300);
 
-    admission.first_token(Duration::from_millis(400), later);
+    let one = started(&mut admission, now);
+    admission.first_token(one, Duration::from_millis(400), later);
     let slow = admission.limit(later);
     let last = later + Duration::from_millis(300);
     admission.end(attempt(9_999), Outcome::Error, last);
--- a/tests/testsuite/agent/attempts.rs
+++ b/tests/testsuite/agent/attempts.rs
@@ -10,8 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 const SEEDS: u64 = 200;
-const KEEP: Duration = Duration::from_secs(600);
-const BURY: Duration = Duration::from_secs(120);
+const KEEP: Duration = Duration::from_mins(10);
+const BURY: Duration = Duration::from_mins(2);
 
 fn table(breach: Breach) -> Attempts {
     let limits = Limits {
--- a/tests/testsuite/agent/crashes.rs
+++ b/tests/testsuite/agent/crashes.rs
@@ -82,6 +82,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut crashes = flying(0);
         let mut expected: BTreeSet<u64> = BTreeSet::new();
+        let mut broken: BTreeSet<u64> = BTreeSet::new();
         let mut run = 1;
         for n in 0..200 {
             match rng.random_range(0..6) {
@@ -90,13 +91,17 @@
                     expected.insert(n);
                 }
                 3 => {
-                    if let Some(done) = expected.pop_first() {
+                    // A broken attempt ends only after the next reading.
+                    let done = expected.difference(&broken).next().copied();
+                    if let Some(done) = done {
                         crashes.end(attempt(done));
+                        expected.remove(&done);
                     }
                 }
                 4 => {
-                    if let Some(broken) = expected.last() {
-                        crashes.broke(attempt(*broken));
+                    if let Some(last) = expected.last() {
+                        crashes.broke(attempt(*last));
+                        broken.insert(*last);
                     }
                 }
                 _ => {
@@ -107,6 +112,7 @@
                     wanted.sort_unstable();
                     assert_eq!(named, wanted, "seed {seed}");
                     expected.clear();
+                    broken.clear();
                 }
             }
         }
--- a/tests/testsuite/agent/guard.rs
+++ b/tests/testsuite/agent/guard.rs
@@ -13,13 +13,13 @@
 };
 use std::collections::BTreeMap;
 
-const BACKEND: &str = "gla-e1";
+pub const BACKEND: &str = "gla-e1";
 
 fn name(text: &str) -> Name {
     text.into()
 }
 
-fn config() -> Config {
+pub fn config() -> Config {
     let partner = PartnerState {
         versions: BTreeMap::from([(name("a@1"), open()), (name("b@1"), open())]),
         workspaces: BTreeMap::from([(name("counter"), workspace())]),
--- /dev/null
+++ b/tests/testsuite/agent/live.rs
@@ -0,0 +1,258 @@
+//! An agent that runs in the test's process beside a stand-in engine.
+
+use super::{
+    fixtures::{head, version},
+    guard::{BACKEND, config},
+};
+use cardamomtally::{
+    agent::{self, Outside, http_engine::HttpEngine, outside::FreeWeights},
+    core::claim::{ClaimOp, ClaimReply, ClaimStore},
+    daemon::Context,
+    lease::{FixedLease, Held, Lease},
+    ledger::{local::Local, machine::Ledger},
+    net::{
+        codec,
+        run::{ATTEMPT_HEADER, Frame, HEAD_HEADER, Load, RunHead, Target, VERDICT_HEADER},
+    },
+    prelude::*,
+    replica::memory::MemLog,
+    settings::AgentSettings,
+};
+use cardamomtally_standin::{Engine, EngineOptions};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use serde_json::{Value, json};
+
+/// The version that the engine serves.
+pub const VERSION: &str = "a@1";
+
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An agent, its engine and its ledger.
+pub struct Live {
+    pub engine: Engine,
+    pub lease: Arc<FixedLease>,
+    pub ledger: Arc<Local>,
+    pub incarnation: Incarnation,
+    addr: String,
+    client: reqwest::Client,
+}
+
+/// What a `POST /run` gave.
+#[derive(Debug, Default)]
+pub struct Ran {
+    pub status: u16,
+    pub verdict: Option<String>,
+    pub retry_after: bool,
+    pub frames: Vec<Frame>,
+}
+
+impl Ran {
+    /// Returns the body, if the answer is whole.
+    pub fn whole(&self) -> Option<String> {
+        match self.frames.last() {
+            Some(Frame::End { .. }) => Some(self.body()),
+            _ => None,
+        }
+    }
+
+    /// Returns the bytes that were passed on.
+    pub fn body(&self) -> String {
+        let data = self.frames.iter().filter_map(|frame| match frame {
+            Frame::Data { bytes, .. } => Some(bytes.as_slice()),
+            _ => None,
+        });
+        String::from_utf8_lossy(&data.collect::<Vec<_>>().concat()).into_owned()
+    }
+
+    /// Returns the reason of a failed answer.
+    pub fn failure(&self) -> Option<String> {
+        match self.frames.last() {
+            Some(Frame::Failed { reason, .. }) => Some(reason.to_string()),
+            _ => None,
+        }
+    }
+}
+
+/// Returns the options of an engine that serves [`VERSION`].
+pub fn options() -> EngineOptions {
+    EngineOptions {
+        versions: vec![VERSION.to_owned()],
+        ..EngineOptions::default()
+    }
+}
+
+/// Starts an agent beside an engine, with settings added.
+pub async fn live(options: EngineOptions, extra: &str) -> Live {
+    let engine = Engine::start(options).expect("the engine starts");
+    let text = format!(
+        "[process]\nname = \"{BACKEND}\"\ndata_centre = \"glasgow\"\n[control]\n\
+         [backend]\nurl = \"http://{}\"\n{extra}",
+        engine.addr()
+    );
+    let settings: AgentSettings = toml::from_str(&text).expect("the settings are right");
+    let metrics = PrometheusBuilder::new().build_recorder().handle();
+    let context = Context::new(
+        &settings.process,
+        &settings.log,
+        &settings.timeline,
+        metrics,
+    )
+    .expect("a context");
+    let lease = Arc::new(FixedLease::default());
+    let config = config();
+    lease.set(Held {
+        snapshot: Arc::new(Snapshot::compile(&config)),
+        config: Arc::new(config),
+        until: Mono(u64::MAX),
+    });
+    let log = MemLog::default();
+    log.add(GroupId(1), Box::new(Ledger::default()));
+    let ledger = Arc::new(Local::new(Arc::new(log), 1));
+    let incarnation = Incarnation::random();
+    let idle = settings.backend.idle_timeout.0;
+    let outside = Outside {
+        engine: Arc::new(HttpEngine::new(&settings.backend.url, idle).expect("an adapter")),
+        lease: Arc::clone(&lease) as Arc<dyn Lease>,
+        claims: Arc::clone(&ledger) as Arc<dyn ClaimStore>,
+        weights: Arc::new(FreeWeights),
+        platform: None,
+        incarnation,
+    };
+    let http = Arc::clone(&context.http);
+    tokio::spawn(agent::serve(settings, context, outside));
+    let client = agent::http_engine::client().expect("a client");
+    let mut live = Live {
+        engine,
+        lease,
+        ledger,
+        incarnation,
+        addr: String::new(),
+        client,
+    };
+    until("the agent is bound", async || http.get().is_some()).await;
+    live.addr = http.get().expect("it is bound").to_string();
+    until("the agent is ready", async || {
+        live.probe().await["ready"] == true
+    })
+    .await;
+    live
+}
+
+/// Waits for a condition.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = std::time::Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(std::time::Instant::now() < end, "waited in vain: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Returns the head of a repeatable call of [`VERSION`].
+pub fn run_head() -> RunHead {
+    RunHead {
+        path: "/v1/chat/completions".into(),
+        media: Some("application/json".into()),
+        ..head(Target::Version(version(VERSION)))
+    }
+}
+
+/// Returns the body of a streamed completion.
+pub fn chat(prompt: &str, tokens: u32) -> String {
+    json!({
+        "model": VERSION,
+        "messages": [{ "role": "user", "content": prompt }],
+        "max_tokens": tokens,
+        "stream": true,
+    })
+    .to_string()
+}
+
+impl Live {
+    /// Sends `POST /run` and reads it to its end.
+    pub async fn run(&self, attempt: AttemptId, head: &RunHead, body: String) -> Ran {
+        collect(self.start(attempt, head, body).await).await
+    }
+
+    /// Sends `POST /run` and returns the answer unread.
+    pub async fn start(
+        &self,
+        attempt: AttemptId,
+        head: &RunHead,
+        body: String,
+    ) -> reqwest::Response {
+        self.client
+            .post(format!("http://{}/run", self.addr))
+            .header(ATTEMPT_HEADER, attempt.to_string())
+            .header(HEAD_HEADER, serde_json::to_string(head).expect("a head"))
+            .body(body)
+            .send()
+            .await
+            .expect("the agent answers")
+    }
+
+    /// Resumes an answer at an offset.
+    pub async fn resume(&self, attempt: AttemptId, from: u64) -> Ran {
+        let url = format!("http://{}/attempts/{attempt}?from={from}", self.addr);
+        let response = self.client.get(url).send().await;
+        collect(response.expect("the agent answers")).await
+    }
+
+    /// Sends `POST /attempts/ATTEMPT/VERB` and returns the body.
+    pub async fn tell(&self, attempt: AttemptId, verb: &str) -> String {
+        let url = format!("http://{}/attempts/{attempt}/{verb}", self.addr);
+        let response = self.client.post(url).send().await;
+        let text = response.expect("the agent answers").text().await;
+        text.expect("a body")
+    }
+
+    /// Returns the answer of `GET /probe`.
+    pub async fn probe(&self) -> Value {
+        let url = format!("http://{}/probe", self.addr);
+        let response = self.client.get(url).send().await;
+        response
+            .expect("the agent answers")
+            .json()
+            .await
+            .expect("a probe")
+    }
+
+    /// Returns the load of a probe.
+    pub async fn load(&self) -> Load {
+        serde_json::from_value(self.probe().await["load"].clone()).expect("a load")
+    }
+
+    /// Returns the number of bills.
+    pub async fn bills(&self) -> u64 {
+        match self.ledger.apply(ClaimOp::Bills).await {
+            Ok(ClaimReply::Bills(sums)) => sums.iter().map(|sum| sum.requests).sum(),
+            other => panic!("expected sums, got {other:?}"),
+        }
+    }
+}
+
+async fn collect(response: reqwest::Response) -> Ran {
+    let header = |name: &str| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok().map(ToOwned::to_owned)
+    };
+    let mut ran = Ran {
+        status: response.status().as_u16(),
+        verdict: header(VERDICT_HEADER),
+        retry_after: header("retry-after").is_some(),
+        frames: Vec::new(),
+    };
+    let body = response.bytes().await.expect("a body");
+    if ran.status != 200 {
+        return ran;
+    }
+    let mut rest = body.as_ref();
+    while rest.len() >= 4 {
+        let (length, after) = rest.split_at(4);
+        let length = u32::from_be_bytes(length.try_into().expect("four bytes")) as usize;
+        let (frame, after) = after.split_at(length);
+        ran.frames.push(codec::decode(frame).expect("a frame"));
+        rest = after;
+    }
+    ran
+}
--- /dev/null
+++ b/tests/testsuite/agent/poison.rs
@@ -0,0 +1,98 @@
+//! Real processes: a poison request, and an agent killed after its service ran.
+
+use crate::support::{
+    Site, Ticket,
+    caller::expected,
+    eventually,
+    site::{PARTNER, site},
+    small::{SMALL, WORKSPACE, opening, serving},
+};
+use cardamomtally_standin::engine::POISON_WORD;
+
+/// Requests in flight, the poison included.
+const FLYING: usize = 30;
+
+/// Settings with which all requests run at once.
+const WIDE: &str = "[admission]\ncold_limit = 64\nwarm_limit = 64\n";
+
+/// A site of one control member and one entry.
+fn opened(site: Site) -> Site {
+    site.submit(&opening(&site));
+    site.wait_served("entry-1", WORKSPACE, SMALL);
+    site
+}
+
+#[test]
+fn one_poison_among_thirty_crashes_two_and_the_rest_is_served() {
+    let engines = ["gla-e1", "gla-e2", "gla-e3"];
+    let builder = engines
+        .iter()
+        .fold(site().entry("entry-1", "glasgow"), |builder, name| {
+            builder.engine(name, "glasgow", serving(&[SMALL]))
+        });
+    let site = opened(builder.agent_settings(WIDE).build());
+    let caller = site.caller("entry-1", WORKSPACE);
+    let prompts: Vec<String> = (0..FLYING)
+        .map(|n| {
+            if n == FLYING / 2 {
+                format!("bad {POISON_WORD}")
+            } else {
+                format!("good{n} words")
+            }
+        })
+        .collect();
+
+    let replies: Vec<_> = std::thread::scope(|scope| {
+        let calls: Vec<_> = prompts
+            .iter()
+            .map(|prompt| scope.spawn(|| caller.chat(SMALL, prompt, 20)))
+            .collect();
+        calls
+            .into_iter()
+            .map(|call| call.join().expect("a reply"))
+            .collect()
+    });
+
+    let crashes: u64 = engines
+        .iter()
+        .map(|name| site.engine(name).counters().poisoned)
+        .sum();
+    let served = replies
+        .iter()
+        .enumerate()
+        .filter(|(n, reply)| reply.content() == Some(expected(&format!("good{n}"), 20)));
+    let served = served.count();
+    println!("crashes {crashes}, served {served}");
+    assert!(crashes <= 2, "{crashes} crashes");
+    assert_eq!(served, FLYING - 1);
+}
+
+#[test]
+fn agent_killed_after_the_service_ran_leaves_one_run_and_an_honest_verdict() {
+    let builder = site()
+        .entry("entry-1", "glasgow")
+        .engine("gla-e1", "glasgow", serving(&[SMALL]))
+        .service("gla-q1", "glasgow");
+    let mut site = opened(builder.build());
+    let caller = site.caller("entry-1", WORKSPACE);
+    assert_eq!(caller.submit("order-1", "first").status, 201);
+    site.service("gla-q1")
+        .faults(|faults| faults.delay_ms = 2_000);
+
+    let call = std::thread::spawn({
+        let caller = caller.clone();
+        move || caller.submit("order-2", "second")
+    });
+    eventually("the service runs the job", || {
+        site.service("gla-q1").runs().by_body.contains_key("second")
+    });
+    site.restart("gla-q1");
+    let reply = call.join().expect("a reply");
+    let again = caller.submit("order-2", "second");
+
+    assert_eq!(reply.verdict(), Some("unknown"), "{}", reply.text());
+    assert_eq!(again.verdict(), Some("unknown"), "{}", again.text());
+    assert_eq!(site.service("gla-q1").runs().by_body["second"], 1);
+    // A second ticket still passes: the site works.
+    site.submit(&Ticket::new(PARTNER, 2).version(SMALL, 0.3, "in-service"));
+}
--- a/tests/testsuite/agent/process.rs
+++ b/tests/testsuite/agent/process.rs
@@ -1,1 +1,250 @@
-//! Agents as real processes.
+//! A running agent beside a stand-in engine.
+
+use super::{
+    fixtures::attempt,
+    live::{Live, chat, live, options, run_head, until},
+};
+use cardamomtally::{
+    lease::{Held, Lease as _},
+    net::run::{CRASH_REASON, Frame, RunHead},
+    prelude::*,
+};
+use cardamomtally_standin::EngineOptions;
+use futures::future::join_all;
+
+/// Settings of an agent that bears much at once from the start.
+const WIDE: &str = "[admission]\ncold_limit = 64\nwarm_limit = 64\n";
+
+fn once(live: &Live) -> RunHead {
+    RunHead {
+        repeatable: false,
+        agent: Some(live.incarnation),
+        ..run_head()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_is_whole_and_billed_by_the_agent_if_nobody_else_does() {
+    let live = live(options(), "[records]\nbill_grace = \"50ms\"\n").await;
+
+    let ran = live.run(attempt(1), &run_head(), chat("spruce", 5)).await;
+
+    let body = ran.whole().expect("a whole answer");
+    assert!(body.ends_with("data: [DONE]\n\n"), "{body}");
+    until("the agent bills", async || live.bills().await == 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn copy_of_an_attempt_does_not_run() {
+    let live = live(options(), "").await;
+    live.run(attempt(1), &once(&live), chat("spruce", 5)).await;
+
+    let copy = live.run(attempt(1), &once(&live), chat("spruce", 5)).await;
+
+    assert_eq!(
+        (copy.status, copy.verdict.as_deref()),
+        (503, Some("unknown"))
+    );
+    assert_eq!(live.engine.counters().accepted, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn attempt_that_was_asked_about_never_runs() {
+    let live = live(options(), "").await;
+
+    let asked = live.tell(attempt(1), "ask").await;
+    let late = live.run(attempt(1), &once(&live), chat("spruce", 5)).await;
+
+    assert_eq!(asked, "\"not-seen\"");
+    assert_eq!(
+        (late.status, late.verdict.as_deref()),
+        (503, Some("not-run"))
+    );
+    assert_eq!(live.engine.counters().accepted, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn attempt_for_an_earlier_run_of_the_agent_is_rejected() {
+    let live = live(options(), "").await;
+    let stale = RunHead {
+        agent: Some(Incarnation(1)),
+        ..once(&live)
+    };
+
+    let ran = live.run(attempt(1), &stale, chat("spruce", 5)).await;
+
+    assert_eq!((ran.status, ran.verdict.as_deref()), (503, Some("not-run")));
+    assert!(ran.retry_after, "no Retry-After");
+    assert_eq!(live.engine.counters().accepted, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn agent_without_a_lease_starts_nothing() {
+    let live = live(options(), "").await;
+    let expired = Held {
+        until: Mono::default(),
+        ..Held::clone(&live.lease.held())
+    };
+
+    live.lease.set(expired);
+    let ran = live.run(attempt(1), &run_head(), chat("spruce", 5)).await;
+
+    assert_eq!((ran.status, ran.verdict.as_deref()), (503, Some("not-run")));
+    assert_eq!(live.engine.counters().accepted, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn truncated_stream_is_resumed_at_the_engine() {
+    let live = live(options(), "").await;
+    live.engine.faults(|faults| faults.truncated = 1);
+
+    let ran = live.run(attempt(1), &run_head(), chat("spruce", 5)).await;
+
+    let body = ran.whole().expect("a whole answer");
+    assert_eq!(body.matches("spruce.").count(), 5, "{body}");
+    assert_eq!(live.engine.counters().resumed, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_another_request_is_not_passed_on() {
+    let live = live(options(), "").await;
+    live.engine.faults(|faults| faults.crossed = 1);
+
+    let ran = live.run(attempt(1), &run_head(), chat("secret", 5)).await;
+
+    assert_eq!(ran.body(), "");
+    assert!(ran.failure().is_some(), "{ran:?}");
+    assert!(ran.whole().is_none(), "{ran:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dropped_connection_is_resumed_at_its_offset() {
+    let live = live(options(), "").await;
+    live.engine.faults(|faults| faults.held = true);
+    let started = live.start(attempt(1), &run_head(), chat("spruce", 5)).await;
+    drop(started);
+    live.engine.faults(|faults| faults.held = false);
+
+    let all = live.resume(attempt(1), 0).await;
+    let rest = live.resume(attempt(1), 10).await;
+
+    let body = all.whole().expect("a whole answer");
+    assert_eq!(rest.whole().as_deref(), Some(&body[10..]));
+    assert!(matches!(all.frames.first(), Some(Frame::Head { .. })));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cancel_reaches_the_engine() {
+    let live = live(options(), "").await;
+    live.engine.faults(|faults| faults.held = true);
+    let started = live.start(attempt(1), &run_head(), chat("spruce", 5)).await;
+
+    live.tell(attempt(1), "cancel").await;
+
+    until("the engine is told", async || {
+        live.engine.counters().cancelled == 1
+    })
+    .await;
+    drop(started);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_may_not_be_repeated_is_not_cancelled() {
+    let live = live(options(), "").await;
+    live.engine.faults(|faults| faults.held = true);
+    let started = live
+        .start(attempt(1), &once(&live), chat("spruce", 5))
+        .await;
+
+    live.tell(attempt(1), "cancel").await;
+    drop(started);
+    live.engine.faults(|faults| faults.held = false);
+
+    let ran = live.resume(attempt(1), 0).await;
+    assert!(ran.whole().is_some(), "{ran:?}");
+    assert_eq!(live.engine.counters().cancelled, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_names_all_in_flight_and_is_told_as_a_crash() {
+    let live = live(options(), WIDE).await;
+    live.engine.faults(|faults| faults.held = true);
+    let heads: Vec<RunHead> = (0..10_u8)
+        .map(|n| RunHead {
+            digest: Digest::of(&[n]),
+            ..run_head()
+        })
+        .collect();
+    let runs = heads
+        .iter()
+        .enumerate()
+        .map(|(n, head)| live.run(attempt(n as u64), head, chat("spruce", 5)));
+    let crash = async {
+        until("all run", async || live.engine.load().0 == 10).await;
+        live.engine.kill(Duration::from_millis(200));
+    };
+
+    let (ran, ()) = futures::join!(join_all(runs), crash);
+
+    let crashes = live.lease.take_crashes();
+    assert_eq!(crashes.len(), 1, "{crashes:?}");
+    assert_eq!(crashes[0].digests.len(), 10);
+    for ran in ran {
+        assert_eq!(ran.failure().as_deref(), Some(CRASH_REASON));
+    }
+}
+
+/// The engine dies when it is given more than it bears. It turns cold twenty
+/// times while more wants to run than it ever bears.
+#[tokio::test(flavor = "multi_thread")]
+async fn twenty_cold_turns_under_load_cause_no_death() {
+    let engine = EngineOptions {
+        cold_limit: 4,
+        warm_after: 64,
+        batch: 64,
+        ..options()
+    };
+    let live = live(
+        engine,
+        "[admission]\ncold_limit = 4\nqueue_timeout = \"200ms\"\n",
+    )
+    .await;
+    let done = std::sync::atomic::AtomicBool::new(false);
+    let served = std::sync::atomic::AtomicU64::new(0);
+    let relaxed = std::sync::atomic::Ordering::Relaxed;
+    let caller = async |n: u64| {
+        let mut seq = n * 1_000_000;
+        while !done.load(relaxed) {
+            seq += 1;
+            let ran = live.run(attempt(seq), &run_head(), chat("spruce", 5)).await;
+            if ran.whole().is_some() {
+                served.fetch_add(1, relaxed);
+            } else {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    };
+    let turns = async {
+        for _ in 0..20 {
+            let before = served.load(relaxed);
+            until("some are served", async || {
+                served.load(relaxed) >= before + 40
+            })
+            .await;
+            live.engine.kill(Duration::from_millis(50));
+        }
+        done.store(true, relaxed);
+    };
+
+    futures::join!(join_all((0..30).map(caller)), turns);
+
+    let load = live.load().await;
+    let counters = live.engine.counters();
+    println!(
+        "served {}, overloads {}, limit at the end {}",
+        served.load(relaxed),
+        counters.overloads,
+        load.limit
+    );
+    assert_eq!(counters.overloads, 0);
+}
--- a/tests/testsuite/agent/records.rs
+++ b/tests/testsuite/agent/records.rs
@@ -55,7 +55,7 @@
 fn open(claims: &Arc<Flaky>, folder: Option<&Path>) -> Arc<Records> {
     let records = Records::open(RecordParts {
         folder: folder.map(Path::to_owned),
-        grace: Duration::from_secs(3_600),
+        grace: Duration::from_hours(1),
         clock: Arc::new(SystemClock::default()),
         claims: Arc::clone(claims) as Arc<dyn ClaimStore>,
         log: slog::Logger::root(slog::Discard, slog::o!()),
