Reach entries at a fixed address and wait for repaired voters

Cause: two promise tests failed by their own fault: callers kept the old address of a restarted entry, and a member was killed while the repaired one was still a learner.

--- a/tests/testsuite/promises/accepted_configuration.rs
+++ b/tests/testsuite/promises/accepted_configuration.rs
@@ -11,7 +11,7 @@
 //! everything would lose tickets with the second VM.
 
 use crate::support::{
-    Site, Ticket, eventually,
+    Site, Ticket,
     site::PARTNER,
     small::{LARGE, SMALL, WORKSPACE, opened, small},
 };
@@ -77,9 +77,7 @@
     let before = history(&site);
     site.wipe("control-3");
     site.restart("control-3");
-    eventually("the repaired member confirms", || {
-        in_force(&site, "control-3") == Some(last)
-    });
+    site.wait_voting("control-3");
     site.process("control-1").kill();
     site.submit(&ticket(last + 1, 9.0));
     let after = history(&site);
--- a/tests/testsuite/promises/at_most_once.rs
+++ b/tests/testsuite/promises/at_most_once.rs
@@ -11,7 +11,7 @@
 
 use super::callers;
 use crate::support::{
-    Caller, Reply, Traffic, eventually,
+    Caller, Reply, Traffic,
     small::{WORKSPACE, opened, small},
 };
 
@@ -53,9 +53,7 @@
     jobs.wait_more(20);
     site.wipe("control-3");
     site.restart("control-3");
-    eventually("the repaired member answers", || {
-        site.ask("control-3", "/bills").status == 200
-    });
+    site.wait_voting("control-3");
     site.process("control-1").kill();
     jobs.wait_more(20);
     site.process("gla-q1").kill();
--- a/tests/testsuite/support/link.rs
+++ b/tests/testsuite/support/link.rs
@@ -9,6 +9,8 @@
 pub enum Kind {
     /// Entries to an agent.
     Agent,
+    /// Callers to an entry.
+    Entry,
     /// An agent to its backend server.
     Backend,
     /// A control member to another one, for replication.
@@ -67,4 +69,9 @@
             }
         }
     }
+
+    /// Ends all faults of all links.
+    pub fn heal(&self) {
+        self.proxies.values().for_each(Proxy::heal);
+    }
 }
--- a/tests/testsuite/support/process.rs
+++ b/tests/testsuite/support/process.rs
@@ -8,7 +8,10 @@
     os::unix::process::CommandExt as _,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::mpsc::{self, Receiver},
+    sync::{
+        Mutex,
+        mpsc::{self, Receiver},
+    },
 };
 
 /// Bytes of a log that a failed test prints.
@@ -50,7 +53,7 @@
     settings: PathBuf,
     log: PathBuf,
     child: Child,
-    ready: Receiver<Bound>,
+    ready: Mutex<Receiver<Bound>>,
     pub bound: Bound,
 }
 
@@ -65,14 +68,15 @@
             settings: settings.to_owned(),
             log,
             child,
-            ready,
+            ready: Mutex::new(ready),
             bound: Bound::default(),
         }
     }
 
     /// Waits until it has printed where it is bound.
     pub fn wait_ready(&mut self) {
-        match self.ready.recv_timeout(wait::PATIENCE) {
+        let ready = self.ready.lock().expect("nobody panicked with it");
+        match ready.recv_timeout(wait::PATIENCE) {
             Ok(bound) => self.bound = bound,
             Err(error) => panic!("{} is not ready: {error}\n{}", self.name, self.tail()),
         }
@@ -81,7 +85,9 @@
     /// Starts it again after its end.
     pub fn restart(&mut self) {
         self.kill();
-        (self.child, self.ready) = spawn(self.daemon, &self.settings, &self.log);
+        let (child, ready) = spawn(self.daemon, &self.settings, &self.log);
+        self.child = child;
+        self.ready = Mutex::new(ready);
         self.wait_ready();
     }
 
--- a/tests/testsuite/support/site.rs
+++ b/tests/testsuite/support/site.rs
@@ -9,6 +9,7 @@
     wait::{eventually, eventually_or, until},
 };
 use cardamomtally_standin::{Engine, EngineOptions, Faults, Proxy, Service, engine::Served};
+use serde_json::Value;
 use std::{
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
@@ -19,6 +20,9 @@
 /// Sites that run at once in one test process.
 const SITE_LIMIT: usize = 3;
 
+/// Replicated groups: the configuration and one shard.
+const GROUPS: usize = 2;
+
 /// Control members of a site.
 const MEMBERS: usize = 3;
 
@@ -63,6 +67,8 @@
 /// What a site is to consist of.
 #[derive(Debug)]
 pub struct SiteBuilder {
+    members: usize,
+    control_extra: String,
     entries: Vec<(String, String)>,
     backends: Vec<(String, String, Option<EngineOptions>)>,
     agent_extra: String,
@@ -71,6 +77,8 @@
 /// Begins a site of three control members and nothing else.
 pub fn site() -> SiteBuilder {
     SiteBuilder {
+        members: MEMBERS,
+        control_extra: String::new(),
         entries: Vec::new(),
         backends: Vec::new(),
         agent_extra: String::new(),
@@ -78,6 +86,18 @@
 }
 
 impl SiteBuilder {
+    /// Sets the number of control members.
+    pub fn members(mut self, members: usize) -> Self {
+        self.members = members;
+        self
+    }
+
+    /// Adds lines to the settings of all control members.
+    pub fn control_settings(mut self, extra: &str) -> Self {
+        self.control_extra.push_str(extra);
+        self
+    }
+
     /// Adds an entry.
     pub fn entry(mut self, name: &str, centre: &str) -> Self {
         self.entries.push((name.to_owned(), centre.to_owned()));
@@ -111,17 +131,18 @@
             backends: Vec::new(),
             links: Links::default(),
             folder: tempfile::tempdir().expect("a temporary folder"),
-            members: (1..=MEMBERS).map(|n| format!("control-{n}")).collect(),
+            members: (1..=self.members).map(|n| format!("control-{n}")).collect(),
             _turn: Turn::wait(),
         };
         for name in site.members.clone() {
-            site.start_control(&name);
+            site.start_control(&name, &self.control_extra);
         }
         for (name, centre, options) in self.backends {
             site.start_agent(&name, &centre, options, &self.agent_extra);
         }
         for (name, centre) in self.entries {
             let text = settings::entry(&name, &centre, &site.polls(&name));
+            site.links.lay(Kind::Entry, "", &name);
             site.start(&name, Daemon::Entry, &text);
         }
         for at in 0..site.processes.len() {
@@ -222,9 +243,11 @@
             .clone()
     }
 
-    /// Returns the caller of a workspace at an entry.
+    /// Returns the caller of a workspace at an entry, which it reaches at the
+    /// same address after a restart.
     pub fn caller(&self, entry: &str, workspace: &str) -> Caller {
-        Caller::new(&self.http(entry), workspace)
+        let addr = self.links.get(Kind::Entry, "", entry).addr();
+        Caller::new(&addr.to_string(), workspace)
     }
 
     /// Sends a ticket to one control member.
@@ -286,6 +309,19 @@
         );
     }
 
+    /// Waits until a repaired member counts in the quorum of each group again.
+    pub fn wait_voting(&self, name: &str) {
+        eventually(&format!("{name} votes in all groups"), || {
+            let replies = self
+                .members
+                .iter()
+                .map(|member| self.ask(member, "/status").json());
+            replies
+                .into_iter()
+                .any(|status| votes_everywhere(&status, name))
+        });
+    }
+
     /// Submits tickets that change nothing but a version's cost, up to a number.
     pub fn submit_many(&self, partner: &str, version: &str, numbers: std::ops::Range<u64>) {
         for number in numbers {
@@ -371,7 +407,7 @@
         members.iter().map(lay).collect()
     }
 
-    fn start_control(&mut self, name: &str) {
+    fn start_control(&mut self, name: &str, extra: &str) {
         let polls = self.polls(name);
         let members = self.members.clone();
         let addrs = members.iter().zip(polls).map(|(member, poll)| MemberAddr {
@@ -382,7 +418,7 @@
         let addrs: Vec<_> = addrs.collect();
         let operators = [PARTNER, OTHER].map(|partner| (partner, sha256_hex(&token(partner))));
         let folder = self.data(name);
-        let text = settings::control(name, "glasgow", &folder, &addrs, &operators);
+        let text = settings::control(name, "glasgow", &folder, &addrs, &operators) + extra;
         self.start(name, Daemon::Control, &text);
     }
 
@@ -425,7 +461,7 @@
                 to(Kind::Poll, process.bound.poll.as_ref());
                 to(Kind::Peer, process.bound.peer.as_ref());
             }
-            Daemon::Entry => {}
+            Daemon::Entry => to(Kind::Entry, Some(&process.bound.http)),
         }
     }
 }
@@ -452,6 +488,25 @@
     (Backend::Service(service), addr)
 }
 
+/// Tells whether the leaders of all groups count a member as a voter, and no
+/// other member of its name.
+fn votes_everywhere(status: &Value, name: &str) -> bool {
+    let list = |value: &Value| value.as_array().cloned().unwrap_or_default();
+    let leads = |group: &Value, member: &Value| group["leader"] == member["name"];
+    let led = list(&status["members"]).into_iter().flat_map(|member| {
+        let groups = list(&member["replicas"]).into_iter();
+        let led: Vec<_> = groups.filter(|group| leads(group, &member)).collect();
+        led
+    });
+    let votes = |group: Value| {
+        let named = list(&group["members"]).into_iter();
+        let named: Vec<_> = named.filter(|member| member["name"] == name).collect();
+        named.len() == 1 && named[0]["standing"] == "voter"
+    };
+    let votes: Vec<_> = led.map(votes).collect();
+    votes.len() == GROUPS && votes.into_iter().all(|voting| voting)
+}
+
 /// Returns an operator's bearer token.
 pub fn token(partner: &str) -> String {
     format!("{partner}-token")
--- a/tests/testsuite/support/traffic.rs
+++ b/tests/testsuite/support/traffic.rs
@@ -7,8 +7,12 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::JoinHandle,
+    time::Duration,
 };
 
+/// Pause of a caller whose entry does not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
 /// One request of the traffic and what came of it.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -82,6 +86,9 @@
     while !stop.load(Ordering::Acquire) {
         let tag = format!("{name}-{}", all.len());
         let reply = send(caller, &tag);
+        if reply.status == 0 {
+            std::thread::sleep(RETRY_PAUSE);
+        }
         all.push(Sent { tag, reply });
         count.fetch_add(1, Ordering::AcqRel);
     }
