--- a/tests/testsuite/support/site.rs
+++ b/tests/testsuite/support/site.rs
@@ -72,6 +72,7 @@
     entries: Vec<(String, String)>,
     backends: Vec<(String, String, Option<EngineOptions>)>,
     agent_extra: String,
+    control_extra: String,
 }
 
 /// Begins a site of three control members and nothing else.
@@ -82,6 +83,7 @@
         entries: Vec::new(),
         backends: Vec::new(),
         agent_extra: String::new(),
+        control_extra: String::new(),
     }
 }
 
@@ -124,6 +126,12 @@
         self
     }
 
+    /// Adds lines to the settings of all control members.
+    pub fn control_settings(mut self, extra: &str) -> Self {
+        self.control_extra.push_str(extra);
+        self
+    }
+
     /// Starts everything and waits until each process is bound.
     pub fn build(self) -> Site {
         let mut site = Site {
