--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -168,12 +168,12 @@
             usage: Usage::default(),
         },
     ];
-    let framed = frames.iter().flat_map(|frame| {
+    let bytes = frames.iter().flat_map(|frame| {
         let bytes = codec::encode(frame);
         let length = u32::try_from(bytes.len()).unwrap();
         [length.to_be_bytes().to_vec(), bytes].concat()
     });
-    framed.collect()
+    bytes.collect()
 }
 
 #[test]
--- a/tests/testsuite/support/link.rs
+++ b/tests/testsuite/support/link.rs
@@ -69,9 +69,4 @@
             }
         }
     }
-
-    /// Ends all faults of all links.
-    pub fn heal(&self) {
-        self.proxies.values().for_each(Proxy::heal);
-    }
 }
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -18,7 +18,7 @@
 pub mod wait;
 
 pub use caller::{Caller, Reply};
-pub use site::{Site, site};
+pub use site::Site;
 pub use tickets::Ticket;
 pub use traffic::{Sent, Traffic};
 pub use wait::{eventually, until};
--- a/tests/testsuite/support/site.rs
+++ b/tests/testsuite/support/site.rs
@@ -67,8 +67,6 @@
 /// What a site is to consist of.
 #[derive(Debug)]
 pub struct SiteBuilder {
-    members: usize,
-    control_extra: String,
     entries: Vec<(String, String)>,
     backends: Vec<(String, String, Option<EngineOptions>)>,
     agent_extra: String,
@@ -78,8 +76,6 @@
 /// Begins a site of three control members and nothing else.
 pub fn site() -> SiteBuilder {
     SiteBuilder {
-        members: MEMBERS,
-        control_extra: String::new(),
         entries: Vec::new(),
         backends: Vec::new(),
         agent_extra: String::new(),
@@ -88,18 +84,6 @@
 }
 
 impl SiteBuilder {
-    /// Sets the number of control members.
-    pub fn members(mut self, members: usize) -> Self {
-        self.members = members;
-        self
-    }
-
-    /// Adds lines to the settings of all control members.
-    pub fn control_settings(mut self, extra: &str) -> Self {
-        self.control_extra.push_str(extra);
-        self
-    }
-
     /// Adds an entry.
     pub fn entry(mut self, name: &str, centre: &str) -> Self {
         self.entries.push((name.to_owned(), centre.to_owned()));
@@ -139,7 +123,7 @@
             backends: Vec::new(),
             links: Links::default(),
             folder: tempfile::tempdir().expect("a temporary folder"),
-            members: (1..=self.members).map(|n| format!("control-{n}")).collect(),
+            members: (1..=MEMBERS).map(|n| format!("control-{n}")).collect(),
             _turn: Turn::wait(),
         };
         for name in site.members.clone() {
