--- a/src/cardamomtally/ops/check.rs
+++ b/src/cardamomtally/ops/check.rs
@@ -2,12 +2,16 @@
 
 use super::{Exit, OpContext};
 use crate::{
+    control::ticket,
     core::finding::Findings,
     settings::{self, AgentSettings, ControlSettings, EntrySettings},
 };
 use eyre::WrapErr as _;
 use std::path::{Path, PathBuf};
 
+/// Keys that only a ticket has.
+const TICKET_KEYS: [&str; 2] = ["partner", "number"];
+
 /// Keys that only a control member's settings have.
 const CONTROL_KEYS: [&str; 6] = ["group", "operator", "lease", "tickets", "ledger", "health"];
 
@@ -27,6 +31,7 @@
     Agent,
     Control,
     Entry,
+    Ticket,
 }
 
 /// Checks files and prints all findings.
@@ -67,6 +72,7 @@
         Kind::Agent => settings::parse::<AgentSettings>(&file, &text).map(drop),
         Kind::Control => settings::parse::<ControlSettings>(&file, &text).map(drop),
         Kind::Entry => settings::parse::<EntrySettings>(&file, &text).map(drop),
+        Kind::Ticket => ticket::check(&file, &text, None).map(drop),
     };
     Ok(outcome.err().unwrap_or_default())
 }
@@ -75,7 +81,9 @@
 fn kind_of(text: &str) -> Kind {
     let (tree, _errors) = toml::de::DeTable::parse_recoverable(text);
     let has = |keys: &[&str]| keys.iter().any(|key| tree.get_ref().get(*key).is_some());
-    if has(&CONTROL_KEYS) {
+    if has(&TICKET_KEYS) {
+        Kind::Ticket
+    } else if has(&CONTROL_KEYS) {
         Kind::Control
     } else if has(&AGENT_KEYS) {
         Kind::Agent
--- a/src/cardamomtally/ops/ticket.rs
+++ b/src/cardamomtally/ops/ticket.rs
@@ -339,14 +339,3 @@
     }
     String::from_utf8(reply.body).wrap_err("the ticket's text is not UTF-8")
 }
-
-/// Checks a ticket's file offline, within itself.
-///
-/// # Errors
-///
-/// Returns an error if the file cannot be read, or all its findings.
-pub fn check(path: &Path) -> eyre::Result<()> {
-    let text = read(path)?;
-    reader::check(&path.display().to_string(), &text, None)?;
-    Ok(())
-}
