--- a/src/cardamomtally/ops/ticket.rs
+++ b/src/cardamomtally/ops/ticket.rs
@@ -2,10 +2,7 @@
 
 use super::{Exit, Format, OpContext, client::Client};
 use crate::{
-    control::{
-        ticket as reader,
-        view::{HistoryLine, Status, Submitted, TicketView},
-    },
+    control::view::{HistoryLine, Status, Submitted, TicketView},
     core::finding::Finding,
 };
 use eyre::WrapErr as _;
