Tell each member who polls with the first poll

A process that was cut off between its first lease and its second poll was unknown to every member, so status did not show it as silent (seen once in the test of a process cut off from control).

--- a/src/cardamomtally/lease/poller.rs
+++ b/src/cardamomtally/lease/poller.rs
@@ -165,7 +165,7 @@
     rng: SmallRng,
     state: LeaseState,
     rotation: Rotation,
-    /// Members that asked who the process is.
+    /// Members that may not know who the process is.
     asked: BTreeSet<String>,
     backoff: Duration,
 }
@@ -179,6 +179,7 @@
         shared: Arc<Shared>,
     ) -> Self {
         let mut rng = SmallRng::from_rng(&mut rand::rng());
+        let asked = settings.members.iter().cloned().collect();
         let rotation = Rotation::new(&settings.members, context.clock.now(), &mut rng);
         Self {
             settings,
@@ -189,7 +190,7 @@
             rng,
             state: LeaseState::new(Breaks::default()),
             rotation,
-            asked: BTreeSet::new(),
+            asked,
             backoff: BACKOFF_MIN,
         }
     }
--- a/tests/testsuite/control/group.rs
+++ b/tests/testsuite/control/group.rs
@@ -263,6 +263,8 @@
     let ready = || site.ask("entry-1", "/health/ready").status == 200;
     eventually("the entry is ready", ready);
 
+    wait_in_force(&site, "control-1", 1);
+
     site.isolate("entry-1");
     eventually("the entry takes no new work", || !ready());
     site.submit(&ticket(2));
--- a/tests/testsuite/control/mod.rs
+++ b/tests/testsuite/control/mod.rs
@@ -2,5 +2,6 @@
 
 mod group;
 mod health;
+mod reports;
 mod state;
 mod wire;
