--- a/src/cardamomtally/agent/desk.rs
+++ b/src/cardamomtally/agent/desk.rs
@@ -103,6 +103,7 @@
     Find(AttemptId, oneshot::Sender<Option<Arc<Answer>>>),
     Cancel(AttemptId, oneshot::Sender<Cancelled>),
     FirstToken(AttemptId, Duration),
+    Cut,
     Broke(AttemptId, oneshot::Sender<bool>),
     Ended(AttemptId, admission::Outcome, State),
     Billed(AttemptId),
@@ -219,6 +220,13 @@
         self.send(Message::FirstToken(attempt, delay));
     }
 
+    /// Notes that a connection to the backend server broke or ended early, which
+    /// may be the first sign of a cold turn. Nothing starts until a reading.
+    pub fn cut(&self) {
+        self.send(Message::Cut);
+        self.read_now.notify_one();
+    }
+
     /// Notes that an attempt's connection broke, and tells whether the backend
     /// server crashed.
     pub async fn broke(&self, attempt: AttemptId) -> bool {
@@ -360,6 +368,7 @@
             Message::FirstToken(attempt, delay) => {
                 self.admission.first_token(attempt, delay, now);
             }
+            Message::Cut => self.admission.broke(now),
             Message::Broke(attempt, reply) => self.broke(attempt, reply, now),
             Message::Ended(attempt, outcome, state) => self.end(attempt, outcome, state, now),
             Message::Billed(attempt) => self.forget_answer(attempt),
--- a/src/cardamomtally/agent/pump.rs
+++ b/src/cardamomtally/agent/pump.rs
@@ -237,6 +237,8 @@
         let Some(checker) = &mut self.checker else {
             return Err(failure);
         };
+        // The sign of a cold turn must not wait for the resumption.
+        self.parts.desk.cut();
         checker.rewind();
         let offset = checker.events();
         let request = self.job.attempt.request;
--- a/tests/testsuite/routing.rs
+++ b/tests/testsuite/routing.rs
@@ -89,7 +89,10 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let all = random_candidates(&mut rng);
 
-        let wish = Wish { quiet: true, ..WISH };
+        let wish = Wish {
+            quiet: true,
+            ..WISH
+        };
         let chosen = choose(&mut all.clone(), wish, &mut rng);
 
         let quiet = all.iter().any(|c| c.running < 2.0);
