--- a/src/cardamomtally/agent/desk.rs
+++ b/src/cardamomtally/agent/desk.rs
@@ -61,8 +61,17 @@
     pub retry: bool,
 }
 
+/// An attempt may be sent to the backend server.
+#[derive(Clone, Debug)]
+pub struct Go {
+    /// Where its answer goes.
+    pub answer: Arc<Answer>,
+    /// The epoch of admission; in a later one it must not be sent any more.
+    pub epoch: u64,
+}
+
 /// Answer to an attempt that arrives.
-pub type Admitted = Result<Arc<Answer>, Rejection>;
+pub type Admitted = Result<Go, Rejection>;
 
 /// An attempt that arrives.
 #[derive(Clone, Copy, Debug)]
@@ -94,6 +103,7 @@
     Find(AttemptId, oneshot::Sender<Option<Arc<Answer>>>),
     Cancel(AttemptId, oneshot::Sender<Cancelled>),
     FirstToken(AttemptId, Duration),
+    Cut,
     Broke(AttemptId, oneshot::Sender<bool>),
     Ended(AttemptId, admission::Outcome, State),
     Billed(AttemptId),
@@ -111,6 +121,8 @@
     pub versions: Option<Vec<String>>,
     /// The engine's run.
     pub incarnation: Option<u64>,
+    /// The epoch of admission.
+    pub epoch: u64,
 }
 
 /// A handle to the control thread.
@@ -208,6 +220,13 @@
         self.send(Message::FirstToken(attempt, delay));
     }
 
+    /// Notes that a connection to the backend server broke or ended early, which
+    /// may be the first sign of a cold turn. Nothing starts until a reading.
+    pub fn cut(&self) {
+        self.send(Message::Cut);
+        self.read_now.notify_one();
+    }
+
     /// Notes that an attempt's connection broke, and tells whether the backend
     /// server crashed.
     pub async fn broke(&self, attempt: AttemptId) -> bool {
@@ -347,10 +366,9 @@
                 let _gone = reply.send(self.cancel(attempt, now));
             }
             Message::FirstToken(attempt, delay) => {
-                if self.live.contains_key(&attempt) {
-                    self.admission.first_token(delay, now);
-                }
+                self.admission.first_token(attempt, delay, now);
             }
+            Message::Cut => self.admission.broke(now),
             Message::Broke(attempt, reply) => self.broke(attempt, reply, now),
             Message::Ended(attempt, outcome, state) => self.end(attempt, outcome, state, now),
             Message::Billed(attempt) => self.forget_answer(attempt),
@@ -401,7 +419,11 @@
             return;
         };
         self.crashes.start(attempt, live.digest);
-        if reply.send(Ok(Arc::clone(&live.answer))).is_err() {
+        let go = Go {
+            answer: Arc::clone(&live.answer),
+            epoch: self.admission.epoch(),
+        };
+        if reply.send(Ok(go)).is_err() {
             // Its handler has gone, so nothing will be sent.
             let (outcome, state) = (admission::Outcome::Cancelled, State::NotRun);
             self.end(attempt, outcome, state, self.now());
@@ -564,6 +586,7 @@
             load,
             versions: self.versions.clone(),
             incarnation: self.admission.incarnation(),
+            epoch: self.admission.epoch(),
         }));
     }
 }
