--- a/tests/testsuite/entry/fakes.rs
+++ b/tests/testsuite/entry/fakes.rs
@@ -18,7 +18,7 @@
         breach::Breach,
         frames::FrameReader,
     },
-    lease::{FixedLease, Held},
+    lease::{FixedLease, Held, Lease},
     ledger::{local::Local, machine::Ledger},
     net::{
         codec,
@@ -28,8 +28,11 @@
     replica::memory::MemLog,
     settings::{
         EntrySettings,
-        common::{Level, LogForm, LogSettings, PollSettings, ProcessSettings, TimelineSettings},
-        entry::RetrySettings,
+        common::{
+            HttpSettings, Level, LogForm, LogSettings, PollSettings, ProcessSettings,
+            TimelineSettings,
+        },
+        entry::{CallerSettings, RatingSettings, RetrySettings, RoutingSettings},
         units::Span,
     },
 };
@@ -68,20 +71,20 @@
 
     /// Builds an entry.
     pub fn entry(&self, name: &str, breach: Breach) -> Arc<App> {
-        self.entry_with(settings(name), breach)
+        self.entry_with(&settings(name), breach)
     }
 
     /// Builds an entry with settings.
-    pub fn entry_with(&self, settings: EntrySettings, breach: Breach) -> Arc<App> {
+    pub fn entry_with(&self, settings: &EntrySettings, breach: Breach) -> Arc<App> {
         let borders = Borders {
             breach,
             incarnation: Incarnation::random(),
-            lease: Arc::clone(&self.lease) as _,
-            ledger: Arc::clone(&self.ledger) as _,
-            agents: Arc::clone(&self.agents) as _,
+            lease: Arc::clone(&self.lease) as Arc<dyn Lease>,
+            ledger: Arc::clone(&self.ledger) as Arc<dyn ClaimStore>,
+            agents: Arc::clone(&self.agents) as Arc<dyn Agents>,
             rater: None,
         };
-        Arc::new(App::new(settings.clone(), context(&settings), borders, 7))
+        Arc::new(App::new(settings.clone(), context(settings), borders, 7))
     }
 }
 
@@ -92,9 +95,9 @@
             name: name.to_owned(),
             data_centre: "north".to_owned(),
         },
-        http: Default::default(),
+        http: HttpSettings::default(),
         control: PollSettings::default(),
-        callers: Default::default(),
+        callers: CallerSettings::default(),
         retry: RetrySettings {
             deadline: Span::secs(20),
             backoff: Span::ms(1),
@@ -103,8 +106,8 @@
             ask_wait: Span::ms(200),
             ..RetrySettings::default()
         },
-        routing: Default::default(),
-        rating: Default::default(),
+        routing: RoutingSettings::default(),
+        rating: RatingSettings::default(),
         log: LogSettings {
             level: Level::Error,
             form: LogForm::Json,
--- a/tests/testsuite/entry/frames.rs
+++ b/tests/testsuite/entry/frames.rs
@@ -48,7 +48,7 @@
 
     let batch = reader(vec![bytes]).read(&mut 0).await.unwrap();
 
-    assert_eq!(&batch.data[..], b"some text");
+    assert_eq!(&*batch.data, b"some text");
     assert!(batch.head.is_some() && batch.end.is_some());
 }
 
--- a/tests/testsuite/entry/http.rs
+++ b/tests/testsuite/entry/http.rs
@@ -23,10 +23,10 @@
 
 impl Caller {
     async fn new() -> Self {
-        Self::with(settings("e1")).await
+        Self::with(&settings("e1")).await
     }
 
-    async fn with(settings: EntrySettings) -> Self {
+    async fn with(settings: &EntrySettings) -> Self {
         let site = Site::new(1, 0.0);
         let app = site.entry_with(settings, Breach::None);
         let rocket = http::build(&app.settings.http, &app.context)
@@ -128,7 +128,7 @@
 async fn a_body_above_the_limit_is_refused() {
     let mut small = settings("e1");
     small.http.body_limit = Size(64);
-    let caller = Caller::with(small).await;
+    let caller = Caller::with(&small).await;
 
     let answer = caller.send(Method::Post, CHAT, SECRET, &[b'x'; 65]).await;
 
--- a/tests/testsuite/entry/once.rs
+++ b/tests/testsuite/entry/once.rs
@@ -217,7 +217,7 @@
     let site = Site::new(1, 0.0);
     let mut settings = super::fakes::settings("e1");
     settings.callers.derive_key = true;
-    let entry = site.entry_with(settings, Breach::None);
+    let entry = site.entry_with(&settings, Breach::None);
 
     let first = submit(&entry, "job", None).await;
     let second = submit(&entry, "job", None).await;
@@ -231,7 +231,7 @@
     let site = Site::new(1, 0.0);
     let mut settings = super::fakes::settings("e1");
     settings.callers.answer_limit = cardamomtally::settings::units::Size(4);
-    let entry = site.entry_with(settings, Breach::None);
+    let entry = site.entry_with(&settings, Breach::None);
     let Ok(Reply::Whole(first)) = submit(&entry, "job", Some("k")).await else {
         panic!("the first submission is answered");
     };
