--- a/tests/testsuite/control/mod.rs
+++ b/tests/testsuite/control/mod.rs
@@ -4,4 +4,5 @@
 mod health;
 mod reports;
 mod state;
+mod verbs;
 mod wire;
