Report outcomes once, and crashes until they are committed

An outcome whose poll lost its answer was sent again and could count twice. A crash whose commit failed was answered all the same and so forgotten.

--- a/src/cardamomtally/control/run.rs
+++ b/src/cardamomtally/control/run.rs
@@ -15,7 +15,7 @@
     core::{
         digest::Digest,
         id::GroupId,
-        log::{Log, Machine as LogMachine},
+        log::{Log, LogError, Machine as LogMachine},
     },
     daemon::{
         Context,
@@ -196,7 +196,7 @@
 
 fn handle(runtime: &Handle, member: &Arc<Member>, request: Request, call: Call) {
     match request {
-        Request::Poll(poll) => take_poll(runtime, member, &poll, call),
+        Request::Poll(poll) => take_poll(runtime, member, poll, call),
         Request::Claims(ops) => spawn(runtime, member, call, async |m| m.claims(ops).await),
         Request::Propose(group, command) => {
             let command = command.into_vec();
@@ -230,16 +230,39 @@
     });
 }
 
-fn take_poll(runtime: &Handle, member: &Arc<Member>, poll: &Poll, call: Call) {
+fn take_poll(runtime: &Handle, member: &Arc<Member>, poll: Poll, call: Call) {
     member.health.add(&poll.health);
+    let suspected = suspected(member, &poll.cleared);
+    if poll.crashes.is_empty() && suspected.is_empty() {
+        member.rounds.take(&poll, call);
+        return;
+    }
+    let member = Arc::clone(member);
+    runtime.spawn(async move {
+        match take_crashes(&member, &poll, suspected).await {
+            Ok(()) => member.rounds.take(&poll, call),
+            // Without an answer the process reports again.
+            Err(error) => call.answer(&Response::Unavailable {
+                reason: error.to_string(),
+                refused: false,
+            }),
+        }
+    });
+}
+
+async fn take_crashes(
+    member: &Member,
+    poll: &Poll,
+    suspected: Vec<Digest>,
+) -> Result<(), LogError> {
     if !poll.crashes.is_empty() {
-        propose_later(runtime, member, Command::Crashes(poll.crashes.clone()));
+        let crashes = Command::Crashes(poll.crashes.clone());
+        member.propose(&crashes).await?;
     }
-    let suspected = suspected(member, &poll.cleared);
     if !suspected.is_empty() {
-        propose_later(runtime, member, Command::Clear(suspected));
+        member.propose(&Command::Clear(suspected)).await?;
     }
-    member.rounds.take(poll, call);
+    Ok(())
 }
 
 /// Returns those digests that are under suspicion and not in quarantine.
@@ -252,15 +275,6 @@
     digests.iter().filter(mere).copied().collect()
 }
 
-fn propose_later(runtime: &Handle, member: &Arc<Member>, command: Command) {
-    let member = Arc::clone(member);
-    runtime.spawn(async move {
-        if let Err(error) = member.propose(&command).await {
-            slog::warn!(member.context.log, "health: report not committed"; "error" => %error);
-        }
-    });
-}
-
 fn start_tasks(member: &Arc<Member>) {
     let rounds = Arc::clone(&member.rounds);
     tokio::spawn(async move { rounds.run().await });
--- a/src/cardamomtally/lease/poller.rs
+++ b/src/cardamomtally/lease/poller.rs
@@ -229,7 +229,7 @@
         };
         let poll = self.build_poll(&member);
         let polled = poll.holds;
-        let report = poll.report;
+        let reported = (poll.crashes.clone(), poll.cleared.clone());
         let sent = self.context.clock.now();
         let timeout = self.settings.timeout.0;
         let answer = self
@@ -238,7 +238,7 @@
             .await;
         let reason = match answer {
             Ok(Response::Poll(reply)) => {
-                lock(&self.shared.reports).taken(report);
+                lock(&self.shared.reports).taken(&reported.0, &reported.1);
                 return self.take_reply(&member, polled, sent, &reply);
             }
             Ok(Response::Unavailable { reason, .. }) => reason,
--- a/src/cardamomtally/lease/reports.rs
+++ b/src/cardamomtally/lease/reports.rs
@@ -1,7 +1,9 @@
-//! What a process has to tell control, kept until a member has taken it.
+//! What a process has to tell control, kept until its next poll.
 //!
-//! Reports travel with polls. A batch keeps its number until it is answered, so
-//! that a resent one counts once.
+//! Outcomes are sent once: if a poll's answer is lost, nobody knows whether they
+//! were counted, and counting failures twice could suspend a good version.
+//! Crashes and cleared digests are sent until a member has taken them, since
+//! control discards duplicates of those.
 
 use crate::{
     core::{config::VersionId, digest::Digest, map::FastMap},
@@ -14,76 +16,55 @@
 /// Failed answers of one version that are reported at once.
 const URGENT_BAD: u32 = 3;
 
-/// Reports that wait, and the batch that is under way.
+/// Reports that wait for a poll.
 #[derive(Clone, Debug, Default)]
 pub struct Reports {
-    number: u64,
-    waiting: Batch,
-    sent: Option<Batch>,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Batch {
     health: FastMap<VersionId, HealthReport>,
     crashes: Vec<CrashReport>,
     cleared: Vec<Digest>,
 }
 
-impl Batch {
-    fn is_empty(&self) -> bool {
-        self.health.is_empty() && self.crashes.is_empty() && self.cleared.is_empty()
-    }
-}
-
 impl Reports {
     /// Adds outcomes of a version.
     pub fn add_health(&mut self, report: HealthReport) {
-        if let Some(sum) = self.waiting.health.get_mut(&report.version) {
+        if let Some(sum) = self.health.get_mut(&report.version) {
             sum.merge(&report);
             return;
         }
         let id = report.version.clone();
-        self.waiting.health.insert(id, report);
+        self.health.insert(id, report);
     }
 
     /// Tells whether so many answers failed that control should hear at once.
     pub fn is_urgent(&self) -> bool {
-        let mut health = self.waiting.health.values();
+        let mut health = self.health.values();
         health.any(|report| report.bad >= URGENT_BAD)
     }
 
     /// Adds a crash.
     pub fn add_crash(&mut self, crash: CrashReport) {
-        push_bounded(&mut self.waiting.crashes, crash);
+        push_bounded(&mut self.crashes, crash);
     }
 
     /// Adds a suspected request that has ended without a crash.
     pub fn add_cleared(&mut self, digest: Digest) {
-        if !self.waiting.cleared.contains(&digest) {
-            push_bounded(&mut self.waiting.cleared, digest);
+        if !self.cleared.contains(&digest) {
+            push_bounded(&mut self.cleared, digest);
         }
     }
 
-    /// Writes the batch into a poll: the unanswered one, or a new one.
+    /// Writes what waits into a poll.
     pub fn fill(&mut self, poll: &mut Poll) {
-        if self.sent.is_none() && !self.waiting.is_empty() {
-            self.number += 1;
-            self.sent = Some(std::mem::take(&mut self.waiting));
-        }
-        let Some(batch) = &self.sent else {
-            return;
-        };
-        poll.report = self.number;
-        poll.health = batch.health.values().cloned().collect();
-        poll.crashes.clone_from(&batch.crashes);
-        poll.cleared.clone_from(&batch.cleared);
+        let health = std::mem::take(&mut self.health);
+        poll.health = health.into_values().collect();
+        poll.crashes.clone_from(&self.crashes);
+        poll.cleared.clone_from(&self.cleared);
     }
 
-    /// Takes note that a member has taken the batch.
-    pub fn taken(&mut self, number: u64) {
-        if number == self.number {
-            self.sent = None;
-        }
+    /// Takes note that a member has taken these crashes and cleared digests.
+    pub fn taken(&mut self, crashes: &[CrashReport], cleared: &[Digest]) {
+        self.crashes.retain(|crash| !crashes.contains(crash));
+        self.cleared.retain(|digest| !cleared.contains(digest));
     }
 }
 
--- a/src/cardamomtally/net/wire.rs
+++ b/src/cardamomtally/net/wire.rs
@@ -107,9 +107,6 @@
     /// Who the process is, if the member may not know it.
     #[serde(rename = "w", skip_serializing_if = "Option::is_none")]
     pub identity: Option<Identity>,
-    /// Number of the reports below, so that a resent poll counts once.
-    #[serde(rename = "q", skip_serializing_if = "is_zero")]
-    pub report: u64,
     /// Outcomes by version since the last poll.
     #[serde(rename = "o", skip_serializing_if = "Vec::is_empty")]
     pub health: Vec<HealthReport>,
@@ -175,11 +172,6 @@
     !*value
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde's signature")]
-const fn is_zero(value: &u64) -> bool {
-    *value == 0
-}
-
 /// Durations as whole milliseconds, which are shorter than serde's form.
 mod millis {
     use serde::{Deserialize as _, Deserializer, Serializer};
--- a/tests/testsuite/control/verbs.rs
+++ b/tests/testsuite/control/verbs.rs
@@ -69,10 +69,7 @@
 
     assert_eq!((accepted, repeated), (Ok(()), Ok(())));
     let refused = Err(Some(Exit::Refused));
-    assert_eq!(
-        [conflict, superseded, faulty],
-        [refused.clone(), refused.clone(), refused]
-    );
+    assert_eq!([conflict, superseded, faulty], [refused, refused, refused]);
 }
 
 #[test]
--- a/tests/testsuite/lease.rs
+++ b/tests/testsuite/lease.rs
@@ -1,14 +1,15 @@
 //! Leases: what a process holds and until when.
 
 use cardamomtally::{
-    core::config::{CentreState, Config},
+    core::config::{CentreState, Config, VersionId},
     lease::{
+        reports::Reports,
         rotation::Rotation,
         state::{Breaks, LeaseState, Outcome, digest},
     },
     net::{
         delta,
-        wire::{Poll, PollReply, Update},
+        wire::{CrashReport, HealthReport, Poll, PollReply, Update},
     },
     prelude::*,
 };
@@ -337,3 +338,56 @@
     assert!(third != first && third != second);
     assert_ne!(fourth, third);
 }
+
+fn outcomes(bad: u32) -> HealthReport {
+    HealthReport {
+        version: VersionId {
+            partner: "clyde".into(),
+            name: "draft@1".into(),
+        },
+        good: 1,
+        bad,
+        rated_good: 0,
+        rated_bad: 0,
+    }
+}
+
+#[test]
+fn outcomes_are_sent_once_and_crashes_until_they_are_taken() {
+    let crash = CrashReport {
+        backend: "gla-e1".into(),
+        incarnation: Incarnation(1),
+        digests: vec![Digest::of(b"poison")],
+    };
+    let mut reports = Reports::default();
+    reports.add_health(outcomes(1));
+    reports.add_health(outcomes(2));
+    reports.add_crash(crash.clone());
+    let fill = |reports: &mut Reports| {
+        let mut poll = Poll::default();
+        reports.fill(&mut poll);
+        poll
+    };
+
+    let first = fill(&mut reports);
+    let second = fill(&mut reports);
+    reports.taken(&second.crashes, &second.cleared);
+    let third = fill(&mut reports);
+
+    assert_eq!((first.health[0].good, first.health[0].bad), (2, 3));
+    assert_eq!(first.crashes, std::slice::from_ref(&crash));
+    assert_eq!((second.health.len(), second.crashes), (0, vec![crash]));
+    assert_eq!(third, Poll::default());
+}
+
+#[test]
+fn a_few_failures_are_urgent() {
+    let mut reports = Reports::default();
+
+    reports.add_health(outcomes(2));
+    let few = reports.is_urgent();
+    reports.add_health(outcomes(1));
+
+    assert!(!few);
+    assert!(reports.is_urgent());
+}
