--- a/tests/testsuite/support/site.rs
+++ b/tests/testsuite/support/site.rs
@@ -9,6 +9,7 @@
     wait::{eventually, eventually_or, until},
 };
 use cardamomtally_standin::{Engine, EngineOptions, Faults, Proxy, Service, engine::Served};
+use serde_json::Value;
 use std::{
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
@@ -19,6 +20,9 @@
 /// Sites that run at once in one test process.
 const SITE_LIMIT: usize = 3;
 
+/// Replicated groups: the configuration and one shard.
+const GROUPS: usize = 2;
+
 /// Control members of a site.
 const MEMBERS: usize = 3;
 
@@ -130,6 +134,7 @@
         }
         for (name, centre) in self.entries {
             let text = settings::entry(&name, &centre, &site.polls(&name));
+            site.links.lay(Kind::Entry, "", &name);
             site.start(&name, Daemon::Entry, &text);
         }
         for at in 0..site.processes.len() {
@@ -230,9 +235,11 @@
             .clone()
     }
 
-    /// Returns the caller of a workspace at an entry.
+    /// Returns the caller of a workspace at an entry, which it reaches at the
+    /// same address after a restart.
     pub fn caller(&self, entry: &str, workspace: &str) -> Caller {
-        Caller::new(&self.http(entry), workspace)
+        let addr = self.links.get(Kind::Entry, "", entry).addr();
+        Caller::new(&addr.to_string(), workspace)
     }
 
     /// Sends a ticket to one control member.
@@ -294,6 +301,19 @@
         );
     }
 
+    /// Waits until a repaired member counts in the quorum of each group again.
+    pub fn wait_voting(&self, name: &str) {
+        eventually(&format!("{name} votes in all groups"), || {
+            let replies = self
+                .members
+                .iter()
+                .map(|member| self.ask(member, "/status").json());
+            replies
+                .into_iter()
+                .any(|status| votes_everywhere(&status, name))
+        });
+    }
+
     /// Submits tickets that change nothing but a version's cost, up to a number.
     pub fn submit_many(&self, partner: &str, version: &str, numbers: std::ops::Range<u64>) {
         for number in numbers {
@@ -433,7 +453,7 @@
                 to(Kind::Poll, process.bound.poll.as_ref());
                 to(Kind::Peer, process.bound.peer.as_ref());
             }
-            Daemon::Entry => {}
+            Daemon::Entry => to(Kind::Entry, Some(&process.bound.http)),
         }
     }
 }
@@ -460,6 +480,25 @@
     (Backend::Service(service), addr)
 }
 
+/// Tells whether the leaders of all groups count a member as a voter, and no
+/// other member of its name.
+fn votes_everywhere(status: &Value, name: &str) -> bool {
+    let list = |value: &Value| value.as_array().cloned().unwrap_or_default();
+    let leads = |group: &Value, member: &Value| group["leader"] == member["name"];
+    let led = list(&status["members"]).into_iter().flat_map(|member| {
+        let groups = list(&member["replicas"]).into_iter();
+        let led: Vec<_> = groups.filter(|group| leads(group, &member)).collect();
+        led
+    });
+    let votes = |group: Value| {
+        let named = list(&group["members"]).into_iter();
+        let named: Vec<_> = named.filter(|member| member["name"] == name).collect();
+        named.len() == 1 && named[0]["standing"] == "voter"
+    };
+    let votes: Vec<_> = led.map(votes).collect();
+    votes.len() == GROUPS && votes.into_iter().all(|voting| voting)
+}
+
 /// Returns an operator's bearer token.
 pub fn token(partner: &str) -> String {
     format!("{partner}-token")
