--- a/benches/load/mod.rs
+++ b/benches/load/mod.rs
@@ -40,7 +40,7 @@
     pub rate: f64,
     /// How long requests are sent.
     pub time: Duration,
-    /// Header name of an idempotency key, if each request needs one.
+    /// Header that gets a value of its own at each request, if any.
     pub keyed: Option<&'static str>,
 }
 
--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -261,7 +261,7 @@
             assert_eq!(format!("{again:?}"), format!("{request:?}"));
         }
         if let Ok(response) = codec::decode::<Response>(bytes) {
-            assert!(codec::decode::<Response>(&codec::encode(&response)).is_ok());
+            codec::decode::<Response>(&codec::encode(&response)).unwrap();
         }
     });
 }
@@ -277,7 +277,7 @@
 
     feed(good, |bytes| {
         if let Ok(config) = delta::apply(&from, bytes) {
-            assert!(codec::decode::<Config>(&codec::encode(&config)).is_ok());
+            codec::decode::<Config>(&codec::encode(&config)).unwrap();
         }
     });
 }
@@ -318,14 +318,14 @@
             .enable_time()
             .build();
         let mut offset = 0;
-        let read = runtime.unwrap().block_on(async {
+        runtime.unwrap().block_on(async {
             while reader
                 .read(&mut offset)
                 .now_or_never()
                 .is_some_and(|batch| batch.is_ok())
             {}
         });
-        assert_eq!((read, offset <= bytes.len() as u64), ((), true));
+        assert!(offset <= bytes.len() as u64);
     });
 }
 
@@ -375,7 +375,7 @@
 
     feed_text(&good, |text| {
         if let Ok(load) = serde_json::from_str::<EngineLoad>(text) {
-            assert!(serde_json::to_string(&load).is_ok());
+            serde_json::to_string(&load).unwrap();
         }
         let probe = serde_json::from_str::<Probe>(text);
         let head = serde_json::from_str::<RunHead>(text);
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -8,6 +8,10 @@
     site::PARTNER,
     small::{LARGE, SMALL, WORKSPACE, opened, opening, small},
 };
+use std::{
+    io::{BufRead as _, BufReader, Lines},
+    process::{Child, ChildStderr, Command, Stdio},
+};
 
 #[test]
 fn request_passes_from_caller_to_engine_and_back() {
@@ -95,3 +99,62 @@
     assert_eq!(before, names.len());
     assert!(!ids.iter().any(alive));
 }
+
+/// Starts the demo and waits until its first ticket is accepted.
+fn demo() -> (Child, Lines<BufReader<ChildStderr>>) {
+    let mut demo = Command::new(env!("CARGO_BIN_EXE_cardamomtally"))
+        .args(["demo", "--partner", "prairie"])
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the demo starts");
+    let mut lines = BufReader::new(demo.stderr.take().unwrap()).lines();
+    let accepted = lines
+        .by_ref()
+        .any(|line| line.unwrap().contains("Accepted"));
+    assert!(
+        accepted,
+        "the demo ended before its first ticket was accepted"
+    );
+    (demo, lines)
+}
+
+/// Returns the children of a process that have not ended.
+fn children(parent: u32) -> Vec<String> {
+    let listed = std::fs::read_to_string(format!("/proc/{parent}/task/{parent}/children"));
+    let listed = listed.unwrap_or_default();
+    listed.split_whitespace().map(ToOwned::to_owned).collect()
+}
+
+/// Tells whether a process runs; one that is only unreaped does not.
+fn runs(id: &String) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    !status.is_empty() && !status.contains("State:\tZ")
+}
+
+#[test]
+fn demo_holds_every_step() {
+    let (mut demo, lines) = demo();
+
+    let rest: Vec<_> = lines.map(Result::unwrap).collect();
+    let status = demo.wait().unwrap();
+
+    assert!(status.success(), "{}", rest.join("\n"));
+}
+
+#[test]
+fn interrupted_demo_leaves_no_process_behind() {
+    let (mut demo, _lines) = demo();
+    let started = children(demo.id());
+
+    let pid = libc::pid_t::try_from(demo.id()).unwrap();
+    // SAFETY: `kill` takes no pointers, and the demo has not been waited for.
+    unsafe { libc::kill(pid, libc::SIGINT) };
+    let status = demo.wait().unwrap();
+
+    assert!(!status.success());
+    assert!(started.len() > 10, "{started:?}");
+    eventually("the demo's processes have ended", || {
+        !started.iter().any(runs)
+    });
+}
--- a/tests/testsuite/support/meter.rs
+++ b/tests/testsuite/support/meter.rs
@@ -24,10 +24,10 @@
         unsafe { System.alloc(layout) }
     }
 
-    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
         count(-layout.size().cast_signed());
         // SAFETY: the caller keeps the contract of `dealloc`.
-        unsafe { System.dealloc(pointer, layout) }
+        unsafe { System.dealloc(ptr, layout) }
     }
 }
 
