--- a/src/cardamomtally/core/order.rs
+++ b/src/cardamomtally/core/order.rs
@@ -2,6 +2,7 @@
 
 use crate::core::id::{Index, Name};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// What an engine is told to do.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -24,6 +25,16 @@
     },
 }
 
+impl fmt::Display for Action {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Load { version } => write!(f, "load {version}"),
+            Self::Unload { version } => write!(f, "unload {version}"),
+            Self::Role { role } => write!(f, "change role to {role}"),
+        }
+    }
+}
+
 /// An order with its fencing number: the log index at which it was given.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Order {
--- a/src/cardamomtally/ops/status.rs
+++ b/src/cardamomtally/ops/status.rs
@@ -142,7 +142,7 @@
         let fence = view.order.fence;
         line(
             text,
-            format_args!("order {fence} {}: {:?}", view.backend, view.order.action),
+            format_args!("order {fence} {}: {}", view.backend, view.order.action),
         );
     }
 }
