--- a/src/cardamomtally/agent/admission.rs
+++ b/src/cardamomtally/agent/admission.rs
@@ -47,6 +47,9 @@
 /// Share of the cache use that a drop must leave at most.
 const CACHE_DROP: f64 = 0.25;
 
+/// Most attempts that run together with a suspect, itself included.
+const QUIET_LIMIT: u32 = 2;
+
 /// A rule that is broken on purpose, for tests. Daemons break none.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Breach {
@@ -335,10 +338,15 @@
         let fresh = self
             .evidence
             .is_some_and(|at| now.since(at) < Duration::from_millis(EVIDENCE_MS));
-        if self.running.iter().any(|r| r.suspect) || !fresh {
-            return cold.min(self.limit as u32);
+        let limit = if fresh {
+            self.limit as u32
+        } else {
+            cold.min(self.limit as u32)
+        };
+        if self.running.iter().any(|r| r.suspect) {
+            return limit.min(QUIET_LIMIT);
         }
-        self.limit as u32
+        limit
     }
 
     /// Returns the number of cold turns. An attempt that was started in an
@@ -456,7 +464,7 @@
             return true;
         }
         let alone = !self.running.iter().any(|r| r.suspect);
-        alone && (self.running.len() as u32) < self.settings.cold_limit
+        alone && (self.running.len() as u32) < QUIET_LIMIT
     }
 
     fn turn_cold(&mut self, now: Mono) {
--- a/src/cardamomtally/agent/desk.rs
+++ b/src/cardamomtally/agent/desk.rs
@@ -104,6 +104,7 @@
     Cancel(AttemptId, oneshot::Sender<Cancelled>),
     FirstToken(AttemptId, Duration),
     Cut,
+    Doubt(AttemptId, oneshot::Sender<bool>),
     Broke(AttemptId, oneshot::Sender<bool>),
     Ended(AttemptId, admission::Outcome, State),
     Billed(AttemptId),
@@ -236,6 +237,15 @@
             .unwrap_or(false)
     }
 
+    /// Tells whether the backend server crashed under an attempt that ended with
+    /// an error. Other attempts may start meanwhile.
+    pub async fn crashed(&self, attempt: AttemptId) -> bool {
+        self.read_now.notify_one();
+        self.call(|reply| Message::Doubt(attempt, reply))
+            .await
+            .unwrap_or(false)
+    }
+
     /// Notes how an attempt ended.
     pub fn ended(&self, attempt: AttemptId, outcome: admission::Outcome, state: State) {
         self.send(Message::Ended(attempt, outcome, state));
@@ -368,6 +378,7 @@
             Message::FirstToken(attempt, delay) => {
                 self.admission.first_token(attempt, delay, now);
             }
+            Message::Doubt(attempt, reply) => self.doubt(attempt, reply, now),
             Message::Cut => self.admission.broke(now),
             Message::Broke(attempt, reply) => self.broke(attempt, reply, now),
             Message::Ended(attempt, outcome, state) => self.end(attempt, outcome, state, now),
@@ -486,8 +497,12 @@
     /// Holds a broken attempt until a reading tells whether its backend server
     /// crashed.
     fn broke(&mut self, attempt: AttemptId, reply: oneshot::Sender<bool>, now: Mono) {
-        self.crashes.broke(attempt);
         self.admission.broke(now);
+        self.doubt(attempt, reply, now);
+    }
+
+    fn doubt(&mut self, attempt: AttemptId, reply: oneshot::Sender<bool>, now: Mono) {
+        self.crashes.broke(attempt);
         self.broken.insert(attempt, reply);
         self.broken_at = now;
     }
@@ -534,7 +549,7 @@
         let outcome = self.crashes.judge(seen);
         if let Some(crash) = outcome.crash {
             slog::warn!(self.parts.log, "crashes: the backend server crashed";
-                "in_flight" => crash.digests.len());
+                "in_flight" => crash.digests.len(), "run" => %crash.incarnation);
             metrics::counter!("cardamomtally_agent_crashes_total").increment(1);
             self.parts.lease.crash(crash);
         }
@@ -550,9 +565,9 @@
         }
         if seen != Seen::Silent || self.silent >= SILENT_LIMIT {
             // What is still held was already reported as in flight at a crash,
-            // or the backend server says nothing at all.
+            // or the backend server says nothing at all, which is as suspicious.
             for (_, reply) in self.broken.drain() {
-                let _gone = reply.send(seen != Seen::Silent);
+                let _gone = reply.send(true);
             }
         }
     }
--- a/src/cardamomtally/agent/pump.rs
+++ b/src/cardamomtally/agent/pump.rs
@@ -150,11 +150,13 @@
     fn take_head(&mut self, answer: &EngineAnswer) -> Result<(), Failure> {
         let target = &self.job.head.target;
         let request = self.job.attempt.request;
-        check_echo(target, request, answer.echoed.as_deref()).map_err(Failure::Fault)?;
-        self.headed = true;
+        let echo = check_echo(target, request, answer.echoed.as_deref());
         if answer.status >= 500 && matches!(target, Target::Version(_)) {
+            self.headed = echo.is_ok();
             return Err(Failure::Status(answer.status));
         }
+        echo.map_err(Failure::Fault)?;
+        self.headed = true;
         let form = Form::of(target, answer.status, &answer.media);
         self.checker = Some(Checker::new(form, request));
         self.job.answer.set_head(Head {
@@ -300,10 +302,10 @@
                 let broken = EngineError::Broken(Fault::Truncated.to_string());
                 self.judge(&broken).await
             }
-            Failure::Fault(fault) => (Outcome::Error, fault.to_string(), blames(fault)),
+            Failure::Fault(fault) => self.suspect(fault.to_string(), blames(fault)).await,
             Failure::Status(status) => {
                 let reason = format!("the backend server answered {status}");
-                (Outcome::Error, reason, status == 500)
+                self.suspect(reason, status == 500).await
             }
             Failure::Cancelled => (
                 Outcome::Cancelled,
@@ -363,6 +365,14 @@
         }
     }
 
+    /// Judges an error that a crash may stand behind.
+    async fn suspect(&self, reason: String, blame: bool) -> (Outcome, String, bool) {
+        if self.parts.desk.crashed(self.job.attempt).await {
+            return (Outcome::Broken, CRASH_REASON.to_owned(), false);
+        }
+        (Outcome::Error, reason, blame)
+    }
+
     async fn cancel_engine(&self) {
         if matches!(self.job.head.target, Target::Version(_)) {
             // An engine that does not hear it generates in vain, no more.
--- a/tests/testsuite/agent/poison.rs
+++ b/tests/testsuite/agent/poison.rs
@@ -63,6 +63,9 @@
         .filter(|(n, reply)| reply.content() == Some(expected(&format!("good{n}"), 20)));
     let served = served.count();
     println!("crashes {crashes}, served {served}");
+    for reply in replies.iter().filter(|reply| reply.content().is_none()) {
+        println!("refused: {} {}", reply.status, reply.text());
+    }
     assert!(crashes <= 2, "{crashes} crashes");
     assert_eq!(served, FLYING - 1);
 }
