Answer heartbeats before the disk has synced

A follower held every answer until its disk had synced, so a disk that stalled for half a second made its leader step down. A heartbeat is now answered at once, claiming only what is on disk already.

--- a/src/cardamomtally/replica/node/follow.rs
+++ b/src/cardamomtally/replica/node/follow.rs
@@ -26,10 +26,28 @@
             return;
         }
         let last = Index(reached);
+        let heartbeat = append.entries.is_empty();
         self.take_entries(&append.entries);
         let commit = append.commit.min(last);
         self.commit = self.commit.max(commit);
-        self.answer(from, true, prev, last, round);
+        if heartbeat {
+            self.answer_heartbeat(from, prev, last, round);
+        } else {
+            self.answer(from, true, prev, last, round);
+        }
+    }
+
+    /// Answers at once, claiming only what is on disk, so that a slow disk does
+    /// not look like a silent member.
+    fn answer_heartbeat(&mut self, from: &Sender, prev: Index, last: Index, round: u64) {
+        let appended = Appended {
+            term: self.hard.term,
+            matched: true,
+            prev,
+            index: last.min(self.durable),
+            round,
+        };
+        self.send(from.id, &from.name, Message::Appended(appended));
     }
 
     /// Follows the sender if its term is not behind.
--- a/src/cardamomtally/replica/peers/inlet.rs
+++ b/src/cardamomtally/replica/peers/inlet.rs
@@ -8,10 +8,13 @@
 //! again.
 
 use super::{Body, Envelope};
-use crate::{net::codec, prelude::*};
+use crate::{
+    net::{codec, nng::bound_address},
+    prelude::*,
+};
 use nng::{
     Listener, Protocol, Socket,
-    options::{Options as _, RecvMaxSize, transport::tcp::BoundPort},
+    options::{Options as _, RecvMaxSize},
 };
 use slog::{Logger, warn};
 use std::{
@@ -49,14 +52,11 @@
 impl Inlet {
     /// Binds an address, `IP:PORT`.
     pub(super) fn open(own: &Name, listen: &str) -> eyre::Result<Self> {
-        let mut bound: SocketAddr = listen
-            .parse()
-            .wrap_err_with(|| format!("`{listen}` is no address such as `127.0.0.1:7101`"))?;
         let socket = Socket::new(Protocol::Pull0).wrap_err("failed to open a socket")?;
         socket.set_opt::<RecvMaxSize>(MESSAGE_BYTES)?;
-        let listener = Listener::new(&socket, &format!("tcp://{bound}"))
+        let listener = Listener::new(&socket, &format!("tcp://{listen}"))
             .wrap_err_with(|| format!("failed to listen for replication at `{listen}`"))?;
-        bound.set_port(listener.get_opt::<BoundPort>()?);
+        let bound = bound_address(listener)?;
         Ok(Self {
             own: Arc::clone(own),
             socket,
