--- a/tests/testsuite/agent/live.rs
+++ b/tests/testsuite/agent/live.rs
@@ -12,7 +12,7 @@
     ledger::{local::Local, machine::Ledger},
     net::{
         codec,
-        run::{ATTEMPT_HEADER, Frame, HEAD_HEADER, Load, RunHead, Target, VERDICT_HEADER},
+        run::{ATTEMPT_HEADER, Frame, HEAD_HEADER, RunHead, Target, VERDICT_HEADER},
     },
     prelude::*,
     replica::memory::MemLog,
@@ -217,11 +217,6 @@
             .expect("a probe")
     }
 
-    /// Returns the load of a probe.
-    pub async fn load(&self) -> Load {
-        serde_json::from_value(self.probe().await["load"].clone()).expect("a load")
-    }
-
     /// Returns the number of bills.
     pub async fn bills(&self) -> u64 {
         match self.ledger.apply(ClaimOp::Bills).await {
--- a/tests/testsuite/replica/disk.rs
+++ b/tests/testsuite/replica/disk.rs
@@ -123,11 +123,7 @@
     let empty = tempfile::tempdir().unwrap();
     drop(open(empty.path()).unwrap());
     let head = fs::read(segments(empty.path()).pop().unwrap()).unwrap();
-    reset_to(
-        folder,
-        path,
-        &[&before[..], &written[head.len()..]].concat(),
-    );
+    reset_to(folder, path, &[(&*before), &written[head.len()..]].concat());
 }
 
 /// Leaves one segment with these bytes.
@@ -167,7 +163,8 @@
 
     fs::write(&path, &whole[..whole.len() - 1]).unwrap();
 
-    assert!(open(folder.path()).is_err());
+    let refused = open(folder.path());
+    assert!(refused.is_err(), "{refused:?}");
 }
 
 #[test]
@@ -179,7 +176,8 @@
 
     fs::remove_file(segments(folder.path()).remove(1)).unwrap();
 
-    assert!(open(folder.path()).is_err());
+    let refused = open(folder.path());
+    assert!(refused.is_err(), "{refused:?}");
 }
 
 #[test]
@@ -193,7 +191,7 @@
         disk.write(&[Write::Hard(hard(4))]).unwrap();
         disk.write(&[Write::Compact(image(38, 1))]).unwrap();
         assert!(segments(folder.path()).len() < 8);
-    }
+    };
 
     let loaded = load(folder.path());
 
--- a/tests/testsuite/replica/live.rs
+++ b/tests/testsuite/replica/live.rs
@@ -21,7 +21,7 @@
 }
 
 const GROUP: GroupId = GroupId::CONFIG;
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// Counts commands, and remembers the last.
 #[derive(Debug, Default)]
--- a/tests/testsuite/replica/simulation.rs
+++ b/tests/testsuite/replica/simulation.rs
@@ -141,8 +141,8 @@
         )))
     }
 
-    fn see_image(&mut self, index: Index, bytes: Vec<u8>) -> Result<(), Violation> {
-        let known = self.images.entry(index).or_insert_with(|| bytes.clone());
+    fn see_image(&mut self, index: Index, bytes: &[u8]) -> Result<(), Violation> {
+        let known = self.images.entry(index).or_insert_with(|| bytes.to_vec());
         if *known == bytes {
             return Ok(());
         }
@@ -308,7 +308,9 @@
         let mut due: Vec<Flying> = due.collect();
         due.sort_by_key(|f| f.at);
         if let Some(node) = &mut self.slots[i].node {
-            due.into_iter().for_each(|f| node.receive(now, f.mail));
+            for f in due {
+                node.receive(now, f.mail);
+            }
         }
     }
 
@@ -355,7 +357,7 @@
         for outgoing in effects.send {
             let to = self.slots.iter().position(|s| s.name == outgoing.name);
             if let Some(to) = to {
-                self.post(i, to, outgoing.mail);
+                self.post(i, to, &outgoing.mail);
             }
         }
         let slot = &mut self.slots[i];
@@ -365,7 +367,7 @@
         }
         if let Some(image) = effects.restore {
             slot.machine = Tickets::restore(&image.state);
-            self.truth.see_image(image.index, slot.machine.image())?;
+            self.truth.see_image(image.index, &slot.machine.image())?;
         }
         for entry in effects.apply {
             self.apply(i, &entry)?;
@@ -387,7 +389,7 @@
             }
         }
         self.truth
-            .see_image(entry.index, self.slots[i].machine.image())
+            .see_image(entry.index, &self.slots[i].machine.image())
     }
 
     fn end_read(&mut self, i: usize, read: ReadDone) -> Result<(), Violation> {
@@ -400,7 +402,7 @@
         }
     }
 
-    fn post(&mut self, from: usize, to: usize, mail: Mail) {
+    fn post(&mut self, from: usize, to: usize, mail: &Mail) {
         let blocked = self.blocked.get(&(from, to));
         if blocked.is_some_and(|until| *until > self.micros) || self.chance(300) {
             return;
@@ -492,7 +494,7 @@
         node.stop();
         for outgoing in node.flush(now).send {
             let to = self.slots.iter().position(|s| s.name == outgoing.name);
-            self.post(i, to.unwrap_or(i), outgoing.mail);
+            self.post(i, to.unwrap_or(i), &outgoing.mail);
         }
         self.crash(i, until);
     }
