--- a/tests/testsuite/replica/cluster.rs
+++ b/tests/testsuite/replica/cluster.rs
@@ -1,6 +1,9 @@
 //! The protocol under faults, over many seeds.
 
-use super::simulation::{Plan, Seen, Sim, Violation};
+use super::{
+    model::{Seen, Violation},
+    simulation::{Plan, Sim},
+};
 use cardamomtally::replica::node::Rule;
 
 /// Seeds that CI runs.
--- /dev/null
+++ b/tests/testsuite/replica/model.rs
@@ -0,0 +1,142 @@
+//! What a simulation is made of: fake disks, a state machine, and what must
+//! never change.
+
+use cardamomtally::{
+    prelude::*,
+    replica::{
+        entry::Entry,
+        storage::{Loaded, Write},
+    },
+};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What a run found.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Violation {
+    /// Something accepted was lost, changed or read too old.
+    Safety(String),
+    /// The group did not go on after all faults had ended.
+    Stall(String),
+}
+
+#[derive(Debug)]
+pub struct Batch {
+    pub seq: u64,
+    pub writes: Vec<Write>,
+}
+
+/// A disk that syncs late, fails, tears and can be wiped.
+#[derive(Debug, Default)]
+pub struct Disk {
+    pub id: MemberId,
+    pub durable: Loaded,
+    pub queue: VecDeque<Batch>,
+}
+
+impl Disk {
+    pub fn sync_one(&mut self) -> Option<u64> {
+        let batch = self.queue.pop_front()?;
+        for write in &batch.writes {
+            self.durable.apply(write);
+        }
+        Some(batch.seq)
+    }
+}
+
+/// First command for a ticket wins.
+#[derive(Clone, Debug, Default)]
+pub struct Tickets {
+    pub winners: BTreeMap<u64, u64>,
+}
+
+impl Tickets {
+    pub fn apply(&mut self, command: &[u8]) -> (u64, u64) {
+        let (ticket, value) = decode(command);
+        (ticket, *self.winners.entry(ticket).or_insert(value))
+    }
+
+    pub fn image(&self) -> Vec<u8> {
+        let pairs = self.winners.iter();
+        pairs.flat_map(|(t, v)| encode(*t, *v)).collect()
+    }
+
+    pub fn restore(bytes: &[u8]) -> Self {
+        let winners = bytes.chunks(16).map(decode).collect();
+        Self { winners }
+    }
+}
+
+pub fn encode(ticket: u64, value: u64) -> Vec<u8> {
+    [ticket.to_le_bytes(), value.to_le_bytes()].concat()
+}
+
+pub fn decode(bytes: &[u8]) -> (u64, u64) {
+    let (ticket, value) = bytes.split_at(8);
+    let number = |b: &[u8]| u64::from_le_bytes(b.try_into().unwrap());
+    (number(ticket), number(value))
+}
+
+/// What was ever seen, which must never change.
+#[derive(Debug, Default)]
+pub struct Truth {
+    pub chosen: BTreeMap<Index, Entry>,
+    pub images: BTreeMap<Index, Vec<u8>>,
+    pub winners: BTreeMap<u64, u64>,
+    pub accepted: Index,
+}
+
+impl Truth {
+    pub fn choose(&mut self, entry: &Entry) -> Result<(), Violation> {
+        let known = self
+            .chosen
+            .entry(entry.index)
+            .or_insert_with(|| entry.clone());
+        if known == entry {
+            return Ok(());
+        }
+        Err(Violation::Safety(format!(
+            "two values at one index: {known:?}, {entry:?}"
+        )))
+    }
+
+    pub fn see_image(&mut self, index: Index, bytes: &[u8]) -> Result<(), Violation> {
+        let known = self.images.entry(index).or_insert_with(|| bytes.to_vec());
+        if known.as_slice() == bytes {
+            return Ok(());
+        }
+        Err(Violation::Safety(format!("two states at index {index}")))
+    }
+
+    pub fn accept(&mut self, index: Index, ticket: u64, winner: u64) -> Result<(), Violation> {
+        self.accepted = self.accepted.max(index);
+        let known = *self.winners.entry(ticket).or_insert(winner);
+        if known == winner {
+            return Ok(());
+        }
+        Err(Violation::Safety(format!(
+            "two winners of ticket {ticket}: {known}, {winner}"
+        )))
+    }
+}
+
+/// How often things happened that a run is there for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Seen {
+    pub accepted: usize,
+    pub elections: usize,
+    pub images: usize,
+    pub reads: usize,
+    pub repairs: usize,
+}
+
+impl Seen {
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            accepted: self.accepted + other.accepted,
+            elections: self.elections + other.elections,
+            images: self.images + other.images,
+            reads: self.reads + other.reads,
+            repairs: self.repairs + other.repairs,
+        }
+    }
+}
--- a/tests/testsuite/replica/simulation.rs
+++ b/tests/testsuite/replica/simulation.rs
@@ -4,17 +4,17 @@
 //! and failing disks. Checks compare what each node applies and answers with
 //! what any node applied or answered before.
 
+use super::model::{Batch, Disk, Seen, Tickets, Truth, Violation, encode};
 use cardamomtally::{
     prelude::*,
     replica::{
         entry::{Entry, Payload},
         message::Mail,
         node::{Effects, Node, NodeOptions, Part, ReadDone, Rule},
-        storage::{Loaded, Write},
     },
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 const STEP_MICROS: u64 = 4_000;
 const CALM_STEPS: usize = 800;
@@ -22,15 +22,6 @@
 /// Numbers for which commands compete, so that many meet a winner.
 const TICKETS: u64 = 400;
 
-/// What a run found.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Violation {
-    /// Something accepted was lost, changed or read too old.
-    Safety(String),
-    /// The group did not go on after all faults had ended.
-    Stall(String),
-}
-
 /// What a run does.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -40,63 +31,6 @@
     pub broken: Option<Rule>,
 }
 
-#[derive(Debug)]
-struct Batch {
-    seq: u64,
-    writes: Vec<Write>,
-}
-
-/// A disk that syncs late, fails, tears and can be wiped.
-#[derive(Debug, Default)]
-struct Disk {
-    id: MemberId,
-    durable: Loaded,
-    queue: VecDeque<Batch>,
-}
-
-impl Disk {
-    fn sync_one(&mut self) -> Option<u64> {
-        let batch = self.queue.pop_front()?;
-        for write in &batch.writes {
-            self.durable.apply(write);
-        }
-        Some(batch.seq)
-    }
-}
-
-/// First command for a ticket wins.
-#[derive(Clone, Debug, Default)]
-struct Tickets {
-    winners: BTreeMap<u64, u64>,
-}
-
-impl Tickets {
-    fn apply(&mut self, command: &[u8]) -> (u64, u64) {
-        let (ticket, value) = decode(command);
-        (ticket, *self.winners.entry(ticket).or_insert(value))
-    }
-
-    fn image(&self) -> Vec<u8> {
-        let pairs = self.winners.iter();
-        pairs.flat_map(|(t, v)| encode(*t, *v)).collect()
-    }
-
-    fn restore(bytes: &[u8]) -> Self {
-        let winners = bytes.chunks(16).map(decode).collect();
-        Self { winners }
-    }
-}
-
-fn encode(ticket: u64, value: u64) -> Vec<u8> {
-    [ticket.to_le_bytes(), value.to_le_bytes()].concat()
-}
-
-fn decode(bytes: &[u8]) -> (u64, u64) {
-    let (ticket, value) = bytes.split_at(8);
-    let number = |b: &[u8]| u64::from_le_bytes(b.try_into().unwrap());
-    (number(ticket), number(value))
-}
-
 #[derive(Debug)]
 struct Slot {
     name: Name,
@@ -119,71 +53,6 @@
     mail: Mail,
 }
 
-/// What was ever seen, which must never change.
-#[derive(Debug, Default)]
-struct Truth {
-    chosen: BTreeMap<Index, Entry>,
-    images: BTreeMap<Index, Vec<u8>>,
-    winners: BTreeMap<u64, u64>,
-    accepted: Index,
-}
-
-impl Truth {
-    fn choose(&mut self, entry: &Entry) -> Result<(), Violation> {
-        let known = self
-            .chosen
-            .entry(entry.index)
-            .or_insert_with(|| entry.clone());
-        if known == entry {
-            return Ok(());
-        }
-        Err(Violation::Safety(format!(
-            "two values at one index: {known:?}, {entry:?}"
-        )))
-    }
-
-    fn see_image(&mut self, index: Index, bytes: &[u8]) -> Result<(), Violation> {
-        let known = self.images.entry(index).or_insert_with(|| bytes.to_vec());
-        if known.as_slice() == bytes {
-            return Ok(());
-        }
-        Err(Violation::Safety(format!("two states at index {index}")))
-    }
-
-    fn accept(&mut self, index: Index, ticket: u64, winner: u64) -> Result<(), Violation> {
-        self.accepted = self.accepted.max(index);
-        let known = *self.winners.entry(ticket).or_insert(winner);
-        if known == winner {
-            return Ok(());
-        }
-        Err(Violation::Safety(format!(
-            "two winners of ticket {ticket}: {known}, {winner}"
-        )))
-    }
-}
-
-/// How often things happened that a run is there for.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Seen {
-    pub accepted: usize,
-    pub elections: usize,
-    pub images: usize,
-    pub reads: usize,
-    pub repairs: usize,
-}
-
-impl Seen {
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            accepted: self.accepted + other.accepted,
-            elections: self.elections + other.elections,
-            images: self.images + other.images,
-            reads: self.reads + other.reads,
-            repairs: self.repairs + other.repairs,
-        }
-    }
-}
-
 /// A group under faults.
 #[derive(Debug)]
 pub struct Sim {
