--- a/src/cardamomtally/entry/repeat.rs
+++ b/src/cardamomtally/entry/repeat.rs
@@ -34,7 +34,7 @@
 const SERVER_ERROR: u16 = 500;
 
 /// Waits for a quiet backend server before a suspect is refused.
-const QUIET_WAITS: u32 = 5;
+const QUIET_WAITS: u32 = 30;
 
 /// What is sent to a backend server.
 #[derive(Clone, Debug)]
