--- a/src/cardamomtally/agent/mod.rs
+++ b/src/cardamomtally/agent/mod.rs
@@ -55,6 +55,12 @@
 };
 use tokio::sync::Notify;
 
+/// Longest wait for one confirmed poll.
+const REPOLL_MS: u64 = 750;
+
+/// Time between two looks during that wait.
+const REPOLL_LOOK_MS: u64 = 5;
+
 /// Longest time to bill what is left at a stop.
 const FLUSH_SECS: u64 = 10;
 
@@ -100,6 +106,26 @@
         let leased = self.lease.held().is_valid(self.clock.now());
         leased && !self.gate.is_closed() && self.desk.view().incarnation.is_some()
     }
+
+    /// Waits for a poll that was sent after this call and confirmed. Returns
+    /// false if there is none in time.
+    pub async fn repoll(&self) -> bool {
+        // The first may have been on its way already.
+        self.next_poll().await && self.next_poll().await
+    }
+
+    async fn next_poll(&self) -> bool {
+        let before = self.lease.held().until;
+        let end = self.clock.now() + Duration::from_millis(REPOLL_MS);
+        self.lease.poll_now();
+        while self.lease.held().until == before {
+            if self.clock.now() >= end {
+                return false;
+            }
+            tokio::time::sleep(Duration::from_millis(REPOLL_LOOK_MS)).await;
+        }
+        true
+    }
 }
 
 /// How cancels reach the pumps of running attempts.
--- a/src/cardamomtally/agent/pump.rs
+++ b/src/cardamomtally/agent/pump.rs
@@ -331,6 +331,10 @@
             .events
             .record("attempt", &format!("request {}", attempt.request), &reason);
         self.tell(outcome, state);
+        if reason == CRASH_REASON {
+            // Control must know of the crash before the entry tries again.
+            self.parts.repoll().await;
+        }
         self.job.answer.finish(End::Failed {
             verdict,
             reason: reason.into(),
--- a/src/cardamomtally/agent/routes.rs
+++ b/src/cardamomtally/agent/routes.rs
@@ -145,6 +145,10 @@
         return Err(early(parts, attempt, "the agent takes no new work").await);
     };
     let deadline = parts.clock.now() + Duration::from_millis(head.deadline_ms);
+    if is_suspect(parts, &head) && !parts.repoll().await {
+        let why = "it is not known whether this request is quarantined";
+        return Err(early(parts, attempt, why).await);
+    }
     if let Err(why) = check(parts, &head, deadline).await {
         return Err(early(parts, attempt, &why).await);
     }
@@ -285,20 +289,24 @@
 }
 
 fn incoming(parts: &Parts, attempt: AttemptId, head: &RunHead, deadline: Mono) -> Incoming {
-    let snapshot = Arc::clone(&parts.lease.held().snapshot);
-    let suspect = head.suspect || snapshot.suspects.contains(&head.digest);
     Incoming {
         arrival: Arrival {
             attempt,
             priority: head.priority,
             deadline,
-            suspect,
+            suspect: is_suspect(parts, head),
         },
         digest: head.digest,
         repeatable: head.repeatable,
     }
 }
 
+/// Tells whether a request may crash the backend server.
+fn is_suspect(parts: &Parts, head: &RunHead) -> bool {
+    let snapshot = Arc::clone(&parts.lease.held().snapshot);
+    head.suspect || snapshot.suspects.contains(&head.digest)
+}
+
 /// Checks an attempt, and waits for the configuration that its entry holds.
 async fn check(parts: &Parts, head: &RunHead, deadline: Mono) -> Result<(), String> {
     if !head.repeatable && head.agent.is_none() {
