--- a/tests/testsuite/agent/process.rs
+++ b/tests/testsuite/agent/process.rs
@@ -12,6 +12,7 @@
 use cardamomtally_standin::EngineOptions;
 use futures::future::join_all;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use tokio::io::AsyncReadExt as _;
 
 /// Settings of an agent that bears much at once from the start.
 const WIDE: &str = "[admission]\ncold_limit = 64\nwarm_limit = 64\n";
@@ -195,16 +196,16 @@
     }
 }
 
-/// Kills the engine and waits until its listener is closed. A stand-in engine
-/// that dies goes on taking calls, as a cold one, until then; deaths in that
-/// moment are not the agent's doing, so they are not counted.
+/// Kills the engine and waits until its connections are closed. A stand-in
+/// engine that dies goes on taking calls, as a cold one, until then; deaths in
+/// that moment are not the agent's doing, so they are not counted.
 async fn kill(live: &Live) -> u64 {
-    live.engine.kill(Duration::from_millis(300));
     let addr = live.engine.addr();
-    until("the engine is down", async || {
-        tokio::net::TcpStream::connect(addr).await.is_err()
-    })
-    .await;
+    let idle = tokio::net::TcpStream::connect(addr).await;
+    let mut idle = idle.expect("the engine is up");
+    live.engine.kill(Duration::from_millis(50));
+    // Its end tells that the connection is closed, in order or not.
+    let _closed = idle.read(&mut [0; 1]).await;
     live.engine.counters().overloads
 }
 
