--- a/tests/testsuite/entry/mod.rs
+++ b/tests/testsuite/entry/mod.rs
@@ -4,3 +4,4 @@
 mod frames;
 mod http;
 mod once;
+mod process;
