--- a/benches/decisions/main.rs
+++ b/benches/decisions/main.rs
@@ -7,6 +7,7 @@
 mod choice;
 mod claims;
 mod delay;
+mod frames;
 mod health;
 
 use serde::Serialize;
@@ -30,6 +31,7 @@
     ttft_p99_over_least_load: Option<f64>,
     poison_crashes: Option<f64>,
     poison_bystanders_failed: Option<f64>,
+    frames_per_core_s: Option<f64>,
 }
 
 fn main() {
@@ -51,6 +53,10 @@
     figures.ttft_p99_over_least_load = Some(delays.board / delays.least_load);
     figures.bad_served = Some(health::bad_served());
     figures.false_suspensions = Some(health::false_suspensions());
+    match frames::tokens_per_s() {
+        Ok(rate) => figures.frames_per_core_s = Some(rate),
+        Err(error) => eprintln!("frames: not measured: {error:#}"),
+    }
     match claims::measure() {
         Ok(claims) => {
             figures.claims_per_s = Some(claims.per_s);
--- a/src/cardamomtally/entry/repeat.rs
+++ b/src/cardamomtally/entry/repeat.rs
@@ -180,6 +180,7 @@
 ) -> Result<Begun, Failure> {
     let id = call.next_attempt();
     let run = run_call(app, call, job, pick, id, index);
+    record(app, call, job, pick, id);
     let reading = Reading {
         deadline: call.deadline,
         cancel: job.repeatable,
@@ -196,6 +197,14 @@
     })
 }
 
+/// Records an attempt for the time line.
+fn record(app: &App, call: &Call, job: &Job, pick: &Pick, id: AttemptId) {
+    let (Target::Service(target) | Target::Version(target)) = &job.target;
+    let text = format!("attempt {} of {target} sent to {}", id.number, pick.name);
+    let subject = format!("request {}", call.request);
+    app.context.events.record("attempt", &subject, text);
+}
+
 /// Builds what is sent for an attempt.
 pub fn run_call(
     app: &App,
