--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -18,7 +18,7 @@
         config::{Config, VersionId},
         digest::Digest,
         engine::EngineLoad,
-        id::{AttemptId, Incarnation, Index, RequestId},
+        id::{AttemptId, GroupId, Incarnation, Index, RequestId},
         log::Machine,
     },
     entry::{call::Completion, frames::FrameReader},
@@ -28,6 +28,13 @@
         run::{Frame, Probe, RunHead, Usage},
         wire::{Identity, Poll, Request, Response, Role},
     },
+    replica::{
+        peers::{Body, Envelope},
+        storage::{
+            disk::Disk,
+            frame::{self, End},
+        },
+    },
     settings::{self, AgentSettings, ControlSettings, EntrySettings, units::Size},
 };
 use futures::FutureExt as _;
@@ -44,6 +51,9 @@
 /// Longest arbitrary input in bytes.
 const INPUT_BYTES: usize = 512;
 
+/// Size of a log's segment.
+const SEGMENT_BYTES: u64 = 1 << 20;
+
 /// Memory that any decoder may hold, whatever its input.
 const BASE_BYTES: usize = 4 << 20;
 
@@ -252,6 +262,12 @@
             refused: true,
         }),
         codec::encode(&Config::default()),
+        codec::encode(&Envelope {
+            from: "control-1".into(),
+            hears: true,
+            group: GroupId::CONFIG,
+            body: Body::Ping,
+        }),
     ];
 
     feed(good, |bytes| {
@@ -260,6 +276,9 @@
             let again = codec::decode::<Request>(&codec::encode(&request)).unwrap();
             assert_eq!(format!("{again:?}"), format!("{request:?}"));
         }
+        if let Ok(envelope) = codec::decode::<Envelope>(bytes) {
+            codec::decode::<Envelope>(&codec::encode(&envelope)).unwrap();
+        }
         if let Ok(response) = codec::decode::<Response>(bytes) {
             codec::decode::<Response>(&codec::encode(&response)).unwrap();
         }
@@ -382,3 +401,46 @@
         assert!(probe.is_err() || head.is_err());
     });
 }
+
+#[test]
+fn frames_on_disk() {
+    let good = [frame::frame(b"first"), frame::frame(&[0; 40])].concat();
+
+    feed(vec![good], |bytes| {
+        let (contents, end) = frame::split(bytes);
+        let whole: usize = contents
+            .iter()
+            .map(|content| frame::frame(content).len())
+            .sum();
+        match end {
+            End::Whole => assert_eq!(whole, bytes.len()),
+            End::Torn(at) | End::Corrupt(at) => assert_eq!(whole, at),
+        }
+    });
+}
+
+#[test]
+fn files_of_a_log() {
+    let folder = tempfile::tempdir().unwrap();
+    drop(Disk::open(folder.path(), SEGMENT_BYTES).unwrap());
+    let files = std::fs::read_dir(folder.path()).unwrap();
+    let files = files.map(|file| file.unwrap().path());
+    let files: Vec<_> = files
+        .filter(|file| file.metadata().unwrap().len() > 0)
+        .collect();
+    let good = files
+        .iter()
+        .map(|file| std::fs::read(file).unwrap())
+        .collect();
+
+    feed(good, |bytes| {
+        for file in &files {
+            let before = std::fs::read(file).unwrap();
+            std::fs::write(file, bytes).unwrap();
+            // What was damaged is refused or cut back, and never a panic.
+            let opened = Disk::open(folder.path(), SEGMENT_BYTES).map(drop);
+            assert!(opened.map_or_else(|error| !error.to_string().is_empty(), |()| true));
+            std::fs::write(file, before).unwrap();
+        }
+    });
+}
