Break the stand-ins' connections as a kill does; force a refusal

An engine that died took requests into its next life until its connections broke, and counted their number as overload; a proxy did not pass on a reset, so a caller waited a minute; a repaired member was taken for voting by its old identity. The test of refusals relied on luck to see one.

--- a/benches/overhead.rs
+++ b/benches/overhead.rs
@@ -71,6 +71,9 @@
     });
     plain(&generator, &direct, &through, &mut report);
     streamed(&generator, &direct, &through, entry, &mut report);
+    if report["failed"] != 0 {
+        eprintln!("{}", site.process("entry-1").tail());
+    }
     println!("{report}");
 }
 
@@ -158,6 +161,7 @@
     for key in ["ttft_added_p99_ms", "stream_tokens_per_s", "entry_cores"] {
         report[key] = Value::Null;
     }
+    report["failed"] = json!(0);
     for share in SHARES {
         let at = |addrs| generator.open(&load(addrs, PEAK_RPS * share, PEAK_TOKENS, true));
         let base = at(direct);
@@ -178,6 +182,7 @@
             "failed": streams.failed,
             "direct_failed": base.failed,
         });
+        report["failed"] = json!(report["failed"].as_u64().unwrap_or(0) + streams.failed);
         if !carried(&streams, share) {
             continue;
         }
--- a/crates/cardamomtally-standin/src/engine/mod.rs
+++ b/crates/cardamomtally-standin/src/engine/mod.rs
@@ -172,6 +172,8 @@
     faults: EngineFaults,
     counters: Counters,
     served: Vec<Served>,
+    /// Whether this life is over; its connections break in a moment.
+    dying: bool,
 }
 
 /// What all parts of an engine share.
@@ -191,6 +193,7 @@
     /// Ends this life; the next one starts cold.
     fn die(&self, state: &mut State, down: Duration) {
         self.killer.kill(down);
+        state.dying = true;
         state.batch.reset(&self.options);
         state.orders.reset();
     }
@@ -220,6 +223,7 @@
                     faults: EngineFaults::default(),
                     counters: Counters::default(),
                     served: Vec::new(),
+                    dying: false,
                 }),
                 options,
                 work: Notify::new(),
--- a/crates/cardamomtally-standin/src/engine/routes.rs
+++ b/crates/cardamomtally-standin/src/engine/routes.rs
@@ -38,7 +38,11 @@
 
 /// Builds the server of one life.
 pub fn build(config: rocket::Config, shared: &Arc<Shared>) -> Rocket<Build> {
-    shared.lock().batch.reset(&shared.options);
+    {
+        let mut state = shared.lock();
+        state.batch.reset(&shared.options);
+        state.dying = false;
+    }
     let batch = Arc::clone(shared);
     let loads = Arc::clone(shared);
     rocket::custom(config)
@@ -170,7 +174,12 @@
 
 async fn run(body: Body, head: Head, shared: &Shared, chat: bool) -> Reply {
     let stream = body.stream;
-    let (answer, mut progress) = match start(body, &head, shared) {
+    let started = start(body, &head, shared);
+    if shared.lock().dying {
+        // The connection breaks without an answer.
+        std::future::pending::<()>().await;
+    }
+    let (answer, mut progress) = match started {
         Ok(started) => started,
         Err(reply) => return reply,
     };
@@ -196,6 +205,9 @@
 ) -> Result<(Answer, UnboundedReceiver<Progress>), Reply> {
     let mut guard = shared.lock();
     let state = &mut *guard;
+    if state.dying {
+        return Err(Reply::Error(Status::ServiceUnavailable, "dying".to_owned()));
+    }
     if !state.orders.serves(&body.model) {
         let text = format!("{} is not loaded", body.model);
         return Err(Reply::Error(Status::NotFound, text));
--- a/crates/cardamomtally-standin/src/proxy.rs
+++ b/crates/cardamomtally-standin/src/proxy.rs
@@ -257,12 +257,13 @@
         // An ended channel means that the proxy is going: break as well.
         let _ignored = control.wait_for(|c| c.epoch != epoch).await.map(|_c| ());
     };
-    tokio::select! {
-        () = async { tokio::join!(there, back); } => {}
-        () = cut => {
-            reset(to_client.as_ref());
-            reset(to_server.as_ref());
-        }
+    let broken = tokio::select! {
+        carried = async { tokio::try_join!(there, back) } => carried.is_err(),
+        () = cut => true,
+    };
+    if broken {
+        reset(to_client.as_ref());
+        reset(to_server.as_ref());
     }
 }
 
@@ -288,28 +289,24 @@
     }
 }
 
+/// Carries bytes one way until their end. A connection that breaks is an error.
 async fn pump(
     from: &mut tokio::net::tcp::OwnedReadHalf,
     to: &mut tokio::net::tcp::OwnedWriteHalf,
     mut control: watch::Receiver<Control>,
     way: Way,
     counter: &AtomicU64,
-) {
+) -> io::Result<()> {
+    let gone = |_e| io::Error::from(io::ErrorKind::BrokenPipe);
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        if control.wait_for(|c| !c.faults.hold).await.is_err() {
-            return;
-        }
-        let Ok(mut length) = from.read(&mut buffer).await else {
-            return;
-        };
+        control.wait_for(|c| !c.faults.hold).await.map_err(gone)?;
+        let mut length = from.read(&mut buffer).await?;
         let merge = control.borrow().faults.merge;
         if length > 0 && !merge.is_zero() {
             length += read_more(from, &mut buffer[length..], merge).await;
         }
-        if control.wait_for(|c| !c.faults.hold).await.is_err() {
-            return;
-        }
+        control.wait_for(|c| !c.faults.hold).await.map_err(gone)?;
         let faults = control.borrow().faults;
         if way.drops(&faults) {
             if length == 0 {
@@ -320,12 +317,9 @@
         }
         if length == 0 {
             // The other way may still carry bytes.
-            let _ignored = to.shutdown().await;
-            return;
-        }
-        if pass(to, &buffer[..length], &faults).await.is_err() {
-            return;
+            return to.shutdown().await;
         }
+        pass(to, &buffer[..length], &faults).await?;
         counter.fetch_add(length as u64, Ordering::Relaxed);
     }
 }
--- a/tests/testsuite/promises/true_refusal.rs
+++ b/tests/testsuite/promises/true_refusal.rs
@@ -11,7 +11,7 @@
 
 use super::callers;
 use crate::support::{
-    Traffic,
+    Sent, Traffic, eventually,
     small::{SMALL, WORKSPACE, both, engines, opened},
 };
 use cardamomtally_standin::{EngineOptions, engine::BadVersion};
@@ -52,12 +52,24 @@
     site.process("dun-e1").kill();
     site.backend_link("gla-e1")
         .faults(|faults| faults.refuse = true);
+    site.agent_link("gla-e1").cut();
+    site.agent_link("gla-e1")
+        .faults(|faults| faults.refuse = true);
+    let mut none_left = Vec::new();
+    eventually("a request is refused while no pool is left", || {
+        let tag = format!("none-{}", none_left.len());
+        let reply = poison.chat(SMALL, &tag, 2);
+        let refused = reply.verdict() == Some("not-run");
+        none_left.push(Sent { tag, reply });
+        refused
+    });
     chats.wait_more(40);
+    site.agent_link("gla-e1").heal();
     site.backend_link("gla-e1").heal();
     site.restart("dun-e1");
     site.rejoin("control-1");
     chats.wait_more(40);
-    let sent = [chats.stop(), jobs.stop()].concat();
+    let sent = [chats.stop(), jobs.stop(), none_left].concat();
 
     let mut ran: HashSet<_> = site.served().into_iter().map(|(_, s)| s.tag).collect();
     ran.extend(site.service("gla-q1").runs().by_body.into_keys());
--- a/tests/testsuite/support/site.rs
+++ b/tests/testsuite/support/site.rs
@@ -124,6 +124,7 @@
             links: Links::default(),
             folder: tempfile::tempdir().expect("a temporary folder"),
             members: (1..=MEMBERS).map(|n| format!("control-{n}")).collect(),
+            wiped: Vec::new(),
             _turn: Turn::wait(),
         };
         for name in site.members.clone() {
@@ -154,6 +155,8 @@
     pub links: Links,
     folder: TempDir,
     members: Vec<String>,
+    /// Identities of members whose disks were wiped.
+    wiped: Vec<Value>,
     _turn: Turn,
 }
 
@@ -175,6 +178,13 @@
 
     /// Kills a process and deletes what it had on disk.
     pub fn wipe(&mut self, name: &str) {
+        let members = self.members.iter();
+        let pages: Vec<_> = members
+            .map(|member| self.ask(member, "/status").json())
+            .collect();
+        let known = pages.iter().flat_map(|page| seats(page, name));
+        let known: Vec<_> = known.map(|seat| seat["id"].clone()).collect();
+        self.wiped.extend(known);
         self.process(name).kill();
         let folder = self.data(name);
         if folder.exists() {
@@ -310,7 +320,7 @@
                 .map(|member| self.ask(member, "/status").json());
             replies
                 .into_iter()
-                .any(|status| votes_everywhere(&status, name))
+                .any(|status| votes_everywhere(&status, name, &self.wiped))
         });
     }
 
@@ -480,23 +490,26 @@
     (Backend::Service(service), addr)
 }
 
-/// Tells whether the leaders of all groups count a member as a voter, and no
-/// other member of its name.
-fn votes_everywhere(status: &Value, name: &str) -> bool {
+/// Returns a member's places in the groups, as the groups' leaders see them.
+fn seats(status: &Value, name: &str) -> Vec<Value> {
     let list = |value: &Value| value.as_array().cloned().unwrap_or_default();
-    let leads = |group: &Value, member: &Value| group["leader"] == member["name"];
-    let led = list(&status["members"]).into_iter().flat_map(|member| {
+    let mut seats = Vec::new();
+    for member in list(&status["members"]) {
         let groups = list(&member["replicas"]).into_iter();
-        let led: Vec<_> = groups.filter(|group| leads(group, &member)).collect();
-        led
-    });
-    let votes = |group: Value| {
-        let named = list(&group["members"]).into_iter();
-        let named: Vec<_> = named.filter(|member| member["name"] == name).collect();
-        named.len() == 1 && named[0]["standing"] == "voter"
-    };
-    let votes: Vec<_> = led.map(votes).collect();
-    votes.len() == GROUPS && votes.into_iter().all(|voting| voting)
+        for group in groups.filter(|group| group["leader"] == member["name"]) {
+            let named = list(&group["members"]).into_iter();
+            seats.extend(named.filter(|seat| seat["name"] == name));
+        }
+    }
+    seats
+}
+
+/// Tells whether a member votes in all groups, under an identity that was not
+/// wiped, and has no other place.
+fn votes_everywhere(status: &Value, name: &str, wiped: &[Value]) -> bool {
+    let seats = seats(status, name);
+    let votes = |seat: &Value| seat["standing"] == "voter" && !wiped.contains(&seat["id"]);
+    seats.len() == GROUPS && seats.iter().all(votes)
 }
 
 /// Returns an operator's bearer token.
