Send between members by PUB, not PUSH

PUB keeps a queue for each connection, checks that it is open and drops what does not fit, which is what the protocol wants anyway.

--- a/src/cardamomtally/replica/peers/inlet.rs
+++ b/src/cardamomtally/replica/peers/inlet.rs
@@ -14,7 +14,7 @@
 };
 use nng::{
     Listener, Protocol, Socket,
-    options::{Options as _, RecvMaxSize},
+    options::{Options as _, RecvBufferSize, RecvMaxSize, protocol::pubsub::Subscribe},
 };
 use slog::{Logger, warn};
 use std::{
@@ -25,15 +25,21 @@
 
 /// Most bytes of a message that is received.
 const MESSAGE_BYTES: usize = 64 << 20;
+/// Messages that may wait for the receiving thread.
+const QUEUE_MESSAGES: i32 = 4_096;
+/// Time within which a connection to this process itself is made.
+const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 /// Time within which a probe arrives.
 const PROBE_LIMIT: Duration = Duration::from_millis(500);
 
 /// A message of this process to itself.
 #[derive(Debug)]
 struct Probe {
-    /// Held open until the probe has arrived.
-    _socket: Socket,
+    socket: Socket,
+    /// When the connection was begun.
     at: Instant,
+    /// When the message was sent.
+    sent: Option<Instant>,
     /// How many probes had arrived before.
     before: u64,
 }
@@ -52,8 +58,10 @@
 impl Inlet {
     /// Binds an address, `IP:PORT`.
     pub(super) fn open(own: &Name, listen: &str) -> eyre::Result<Self> {
-        let socket = Socket::new(Protocol::Pull0).wrap_err("failed to open a socket")?;
+        let socket = Socket::new(Protocol::Sub0).wrap_err("failed to open a socket")?;
         socket.set_opt::<RecvMaxSize>(MESSAGE_BYTES)?;
+        socket.set_opt::<RecvBufferSize>(QUEUE_MESSAGES)?;
+        socket.set_opt::<Subscribe>(Vec::new())?;
         let listener = Listener::new(&socket, &format!("tcp://{listen}"))
             .wrap_err_with(|| format!("failed to listen for replication at `{listen}`"))?;
         let bound = bound_address(listener)?;
@@ -82,36 +90,47 @@
         Arc::clone(&self.arrived)
     }
 
-    /// Opens the listener again if the last probe did not arrive, and otherwise
-    /// sends another.
+    /// Takes the next step of a probe: connect, send, and see whether it
+    /// arrived. If not, opens the listener again.
     pub(super) fn check(&mut self, log: &Logger) {
         let arrived = self.arrived.load(Ordering::Acquire);
-        match self.probe.take() {
-            Some(probe) if arrived > probe.before => self.send_probe(arrived),
-            Some(probe) if probe.at.elapsed() < PROBE_LIMIT => self.probe = Some(probe),
-            Some(_) => self.reopen(log),
-            None => self.send_probe(arrived),
+        let Some(mut probe) = self.probe.take() else {
+            self.begin_probe(arrived);
+            return;
+        };
+        let late = |at: Instant| at.elapsed() >= PROBE_LIMIT;
+        match probe.sent {
+            None if probe.at.elapsed() >= CONNECT_LIMIT => {
+                self.send_probe(&probe.socket);
+                probe.sent = Some(Instant::now());
+                self.probe = Some(probe);
+            }
+            Some(_) if arrived > probe.before => self.begin_probe(arrived),
+            Some(at) if late(at) => self.reopen(log),
+            None | Some(_) => self.probe = Some(probe),
         }
     }
 
-    fn send_probe(&mut self, before: u64) {
+    fn begin_probe(&mut self, before: u64) {
+        let socket = super::nng::dial(&self.bound.to_string()).ok();
+        self.probe = socket.map(|socket| Probe {
+            socket,
+            at: Instant::now(),
+            sent: None,
+            before,
+        });
+    }
+
+    fn send_probe(&self, socket: &Socket) {
         let envelope = Envelope {
             from: Arc::clone(&self.own),
             hears: true,
             group: GroupId::CONFIG,
             body: Body::Ping,
         };
-        let Ok(socket) = super::nng::dial(&self.bound.to_string()) else {
-            return;
-        };
         let bytes = codec::encode(&envelope);
-        if socket.try_send(bytes.as_slice()).is_ok() {
-            self.probe = Some(Probe {
-                _socket: socket,
-                at: Instant::now(),
-                before,
-            });
-        }
+        // A message that is not sent does not arrive either.
+        let _unsent = socket.try_send(bytes.as_slice());
     }
 
     fn reopen(&mut self, log: &Logger) {
--- a/src/cardamomtally/replica/peers/nng.rs
+++ b/src/cardamomtally/replica/peers/nng.rs
@@ -1,7 +1,7 @@
 //! The network between members over nng.
 //!
-//! Each member listens with one PULL socket and dials every other member with a
-//! PUSH socket of its own. A thread encodes and sends, another receives and
+//! Each member listens with one SUB socket and dials every other member with a
+//! PUB socket of its own, which drops what it cannot send. A thread encodes and sends, another receives and
 //! decodes, so the control thread waits for neither. nng reconnects by itself
 //! when a connection breaks; it sees no silent loss, so the owner replaces the
 //! connections of silent members with [`Peers::renew`]. nng also stops both
@@ -168,7 +168,7 @@
 }
 
 pub(super) fn dial(address: &str) -> nng::Result<Socket> {
-    let socket = Socket::new(Protocol::Push0)?;
+    let socket = Socket::new(Protocol::Pub0)?;
     socket.set_opt::<SendBufferSize>(SOCKET_MESSAGES)?;
     socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))?;
     socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
