--- a/tests/testsuite/ledger/mod.rs
+++ b/tests/testsuite/ledger/mod.rs
@@ -7,7 +7,7 @@
 
 use cardamomtally::{
     core::{
-        claim::{ClaimOp, ClaimReply, ClaimStore as _, Progress},
+        claim::{BillSum, ClaimOp, ClaimReply, ClaimStore as _, Progress},
         log::Machine as _,
     },
     ledger::{
@@ -16,6 +16,7 @@
         machine::Ledger,
         sessions::COPY_WINDOW_MS,
     },
+    ops::{Format, bills::render},
     prelude::*,
     replica::memory::MemLog,
 };
@@ -258,3 +259,45 @@
 
     assert_eq!(decoded.ok(), Some(command));
 }
+
+fn sum(workspace: &str) -> BillSum {
+    BillSum {
+        partner: "clydeside".into(),
+        workspace: workspace.into(),
+        version: version("draft-small@1"),
+        requests: 3,
+        prompt_tokens: 30,
+        completion_tokens: 60,
+        cost_micros: 1_500_000,
+    }
+}
+
+#[test]
+fn sums_are_written_as_csv_with_quotes_where_needed() {
+    let text = render(&[sum("counter"), sum("a,\"b\"")], Format::Csv).expect("it renders");
+
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "partner,workspace,version,requests,prompt_tokens,completion_tokens,cost_micros",
+            "clydeside,counter,clydeside/draft-small@1,3,30,60,1500000",
+            "clydeside,\"a,\"\"b\"\"\",clydeside/draft-small@1,3,30,60,1500000",
+        ]
+    );
+}
+
+#[test]
+fn sums_survive_their_json_form() {
+    let text = render(&[sum("counter")], Format::Json).expect("it renders");
+
+    let sums: Vec<BillSum> = serde_json::from_str(&text).expect("it is JSON");
+    assert_eq!(sums, [sum("counter")]);
+}
+
+#[test]
+fn text_tells_the_cost_in_units() {
+    let text = render(&[sum("counter")], Format::Text).expect("it renders");
+
+    assert!(text.contains("1.500000"), "{text}");
+}
