--- a/src/cardamomtally/entry/mod.rs
+++ b/src/cardamomtally/entry/mod.rs
@@ -27,6 +27,7 @@
 pub mod reply;
 pub mod service;
 pub mod session;
+pub mod turn;
 
 use crate::{
     core::{id::Incarnation, rater::Rater},
--- a/src/cardamomtally/entry/once.rs
+++ b/src/cardamomtally/entry/once.rs
@@ -17,10 +17,11 @@
     breach::Breach,
     call::Call,
     frames::Ended,
-    life::{Action, Life, Sign},
+    life::{Action, Life},
     problem::Problem,
     repeat::{self, Job, RETRY_AFTER},
     reply::{self, Reply},
+    turn::{Step, Turn, ambiguous, no_ledger, not_run, refuse, sign_of, taken, unknown, won},
 };
 use crate::{
     chart::State,
@@ -59,45 +60,6 @@
     key: ClaimKey,
 }
 
-/// What was found out, and the claim that it is about.
-#[derive(Debug)]
-struct Step {
-    sign: Sign,
-    claim: RequestClaim,
-    /// Where our attempt runs, if it holds the claim.
-    place: Option<(Pick, Index)>,
-}
-
-/// Where an operation on the claim leads.
-type Turn = ControlFlow<Result<Reply, Problem>, Step>;
-
-/// Our attempt holds the claim.
-fn won(claim: RequestClaim, pick: Pick, index: Index) -> Turn {
-    let place = Some((pick, index));
-    let sign = Sign::Won;
-    ControlFlow::Continue(Step { sign, claim, place })
-}
-
-/// Somebody else's claim, or a settled outcome, stands.
-fn taken(claim: RequestClaim) -> Turn {
-    step(Sign::Taken, claim)
-}
-
-/// The claim's attempt is proved not to have run.
-fn not_run(claim: RequestClaim) -> Turn {
-    step(Sign::NotRun, claim)
-}
-
-/// The claim's attempt may have run.
-fn ambiguous(claim: RequestClaim) -> Turn {
-    step(Sign::Ambiguous, claim)
-}
-
-fn step(sign: Sign, claim: RequestClaim) -> Turn {
-    let place = None;
-    ControlFlow::Continue(Step { sign, claim, place })
-}
-
 /// Serves a submission.
 ///
 /// # Errors
@@ -129,27 +91,6 @@
     }
 }
 
-fn sign_of(turn: &Turn) -> Sign {
-    match turn {
-        ControlFlow::Continue(step) => step.sign,
-        ControlFlow::Break(Ok(_)) => Sign::Answer,
-        ControlFlow::Break(Err(_)) => Sign::Refusal,
-    }
-}
-
-fn refuse(problem: Problem) -> Turn {
-    ControlFlow::Break(Err(problem))
-}
-
-fn no_ledger(error: &ClaimError) -> Problem {
-    let detail = format!("the ledger cannot tell whether this key has run: {error}");
-    Problem::new(503, Verdict::Unknown, detail).retry_after(RETRY_AFTER)
-}
-
-fn unknown(detail: &str) -> Problem {
-    Problem::new(502, Verdict::Unknown, detail)
-}
-
 impl Submission<'_> {
     /// Does what the state of the chart asks.
     async fn act(&self, life: &Life, state: State, step: Step) -> Turn {
--- a/tests/testsuite/entry/http.rs
+++ b/tests/testsuite/entry/http.rs
@@ -1,6 +1,9 @@
 //! The callers' interface: good and bad input, streams.
 
-use super::fakes::{FakeAgents, SECRET, Site, config, held, settings};
+use super::{
+    fakes::{FakeAgents, Site},
+    small::{SECRET, config, held, settings},
+};
 use cardamomtally::{
     daemon::http,
     entry::{app::App, breach::Breach, front::Front},
--- a/tests/testsuite/entry/mod.rs
+++ b/tests/testsuite/entry/mod.rs
@@ -6,3 +6,4 @@
 mod once;
 mod process;
 mod repeat;
+mod small;
--- a/tests/testsuite/entry/once.rs
+++ b/tests/testsuite/entry/once.rs
@@ -1,6 +1,6 @@
 //! Submissions that may not be repeated, under faults drawn from seeds.
 
-use super::fakes::{SECRET, Site};
+use super::{fakes::Site, small::SECRET};
 use bytes::Bytes;
 use cardamomtally::{
     core::claim::ClaimKey,
@@ -215,7 +215,7 @@
 #[tokio::test]
 async fn a_key_is_derived_from_the_body_if_set() {
     let site = Site::new(1, 0.0);
-    let mut settings = super::fakes::settings("e1");
+    let mut settings = super::small::settings("e1");
     settings.callers.derive_key = true;
     let entry = site.entry_with(&settings, Breach::None);
 
@@ -229,7 +229,7 @@
 #[tokio::test]
 async fn an_answer_above_the_limit_is_told_as_ran_with_its_digest() {
     let site = Site::new(1, 0.0);
-    let mut settings = super::fakes::settings("e1");
+    let mut settings = super::small::settings("e1");
     settings.callers.answer_limit = cardamomtally::settings::units::Size(4);
     let entry = site.entry_with(&settings, Breach::None);
     let Ok(Reply::Whole(first)) = submit(&entry, "job", Some("k")).await else {
--- a/tests/testsuite/entry/repeat.rs
+++ b/tests/testsuite/entry/repeat.rs
@@ -1,6 +1,6 @@
 //! Requests that may be repeated, under faults drawn from seeds.
 
-use super::fakes::{SECRET, Site};
+use super::{fakes::Site, small::SECRET};
 use bytes::Bytes;
 use cardamomtally::{
     entry::{
