--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod cli;
 mod control;
 mod core;
+mod daemon;
 mod entry;
 mod fuzz;
 mod lease;
