--- a/benches/control/main.rs
+++ b/benches/control/main.rs
@@ -32,6 +32,9 @@
 /// Window over which traffic and processor time are counted.
 const WINDOW: Duration = Duration::from_secs(15);
 
+/// Pause before a ticket whose way into force is timed.
+const SETTLE: Duration = Duration::from_millis(2_500);
+
 /// Members of the group in which a member's cost is counted.
 const LARGE_GROUP: usize = 7;
 
@@ -109,8 +112,10 @@
 }
 
 /// Submits a ticket and returns the time until every poller holds it or has no
-/// lease.
+/// lease. The polls that follow the ticket before are over by then, so that
+/// each poller is at another point of its interval.
 fn in_force(group: &mut Group, pollers: &Pollers, member: usize) -> Duration {
+    thread::sleep(SETTLE);
     group.submit_next(member);
     let accepted = Instant::now();
     let index = group.index();
