--- a/src/cardamomtally/agent/problem.rs
+++ b/src/cardamomtally/agent/problem.rs
@@ -2,16 +2,16 @@
 
 use super::{Parts, desk::Rejection};
 use crate::{
-    core::{id::AttemptId, verdict::Verdict},
-    net::run::{INCARNATION_HEADER, LOAD_HEADER, VERDICT_HEADER},
+    core::id::AttemptId,
+    daemon::problem::Document,
+    net::run::{INCARNATION_HEADER, LOAD_HEADER},
 };
 use rocket::{
     Request,
-    http::{ContentType, Header, Status},
-    response::{self, Responder, Response},
+    http::{Header, Status},
+    response::{self, Responder},
 };
 use serde::Serialize;
-use std::io::Cursor;
 
 /// Seconds after which a rejected caller may try again.
 const RETRY_SECS: u64 = 1;
@@ -19,21 +19,14 @@
 /// A refusal.
 #[derive(Debug)]
 pub struct Problem {
-    status: Status,
-    body: Body,
+    document: Document<Extra>,
     incarnation: String,
     load: String,
     retry: bool,
 }
 
 #[derive(Debug, Serialize)]
-struct Body {
-    #[serde(rename = "type")]
-    kind: &'static str,
-    title: &'static str,
-    status: u16,
-    detail: String,
-    verdict: Verdict,
+struct Extra {
     #[serde(skip_serializing_if = "Option::is_none")]
     request: Option<String>,
 }
@@ -48,16 +41,11 @@
         rejection: &Rejection,
     ) -> Box<Self> {
         let load = parts.desk.view().load;
+        let request = attempt.map(|id| id.request.to_string());
+        let extra = Extra { request };
+        let detail = rejection.reason.as_ref();
         Box::new(Self {
-            status,
-            body: Body {
-                kind: "about:blank",
-                title: status.reason_lossy(),
-                status: status.code,
-                detail: rejection.reason.as_ref().to_owned(),
-                verdict: rejection.verdict,
-                request: attempt.map(|id| id.request.to_string()),
-            },
+            document: Document::new(status.code, rejection.verdict, detail, extra),
             incarnation: parts.incarnation.to_string(),
             load: serde_json::to_string(&load).unwrap_or_default(),
             retry: rejection.retry,
@@ -67,17 +55,12 @@
 
 impl<'r> Responder<'r, 'static> for Problem {
     fn respond_to(self, _request: &'r Request<'_>) -> response::Result<'static> {
-        let body = serde_json::to_vec(&self.body).unwrap_or_default();
-        let mut answer = Response::build();
-        answer
-            .status(self.status)
-            .header(ContentType::new("application", "problem+json"))
-            .header(Header::new(VERDICT_HEADER, self.body.verdict.as_str()))
-            .header(Header::new(INCARNATION_HEADER, self.incarnation))
-            .header(Header::new(LOAD_HEADER, self.load));
+        let mut answer = self.document.to_response();
+        answer.set_header(Header::new(INCARNATION_HEADER, self.incarnation));
+        answer.set_header(Header::new(LOAD_HEADER, self.load));
         if self.retry {
-            answer.header(Header::new("Retry-After", RETRY_SECS.to_string()));
+            answer.set_header(Header::new("Retry-After", RETRY_SECS.to_string()));
         }
-        answer.sized_body(body.len(), Cursor::new(body)).ok()
+        Ok(answer)
     }
 }
--- a/src/cardamomtally/daemon/http.rs
+++ b/src/cardamomtally/daemon/http.rs
@@ -1,10 +1,10 @@
 //! The HTTP listener of a daemon, with its health, metrics and time line routes.
 
-use super::Context;
+use super::{Context, problem};
 use crate::{settings::common::HttpSettings, timeline::Event};
 use eyre::WrapErr as _;
 use rocket::{
-    Build, Rocket, State,
+    Build, Rocket, State, catchers,
     config::{LogLevel, Shutdown as StopSettings},
     data::{ByteUnit, Limits},
     fairing::AdHoc,
@@ -72,7 +72,8 @@
     };
     Ok(rocket::custom(config)
         .manage(context.clone())
-        .mount("/", routes![live, ready, render_metrics, events]))
+        .mount("/", routes![live, ready, render_metrics, events])
+        .register("/", catchers![problem::unhandled]))
 }
 
 /// Runs a listener until a signal, then drains and stops it.
--- a/src/cardamomtally/daemon/mod.rs
+++ b/src/cardamomtally/daemon/mod.rs
@@ -8,6 +8,7 @@
 pub mod gate;
 pub mod http;
 pub mod launch;
+pub mod problem;
 
 use crate::{
     core::{
--- a/src/cardamomtally/entry/problem.rs
+++ b/src/cardamomtally/entry/problem.rs
@@ -1,15 +1,12 @@
 //! Refusals towards callers: problem documents with a verdict.
 
-use crate::core::{id::RequestId, verdict::Verdict};
-use rocket::{
-    Response,
-    http::{ContentType, Status},
+use crate::{
+    core::{id::RequestId, verdict::Verdict},
+    daemon::problem::Document,
 };
+use rocket::Response;
 use serde::Serialize;
-use std::{io::Cursor, time::Duration};
-
-/// Content type of problem documents.
-const MEDIA: (&str, &str) = ("application", "problem+json");
+use std::time::Duration;
 
 /// A refusal.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,17 +23,12 @@
     pub first: Option<(String, u16)>,
 }
 
-/// The document as it is sent.
-#[derive(Debug, Serialize)]
-struct Document<'p> {
-    r#type: &'static str,
-    title: &'static str,
-    status: u16,
-    detail: &'p str,
-    verdict: Verdict,
+/// Members that an entry adds to the document.
+#[derive(Clone, Debug, Serialize)]
+struct Extra {
     request: String,
     #[serde(skip_serializing_if = "Option::is_none")]
-    answer_digest: Option<&'p str>,
+    answer_digest: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     answer_status: Option<u16>,
 }
@@ -68,41 +60,29 @@
     }
 
     /// Returns the document as JSON.
-    ///
-    /// # Panics
-    ///
-    /// Never: documents always encode.
     #[must_use]
     pub fn to_json(&self, request: RequestId) -> String {
-        let status = Status::new(self.status);
-        let document = Document {
-            r#type: "about:blank",
-            title: status.reason().unwrap_or("Error"),
-            status: self.status,
-            detail: &self.detail,
-            verdict: self.verdict,
-            request: request.to_string(),
-            answer_digest: self.first.as_ref().map(|(digest, _)| digest.as_str()),
-            answer_status: self.first.as_ref().map(|(_, status)| *status),
-        };
-        serde_json::to_string(&document).expect("problem documents encode")
+        self.document(request).to_json()
     }
 
     /// Builds the response.
     #[must_use]
     pub fn to_response(&self, request: RequestId) -> Response<'static> {
-        let body = self.to_json(request);
-        let mut response = Response::build();
-        response
-            .status(Status::new(self.status))
-            .header(ContentType::new(MEDIA.0, MEDIA.1))
-            .raw_header("X-Cardamomtally-Verdict", self.verdict.as_str())
-            .sized_body(body.len(), Cursor::new(body));
+        let mut response = self.document(request).to_response();
         if let Some(retry) = self.retry {
             // Whole seconds, rounded up, as the header demands.
             let secs = retry.as_secs() + u64::from(retry.subsec_nanos() > 0);
-            response.raw_header("Retry-After", secs.max(1).to_string());
+            response.set_raw_header("Retry-After", secs.max(1).to_string());
         }
-        response.finalize()
+        response
+    }
+
+    fn document(&self, request: RequestId) -> Document<Extra> {
+        let extra = Extra {
+            request: request.to_string(),
+            answer_digest: self.first.as_ref().map(|(digest, _)| digest.clone()),
+            answer_status: self.first.as_ref().map(|(_, status)| *status),
+        };
+        Document::new(self.status, self.verdict, self.detail.as_str(), extra)
     }
 }
