--- a/tests/testsuite/entry/mod.rs
+++ b/tests/testsuite/entry/mod.rs
@@ -4,3 +4,6 @@
 mod frames;
 mod http;
 mod once;
+mod process;
+mod repeat;
+mod small;
--- a/tests/testsuite/replica/mod.rs
+++ b/tests/testsuite/replica/mod.rs
@@ -3,5 +3,6 @@
 mod cluster;
 mod disk;
 mod live;
+mod model;
 mod script;
 mod simulation;
