--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -39,7 +39,10 @@
 use cardamomtally_standin::EngineOptions;
 use load::{Generator, Load, Outcome, cpu_secs, rss_bytes};
 use serde_json::{Value, json};
-use std::{ops::Range, time::Duration};
+use std::{
+    ops::Range,
+    time::{Duration, Instant},
+};
 use support::{
     Site, Ticket,
     link::Kind,
@@ -68,7 +71,7 @@
 const CLAIMS: [f64; 4] = [500.0, 500.0, 1_000.0, 1_000.0];
 
 /// Tickets submitted in each step.
-const TICKETS: [u64; 3] = [20, 40, 80];
+const TICKETS: [u64; 3] = [4, 8, 12];
 
 /// Time of rest in each step.
 const RESTS: [Duration; 3] = [
@@ -213,15 +216,25 @@
 
     fn bytes_per_ticket(&mut self) {
         let mut number = 2;
-        let mut points = Vec::new();
+        let mut points: Vec<(f64, Readings)> = Vec::new();
         for count in TICKETS {
             let first = number;
             number += count;
+            let begin = Instant::now();
             points.push(self.grown(|bench| {
-                bench.site.submit_many(PARTNER, SMALL, first..first + count);
-                bench.site.wait_in_force(PARTNER, first + count - 1);
+                // One by one, so that each is a change of its own to every poller.
+                for number in first..first + count {
+                    bench.site.submit_many(PARTNER, SMALL, number..number + 1);
+                    bench.site.wait_in_force(PARTNER, number);
+                }
                 count as f64
             }));
+            let polls = begin.elapsed().as_secs_f64() / POLL_SECS;
+            let (_, readings) = points.last_mut().expect("it was just added");
+            for (reading, role) in readings.iter_mut().zip(ROLES) {
+                let idle = self.report[role]["bytes_per_poll"].as_f64();
+                reading.bytes -= idle.unwrap_or(0.0) * polls;
+            }
         }
         self.add("bytes_per_ticket", 0..3, &points, |r| r.bytes);
     }
--- a/crates/cardamomtally-standin/src/engine/mod.rs
+++ b/crates/cardamomtally-standin/src/engine/mod.rs
@@ -190,6 +190,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Begins a life, cold and without requests.
+    fn begin_life(&self) {
+        let mut state = self.lock();
+        state.batch.reset(&self.options);
+        state.dying = false;
+    }
+
     /// Ends this life; the next one starts cold.
     fn die(&self, state: &mut State, down: Duration) {
         self.killer.kill(down);
--- a/crates/cardamomtally-standin/src/engine/routes.rs
+++ b/crates/cardamomtally-standin/src/engine/routes.rs
@@ -38,11 +38,7 @@
 
 /// Builds the server of one life.
 pub fn build(config: rocket::Config, shared: &Arc<Shared>) -> Rocket<Build> {
-    {
-        let mut state = shared.lock();
-        state.batch.reset(&shared.options);
-        state.dying = false;
-    }
+    shared.begin_life();
     let batch = Arc::clone(shared);
     let loads = Arc::clone(shared);
     rocket::custom(config)
