Repeat a cancel that may have overtaken its call; wait for a folder's lock

Cause: a cancel could reach the engine before the call it was for, and the engine then ran it in vain. A member that was reopened at once found its folder still locked: in the test process, a lock lives on in a child that is between fork and exec; on a VM, in a former run that is ending. Ruled out: repeating after other failures, since the entry may try the request at the same backend server again under the same id.

--- a/src/cardamomtally/agent/pump.rs
+++ b/src/cardamomtally/agent/pump.rs
@@ -18,8 +18,8 @@
     core::{
         claim::Bill,
         clock::Mono,
-        engine::{EngineAnswer, EngineCall, EngineError},
-        id::AttemptId,
+        engine::{Engine, EngineAnswer, EngineCall, EngineError},
+        id::{AttemptId, RequestId},
         verdict::Verdict,
     },
     net::run::{CRASH_REASON, RunHead, Target, Usage},
@@ -32,6 +32,9 @@
 /// Most resumptions of one stream.
 const RESUME_LIMIT: u32 = 3;
 
+/// Pauses before a cancel is repeated, in milliseconds.
+const RECANCEL_MS: [u64; 2] = [100, 1_000];
+
 /// An attempt that may start.
 #[derive(Debug)]
 pub struct Job {
@@ -290,6 +293,7 @@
     async fn fail(&self, failure: Failure) {
         let attempt = self.job.attempt;
         let verdict = self.verdict(&failure);
+        let cancelled = matches!(failure, Failure::Cancelled);
         let state = if verdict == Verdict::NotRun {
             State::NotRun
         } else {
@@ -323,7 +327,7 @@
             ),
         };
         if self.job.head.repeatable && verdict != Verdict::NotRun {
-            self.cancel_engine().await;
+            self.cancel_engine(cancelled).await;
         }
         slog::info!(self.parts.log, "attempt: failed";
             "attempt" => %attempt, "verdict" => %verdict, "reason" => &reason);
@@ -377,10 +381,19 @@
         (Outcome::Error, reason, blame)
     }
 
-    async fn cancel_engine(&self) {
-        if matches!(self.job.head.target, Target::Version(_)) {
-            // An engine that does not hear it generates in vain, no more.
-            let _unheard = self.parts.engine.cancel(self.job.attempt.request).await;
+    /// Cancels at the engine, again and again if the caller has gone and the
+    /// engine may not have seen the request yet. After other failures the entry
+    /// may try the request here once more, so a late cancel would hit that.
+    async fn cancel_engine(&self, cancelled: bool) {
+        if !matches!(self.job.head.target, Target::Version(_)) {
+            return;
+        }
+        let request = self.job.attempt.request;
+        // An engine that does not hear it generates in vain, no more.
+        let _unheard = self.parts.engine.cancel(request).await;
+        if cancelled && !self.headed {
+            let engine = Arc::clone(&self.parts.engine);
+            tokio::spawn(cancel_again(engine, request));
         }
     }
 
@@ -395,3 +408,12 @@
 const fn blames(fault: Fault) -> bool {
     matches!(fault, Fault::Malformed | Fault::Nameless)
 }
+
+/// Repeats a cancel that may have overtaken the call it is for.
+async fn cancel_again(engine: Arc<dyn Engine>, request: RequestId) {
+    for pause in RECANCEL_MS {
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        // As above: at worst the engine generates in vain.
+        let _unheard = engine.cancel(request).await;
+    }
+}
--- a/src/cardamomtally/replica/storage/disk.rs
+++ b/src/cardamomtally/replica/storage/disk.rs
@@ -18,11 +18,19 @@
 use eyre::{bail, ensure};
 use rand::Rng as _;
 use std::{
-    fs::{self, File, OpenOptions},
+    fs::{self, File, OpenOptions, TryLockError},
     io::{ErrorKind, Write as _},
     path::{Path, PathBuf},
+    time::Instant,
 };
 
+/// How long a folder's lock is waited for: a member that is restarted at once
+/// may find its former run still ending.
+const LOCK_WAIT: Duration = Duration::from_secs(2);
+
+/// Pause between two tries for the lock.
+const LOCK_PAUSE: Duration = Duration::from_millis(10);
+
 const IDENTITY: &str = "identity";
 const IMAGE: &str = "image";
 const LOCK: &str = "lock";
@@ -187,9 +195,19 @@
         .write(true)
         .open(&path)
         .wrap_err_with(|| format!("failed to open `{}`", path.display()))?;
-    file.try_lock()
-        .wrap_err_with(|| format!("folder `{}` is in use", folder.display()))?;
-    Ok(file)
+    let tried = Instant::now();
+    loop {
+        match file.try_lock() {
+            Ok(()) => return Ok(file),
+            Err(TryLockError::WouldBlock) if tried.elapsed() < LOCK_WAIT => {
+                std::thread::sleep(LOCK_PAUSE);
+            }
+            Err(error) => {
+                return Err(error)
+                    .wrap_err_with(|| format!("folder `{}` is in use", folder.display()));
+            }
+        }
+    }
 }
 
 fn segment_path(folder: &Path, number: u64) -> PathBuf {
