--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -99,12 +99,26 @@
 /// The roles and what was read of them.
 const ROLES: [&str; 3] = ["entry", "agent", "control"];
 
+/// The slopes of each role; one that is not measured is null.
+const KEYS: [&str; 7] = [
+    "bytes_per_request",
+    "core_us_per_request",
+    "core_us_per_token",
+    "rss_kb_per_session",
+    "rss_bytes_per_claim",
+    "bytes_per_ticket",
+    "bytes_per_poll",
+];
+
 type Readings = [Reading; 3];
 
 fn main() {
     let mut bench = Bench::start();
     for role in ROLES {
-        bench.report[role] = json!({});
+        for key in KEYS {
+            bench.report[role][key] = Value::Null;
+            bench.report[role][format!("{key}_err")] = Value::Null;
+        }
     }
     bench.bytes_per_poll();
     bench.bytes_per_ticket();
--- a/src/cardamomtally/control/mod.rs
+++ b/src/cardamomtally/control/mod.rs
@@ -9,11 +9,13 @@
 //! ([`rounds`]), are answered from the state that it confirmed, and tell the
 //! member which process holds what ([`processes`]). With them come outcomes of
 //! versions ([`health`]) and crashes ([`suspects`]); the leader's timed work is
-//! in [`duties`]. Operators see all of it in [`status`].
+//! in [`duties`]. Operators see all of it in [`status`]. That the listener for
+//! polls still takes connections is watched by [`listener`].
 
 pub mod duties;
 pub mod groups;
 pub mod health;
+pub mod listener;
 pub mod machine;
 pub mod member;
 pub mod orders;
--- a/src/cardamomtally/control/run.rs
+++ b/src/cardamomtally/control/run.rs
@@ -4,6 +4,7 @@
     duties,
     groups::{self, Group},
     health::Pool,
+    listener,
     machine::{Machine, Store},
     member::Member,
     rounds::Rounds,
@@ -73,6 +74,12 @@
         ..Bound::default()
     };
     start_tasks(&member);
+    let log = context.log.clone();
+    tokio::spawn(listener::watch(
+        Arc::downgrade(&server),
+        listener::PERIOD,
+        log,
+    ));
     context.ready.store(true, Ordering::Release);
     let rocket = http::build(&settings.http, &context)?;
     let rocket = routes::mount(rocket, Arc::clone(&member));
--- a/src/cardamomtally/net/nng/server.rs
+++ b/src/cardamomtally/net/nng/server.rs
@@ -13,7 +13,7 @@
 use std::{
     fmt, net,
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     thread,
@@ -30,6 +30,7 @@
 pub struct Server {
     socket: Socket,
     bound: net::SocketAddr,
+    listener: Mutex<Option<Listener>>,
     traffic: Arc<Traffic>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -69,11 +70,29 @@
         Ok(Self {
             socket,
             bound,
+            listener: Mutex::new(Some(listener)),
             traffic,
             thread: Some(thread),
         })
     }
 
+    /// Closes the listener and opens it again at the same address. Connections
+    /// that exist stay.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn reopen(&self) -> eyre::Result<()> {
+        let mut listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(listener) = listener.take() {
+            listener.close();
+        }
+        let opened = Listener::new(&self.socket, &format!("tcp://{}", self.bound))
+            .wrap_err_with(|| format!("failed to listen for polls at {}", self.bound))?;
+        *listener = Some(opened);
+        Ok(())
+    }
+
     /// Returns the bound address.
     pub const fn bound(&self) -> net::SocketAddr {
         self.bound
--- a/tests/testsuite/control/wire.rs
+++ b/tests/testsuite/control/wire.rs
@@ -1,19 +1,22 @@
 //! Size of polls, deltas, and the nng transport.
 
 use cardamomtally::{
+    control::listener,
     core::config::{CentreState, Config, Service},
     lease::state::{Breaks, LeaseState, Outcome, digest},
     net::{
         codec, delta,
-        nng::{Client, Server},
+        nng::{Call, Client, Server},
         transport::Transport as _,
         wire::{Poll, PollReply, Request, Response, Update},
     },
     prelude::*,
+    util::log::discard,
 };
 use ciborium::cbor;
 use proptest::prelude::*;
-use std::{collections::BTreeMap, sync::mpsc};
+use socket2::SockRef;
+use std::{collections::BTreeMap, net::TcpStream, sync::mpsc};
 
 /// Bytes that a poll and its answer may have when nothing is new.
 const QUIET_BYTES: usize = 64;
@@ -190,3 +193,43 @@
         Response::Unavailable { refused: true, .. }
     ));
 }
+
+/// Breaks many connections in the middle of nng's handshake, which now and then
+/// ends an nng listener without a word.
+#[test]
+fn broken_handshakes_do_not_deafen_polls() {
+    let answer = |_request, call: Call| call.answer(&Response::Claims(Vec::new()));
+    let server = Arc::new(Server::start("127.0.0.1:0", answer).unwrap());
+    let member = server.bound();
+    let runtime = runtime();
+    let period = Duration::from_millis(100);
+    runtime.spawn(listener::watch(Arc::downgrade(&server), period, discard()));
+
+    for _ in 0..600 {
+        let stream = TcpStream::connect(member).unwrap();
+        SockRef::from(&stream)
+            .set_linger(Some(Duration::ZERO))
+            .unwrap();
+    }
+    let answer = runtime.block_on(async {
+        let client = Client::default();
+        client
+            .call(&member.to_string(), Request::Status, TIMEOUT)
+            .await
+    });
+
+    assert_eq!(answer, Ok(Response::Claims(Vec::new())));
+}
+
+#[test]
+fn a_listener_that_is_opened_again_answers_at_its_address() {
+    let answer = |_request, call: Call| call.answer(&Response::Claims(Vec::new()));
+    let server = Server::start("127.0.0.1:0", answer).unwrap();
+    let member = server.bound().to_string();
+
+    server.reopen().unwrap();
+    let client = Client::default();
+    let answer = runtime().block_on(client.call(&member, Request::Status, TIMEOUT));
+
+    assert_eq!(answer, Ok(Response::Claims(Vec::new())));
+}
