Say not-run only of what no agent has taken

Cause: after a lost connection the entry asks the agent, hears that the attempt runs, and fetches its answer. If that fetch found no connection, its "nothing was sent" was taken as proof for the attempt itself; the request was then refused as not-run though an engine had answered it. Ruled out: the agent's verdict (it said unknown) and the connection pool. Conclusion: an error of an attempt that an agent has taken proves nothing.

--- a/src/cardamomtally/entry/repeat.rs
+++ b/src/cardamomtally/entry/repeat.rs
@@ -260,7 +260,7 @@
     match reply.map(|reply| reply.asked) {
         Ok(Asked::Running | Asked::Ended) => Answer::fetch(app, &pick.agent, id, reading)
             .await
-            .map_err(|error| failure(&error)),
+            .map_err(|error| lost(&error)),
         Ok(Asked::NotSeen | Asked::NotRun) => Err(Failure {
             cause: Cause::Failed,
             proof: same,
@@ -276,7 +276,7 @@
     loop {
         let mut batch = answer.next().await.map_err(|error| {
             answer.report(Outcome::Bad);
-            failure(&error)
+            lost(&error)
         })?;
         head = head.or(batch.head.take());
         if let Some(Ended::Failed {
@@ -332,6 +332,15 @@
     }
 }
 
+/// Judges an error of an attempt that an agent has taken. That nothing was sent
+/// then speaks of the fetching of its answer, and proves nothing of the attempt.
+fn lost(error: &CallError) -> Failure {
+    Failure {
+        proof: false,
+        ..failure(error)
+    }
+}
+
 /// Tells what to say of a request whose attempts are all proved not to have run,
 /// or not.
 fn verdict_of(proof: bool) -> Verdict {
--- a/tests/testsuite/entry/fakes.rs
+++ b/tests/testsuite/entry/fakes.rs
@@ -390,7 +390,10 @@
     ) -> BoxFuture<'_, Result<Opened, CallError>> {
         async move {
             tokio::task::yield_now().await;
-            let state = self.lock();
+            let mut state = self.lock();
+            if state.rng.random_bool(self.faults / 2.0) {
+                return Err(CallError::NotSent("connection refused".to_owned()));
+            }
             let broken = state.fixed.as_ref().is_some_and(|(_, whole)| !whole);
             let Some(Fate::Ended(body)) = state.agents[&agent].fates.get(&attempt) else {
                 return Err(rejected(Verdict::Unknown));
