--- a/src/cardamomtally/lease/poller.rs
+++ b/src/cardamomtally/lease/poller.rs
@@ -103,11 +103,6 @@
             thread: Some(thread),
         })
     }
-
-    /// Polls once the listener is bound, so that control learns the address.
-    pub fn advertise(&self, _http: &str) {
-        self.shared.wake.notify_one();
-    }
 }
 
 impl Lease for Poller {
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -15,6 +15,7 @@
 pub mod small;
 pub mod tickets;
 pub mod traffic;
+pub mod turn;
 pub mod wait;
 
 pub use caller::{Caller, Reply};
--- a/tests/testsuite/support/site.rs
+++ b/tests/testsuite/support/site.rs
@@ -6,6 +6,7 @@
     process::{Daemon, Process},
     settings::{self, MemberAddr},
     tickets::{Ticket, sha256_hex},
+    turn::Turn,
     wait::{eventually, eventually_or, until},
 };
 use cardamomtally_standin::{Engine, EngineOptions, Faults, Proxy, Service, engine::Served};
@@ -13,13 +14,9 @@
 use std::{
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
-    sync::{Condvar, Mutex, PoisonError},
 };
 use tempfile::TempDir;
 
-/// Sites that run at once in one test process.
-const SITE_LIMIT: usize = 3;
-
 /// Replicated groups: the configuration and one shard.
 const GROUPS: usize = 2;
 
@@ -32,31 +29,6 @@
 /// The other partner.
 pub const OTHER: &str = "prairie";
 
-static RUNNING: Mutex<usize> = Mutex::new(0);
-static ENDED: Condvar = Condvar::new();
-
-/// Stands for one of the sites that may run at once.
-#[derive(Debug)]
-struct Turn;
-
-impl Turn {
-    fn wait() -> Self {
-        let mut running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
-        while *running >= SITE_LIMIT {
-            running = ENDED.wait(running).unwrap_or_else(PoisonError::into_inner);
-        }
-        *running += 1;
-        Self
-    }
-}
-
-impl Drop for Turn {
-    fn drop(&mut self) {
-        *RUNNING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
-        ENDED.notify_one();
-    }
-}
-
 /// A backend server beside its agent.
 #[derive(Debug)]
 enum Backend {
