Refuse a body that ends early; prove slow and half-closed senders

Cause: a connection that closes its sending half in mid-body looks to the HTTP library like the end of the body, so a truncated submission was run and answered 201. Found by a new test with raw connections. Conclusion: the body's length is compared with the promised one.

--- a/src/cardamomtally/entry/front.rs
+++ b/src/cardamomtally/entry/front.rs
@@ -160,10 +160,8 @@
             Problem::not_run(413, detail)
         };
         let length = request.headers().get_one("content-length");
-        if length
-            .and_then(|n| n.parse::<u64>().ok())
-            .is_some_and(|n| n > limit)
-        {
+        let length = length.and_then(|n| n.parse::<u64>().ok());
+        if length.is_some_and(|n| n > limit) {
             return Err(too_long());
         }
         let read = data.open(ByteUnit::Byte(limit)).into_bytes();
@@ -181,6 +179,10 @@
         if !body.is_complete() {
             return Err(too_long());
         }
+        // A connection that ends early looks like the end of the body.
+        if length.is_some_and(|n| n != body.len() as u64) {
+            return Err(Problem::not_run(400, "the body ended early"));
+        }
         if body.starts_with(METHOD_FIELD) && request.content_type().is_some_and(|m| m.is_form()) {
             let detail = "a form must not begin with a `_method` field";
             return Err(Problem::not_run(400, detail));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod promises;
 mod replica;
 mod routing;
+mod senders;
 mod settings;
 mod standin;
 mod support;
--- /dev/null
+++ b/tests/testsuite/senders.rs
@@ -0,0 +1,77 @@
+//! Callers that send slowly or only in part, over raw connections to a real
+//! entry. Nothing of them may run.
+//!
+//! The HTTP library reads the first 14 bytes or so of a body before any handler
+//! and without a time limit, so a slow sender sends more than that here.
+
+use crate::support::{
+    Site,
+    small::{WORKSPACE, opened, small},
+};
+use std::{
+    io::{Read as _, Write as _},
+    net::{Shutdown, TcpStream},
+    time::Duration,
+};
+
+/// Bytes that the head of a submission promises; fewer are sent.
+const PROMISED_BYTES: usize = 100;
+
+/// Longest wait for an answer, above the entry's limit for a body of 10 s.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Sends a submission's head and the first bytes of its body.
+fn begin(site: &Site) -> TcpStream {
+    let mut stream = TcpStream::connect(site.http("entry-1")).expect("the entry listens");
+    stream
+        .set_read_timeout(Some(PATIENCE))
+        .expect("a timeout can be set");
+    let head = format!(
+        "POST /queue/jobs HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {WORKSPACE}-key\r\n\
+         Idempotency-Key: part\r\nContent-Length: {PROMISED_BYTES}\r\n\r\nthe first part of a body"
+    );
+    stream
+        .write_all(head.as_bytes())
+        .expect("the entry takes the head");
+    stream
+}
+
+fn answer(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // The connection may end by a reset after the answer.
+    let _end = stream.read_to_end(&mut bytes);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn assert_nothing_ran(site: &Site) {
+    let later = site.caller("entry-1", WORKSPACE).submit("whole", "whole");
+    assert_eq!(later.status, 201, "{}", later.text());
+    let runs = site.service("gla-q1").runs().by_body;
+    assert_eq!(runs.keys().collect::<Vec<_>>(), ["whole"]);
+}
+
+#[test]
+fn a_half_closed_connection_is_refused_and_nothing_runs() {
+    let site = opened(small());
+    let stream = begin(&site);
+
+    stream.shutdown(Shutdown::Write).expect("it can be closed");
+    let answer = answer(stream);
+
+    // The library may close the connection without an answer; it never runs.
+    let refused = answer.starts_with("HTTP/1.1 400") && answer.contains("\"not-run\"");
+    assert!(answer.is_empty() || refused, "{answer}");
+    assert_nothing_ran(&site);
+}
+
+#[test]
+fn a_slow_sender_is_refused_in_time_and_nothing_runs() {
+    let site = opened(small());
+    let stream = begin(&site);
+
+    let answer = answer(stream);
+
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("\"verdict\":\"not-run\""), "{answer}");
+    assert_nothing_ran(&site);
+}
