--- a/tests/testsuite/senders.rs
+++ b/tests/testsuite/senders.rs
@@ -18,7 +18,7 @@
 const PROMISED_BYTES: usize = 100;
 
 /// Longest wait for an answer, above the entry's limit for a body of 10 s.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// Sends a submission's head and the first bytes of its body.
 fn begin(site: &Site) -> TcpStream {
