Read all bodies in one place

Cause: entry, agent and control member each read a body by themselves, and the check that it did not end early stood at the entry alone. An agent whose entry dies in mid-send could run a truncated body. Conclusion: one reader checks limit, time and promised length for all three; a truncated ticket is refused with 400. The entry's answers are as before; a test for the agent's own listener is left to write.

--- a/src/cardamomtally/agent/routes.rs
+++ b/src/cardamomtally/agent/routes.rs
@@ -12,7 +12,10 @@
 };
 use crate::{
     core::{clock::Mono, id::AttemptId, verdict::Verdict},
-    daemon::gate::Pass,
+    daemon::{
+        body::{self, Promised},
+        gate::Pass,
+    },
     net::{
         codec,
         run::{
@@ -25,7 +28,7 @@
 use futures::{Stream, stream};
 use rocket::{
     Request, Route, State,
-    data::{ByteUnit, Data},
+    data::Data,
     get,
     http::{Header, Status},
     post,
@@ -125,6 +128,7 @@
 #[post("/run", data = "<data>")]
 async fn run(
     headers: Headers,
+    promised: Promised,
     data: Data<'_>,
     parts: &State<Arc<Parts>>,
 ) -> Result<Frames, Box<Problem>> {
@@ -152,9 +156,9 @@
     if let Err(why) = check(parts, &head, deadline).await {
         return Err(early(parts, attempt, &why).await);
     }
-    let body = match receive(parts, data).await {
+    let body = match body::read(&parts.settings.http, promised, data).await {
         Ok(body) => body,
-        Err(why) => return Err(early(parts, attempt, why).await),
+        Err(fault) => return Err(early(parts, attempt, &fault.to_string()).await),
     };
     let go = parts
         .desk
@@ -360,17 +364,6 @@
     Ok(())
 }
 
-async fn receive(parts: &Parts, data: Data<'_>) -> Result<Bytes, &'static str> {
-    let http = &parts.settings.http;
-    let reading = data.open(ByteUnit::from(http.body_limit.0)).into_bytes();
-    match tokio::time::timeout(http.body_timeout.0, reading).await {
-        Ok(Ok(body)) if body.is_complete() => Ok(Bytes::from(body.into_inner())),
-        Ok(Ok(_)) => Err("the body is too long"),
-        Ok(Err(_)) => Err("the body broke off"),
-        Err(_elapsed) => Err("the body did not come in time"),
-    }
-}
-
 /// Refuses an attempt that has not reached admission. A copy of it that still
 /// comes is refused too.
 async fn early(parts: &Parts, attempt: AttemptId, why: &str) -> Box<Problem> {
--- a/src/cardamomtally/control/routes.rs
+++ b/src/cardamomtally/control/routes.rs
@@ -15,11 +15,12 @@
         log::LogError,
         verdict::Verdict,
     },
+    daemon::body::{self, Fault, Promised},
     settings::control::Numbering,
 };
 use rocket::{
     Build, Rocket, State,
-    data::{Data, ToByteUnit as _},
+    data::Data,
     get,
     http::Status,
     post,
@@ -75,13 +76,18 @@
 }
 
 #[post("/tickets", data = "<data>")]
-async fn submit(bearer: Bearer, data: Data<'_>, member: &State<Arc<Member>>) -> Answer<Submitted> {
+async fn submit(
+    bearer: Bearer,
+    promised: Promised,
+    data: Data<'_>,
+    member: &State<Arc<Member>>,
+) -> Answer<Submitted> {
     let partners = bearer.partners(member);
     if partners.is_empty() {
         let detail = "the bearer token is missing or belongs to no operator";
         return Err(Problem::new(Status::Unauthorized, detail));
     }
-    let text = read_text(data, member).await?;
+    let text = read_text(promised, data, member).await?;
     let ticket = ticket::check(ticket::NETWORK_FILE, &text, None);
     let ticket = match ticket {
         Ok(ticket) => ticket,
@@ -101,19 +107,22 @@
     answer(partner, number, submission)
 }
 
-async fn read_text(data: Data<'_>, member: &Member) -> Result<String, Problem> {
+async fn read_text(promised: Promised, data: Data<'_>, member: &Member) -> Result<String, Problem> {
     let http = &member.settings.http;
-    let limit = http.body_limit.0.bytes();
-    let read = tokio::time::timeout(http.body_timeout.0, data.open(limit).into_bytes()).await;
-    let Ok(Ok(bytes)) = read else {
-        let detail = "the ticket was not received in time";
-        return Err(Problem::new(Status::RequestTimeout, detail));
-    };
-    if !bytes.is_complete() {
-        let detail = format!("a ticket may have {limit} at most");
-        return Err(Problem::new(Status::PayloadTooLarge, detail));
-    }
-    String::from_utf8(bytes.into_inner())
+    let bytes = body::read(http, promised, data)
+        .await
+        .map_err(|fault| match fault {
+            Fault::Long => {
+                let detail = format!("a ticket may have {} at most", http.body_limit);
+                Problem::new(Status::PayloadTooLarge, detail)
+            }
+            Fault::Early => Problem::new(Status::BadRequest, fault.to_string()),
+            Fault::Broken(_) | Fault::Late => {
+                let detail = "the ticket was not received in time";
+                Problem::new(Status::RequestTimeout, detail)
+            }
+        })?;
+    String::from_utf8(bytes.to_vec())
         .map_err(|_bytes| Problem::new(Status::BadRequest, "the ticket is not UTF-8 text"))
 }
 
--- a/src/cardamomtally/daemon/mod.rs
+++ b/src/cardamomtally/daemon/mod.rs
@@ -5,6 +5,7 @@
 //! [`http::build`] and runs them with [`http::serve`], which prints the ready
 //! line, waits for a signal, drains the [`gate::Gate`] and stops.
 
+pub mod body;
 pub mod gate;
 pub mod http;
 pub mod launch;
--- a/src/cardamomtally/entry/front.rs
+++ b/src/cardamomtally/entry/front.rs
@@ -19,12 +19,15 @@
         snapshot::{Snapshot, WorkspaceKey},
         verdict::Verdict,
     },
-    daemon::gate::Pass,
+    daemon::{
+        body::{self, Fault, Promised},
+        gate::Pass,
+    },
+    settings::common::HttpSettings,
 };
 use bytes::Bytes;
 use rocket::{
     Data, Request, Route,
-    data::ByteUnit,
     http::Method,
     route::{Handler, Outcome},
 };
@@ -154,40 +157,15 @@
 
     async fn read(&self, request: &Request<'_>, data: Data<'_>) -> Result<Bytes, Problem> {
         let settings = &self.0.settings.http;
-        let limit = settings.body_limit.0;
-        let too_long = || {
-            let detail = format!("the body is longer than {}", settings.body_limit);
-            Problem::not_run(413, detail)
-        };
-        let length = request.headers().get_one("content-length");
-        let length = length.and_then(|n| n.parse::<u64>().ok());
-        if length.is_some_and(|n| n > limit) {
-            return Err(too_long());
-        }
-        let read = data.open(ByteUnit::Byte(limit)).into_bytes();
-        let body = match tokio::time::timeout(settings.body_timeout.0, read).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(error)) => {
-                let detail = format!("the body broke off: {error}");
-                return Err(Problem::not_run(400, detail));
-            }
-            Err(_elapsed) => {
-                let detail = format!("the body took longer than {:?}", settings.body_timeout.0);
-                return Err(Problem::not_run(408, detail));
-            }
-        };
-        if !body.is_complete() {
-            return Err(too_long());
-        }
-        // A connection that ends early looks like the end of the body.
-        if length.is_some_and(|n| n != body.len() as u64) {
-            return Err(Problem::not_run(400, "the body ended early"));
-        }
+        let promised = Promised::of(request);
+        let body = body::read(settings, promised, data)
+            .await
+            .map_err(|fault| refuse_body(&fault, settings))?;
         if body.starts_with(METHOD_FIELD) && request.content_type().is_some_and(|m| m.is_form()) {
             let detail = "a form must not begin with a `_method` field";
             return Err(Problem::not_run(400, detail));
         }
-        Ok(Bytes::from(body.into_inner()))
+        Ok(body)
     }
 
     fn parts(&self, request: &Request<'_>, id: RequestId, path: String, body: Bytes) -> CallParts {
@@ -275,3 +253,18 @@
     };
     metrics::counter!("cardamomtally_entry_requests_total", "outcome" => outcome).increment(1);
 }
+
+/// Refuses a body that was not read whole.
+fn refuse_body(fault: &Fault, settings: &HttpSettings) -> Problem {
+    match fault {
+        Fault::Broken(_) | Fault::Early => Problem::not_run(400, fault.to_string()),
+        Fault::Late => {
+            let detail = format!("the body took longer than {:?}", settings.body_timeout.0);
+            Problem::not_run(408, detail)
+        }
+        Fault::Long => {
+            let detail = format!("the body is longer than {}", settings.body_limit);
+            Problem::not_run(413, detail)
+        }
+    }
+}
