--- a/benches/decisions/claims.rs
+++ b/benches/decisions/claims.rs
@@ -52,6 +52,8 @@
             members: members.to_vec(),
             bind_poll: None,
             bind_peer: None,
+            peer_port: None,
+            form: true,
             heartbeat: Span::ms(100),
             election: Span::ms(500),
             snapshot_entries: 100_000,
--- a/src/cardamomtally/control/run.rs
+++ b/src/cardamomtally/control/run.rs
@@ -219,6 +219,10 @@
             member.health.add(&reports);
             call.answer(&Response::Taken);
         }
+        Request::Site(_) => call.answer(&Response::Unavailable {
+            reason: "this member keeps tickets, not a site's document".to_owned(),
+            refused: true,
+        }),
     }
 }
 
--- a/src/cardamomtally/core/clock.rs
+++ b/src/cardamomtally/core/clock.rs
@@ -1,10 +1,11 @@
 //! Clocks: monotonic time for leases and timeouts, wall time for display.
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 use std::{
     fmt::Debug,
     ops::{Add, Sub},
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, SystemTime},
 };
 
 /// A point on one process's monotonic clock, in microseconds.
@@ -50,23 +51,34 @@
     fn wall_micros(&self) -> u64;
 }
 
+/// The source that [`SystemClock`] reads: it goes on while the VM is suspended,
+/// so that a lease does not outlive a suspension.
+pub const SOURCE: ClockId = ClockId::CLOCK_BOOTTIME;
+
 /// The clock of the operating system.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Default for SystemClock {
     fn default() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
+        Self { origin: uptime() }
     }
 }
 
+/// Returns the time since the VM started, suspensions included.
+fn uptime() -> Duration {
+    // Linux has had this clock since 2.6.39; the call has no other failure.
+    clock_gettime(SOURCE)
+        .expect("the kernel has a boot-time clock")
+        .into()
+}
+
 impl Clock for SystemClock {
     fn now(&self) -> Mono {
-        Mono(self.origin.elapsed().as_micros() as u64)
+        let micros = uptime().saturating_sub(self.origin).as_micros();
+        Mono(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
     fn wall_micros(&self) -> u64 {
--- /dev/null
+++ b/src/cardamomtally/direct/app.rs
@@ -0,0 +1,337 @@
+//! A request's way through an entry: route, key, limits, then dispatch.
+
+use super::{
+    body::{Body, guarded},
+    call::{self, Call},
+    holder::{Held, Holder},
+    names::Names,
+    outcomes::Counts,
+    plain,
+    pool::Pool,
+    refusal::Refusal,
+    registry::{Choice, Registry},
+    stream,
+};
+use crate::{
+    prelude::*,
+    routing::{
+        budget::{Budget, Cause},
+        rendezvous,
+    },
+    site::{
+        document::{Class, Route},
+        table::{Denial, Holder as KeyHolder, Table},
+    },
+};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header, request::Parts};
+use http_body_util::{BodyExt as _, Limited};
+use hyper::body::Incoming;
+use slog::{Logger, info, warn};
+use std::sync::{
+    Mutex, PoisonError,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+/// Time after which a caller of an entry without a lease comes back.
+const NO_LEASE_RETRY: Duration = Duration::from_millis(500);
+/// Part of the retries saved up that is kept for failures.
+const RESERVE: f64 = 0.5;
+/// Retries of a service that all entries together may save up.
+const BURST: f64 = 40.0;
+
+/// What an entry's requests share.
+#[derive(Debug)]
+pub struct App {
+    /// Header names.
+    pub names: Names,
+    /// The configuration and its lease.
+    pub holder: Arc<Holder>,
+    /// Backend servers.
+    pub registry: Arc<Registry>,
+    /// Connections to them.
+    pub pool: Pool,
+    /// Outcomes for the next poll.
+    pub counts: Arc<Counts>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The root logger.
+    pub log: Logger,
+    /// Whether a planned stop has begun.
+    pub stopping: AtomicBool,
+    /// Requests in flight.
+    pub running: AtomicU64,
+    /// Share of a retry that each request earns.
+    pub retry_share: f64,
+    /// Budgets of retries by service.
+    pub budgets: Mutex<FastMap<Name, Budget>>,
+}
+
+/// Counts a request while it is in flight.
+#[derive(Debug)]
+struct Running(Arc<App>);
+
+impl Running {
+    fn new(app: &Arc<App>) -> Self {
+        app.running.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(app))
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl App {
+    /// Tells whether the entry takes new work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let valid = self.holder.held().is_valid(self.clock.now());
+        valid && !self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Pays for a retry of a service's request.
+    pub fn spend(&self, service: &Name, cause: Cause) -> bool {
+        self.budget(service, |budget| budget.spend(cause))
+    }
+
+    /// Pays for a larger model's answer, if enough is left for retries.
+    pub fn spend_spare(&self, service: &Name) -> bool {
+        self.budget(service, |budget| budget.spend_above(RESERVE))
+    }
+
+    fn budget<T>(&self, service: &Name, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(budget) = budgets.get_mut(service) {
+            return act(budget);
+        }
+        let burst = BURST / f64::from(self.holder.held().entries.max(1));
+        let budget = Budget::with_burst(self.retry_share, burst);
+        act(budgets.entry(Arc::clone(service)).or_insert(budget))
+    }
+
+    /// Counts an answer for the judgement of versions.
+    pub fn count(&self, call: &Call, choice: &Choice, first: Option<Duration>) {
+        let backend = &choice.backend;
+        self.counts
+            .add(&call.route.name, &backend.service, &backend.version, first);
+    }
+
+    /// Logs what came of one dispatch.
+    pub fn note_attempt(
+        &self,
+        call: &Call,
+        choice: &Choice,
+        model: Option<&str>,
+        label: &str,
+        since: Mono,
+    ) {
+        let now = self.clock.now();
+        info!(self.log, "dispatch: {}", label; "request" => call.id_text(),
+            "route" => &*call.route.name, "instance" => &*choice.backend.instance,
+            "version" => &*choice.backend.version, "load" => choice.load,
+            "session" => call.session, "model" => model,
+            "left_ms" => call.left(since).as_millis() as u64,
+            "ms" => now.since(since).as_millis() as u64);
+    }
+
+    /// Logs whether an answer's confidence lets it stand.
+    pub fn note_confidence(
+        &self,
+        call: &Call,
+        rung: usize,
+        confidence: Option<f64>,
+        next: Option<usize>,
+    ) {
+        info!(self.log, "cascade: {}", if next.is_some() { "escalated" } else { "kept" };
+            "request" => call.id_text(), "model" => rung, "confidence" => confidence,
+            "tokens" => call.tokens.0);
+    }
+
+    /// Logs a refusal.
+    pub fn note_refusal(&self, call: &Call, refusal: &Refusal, tried: usize) {
+        metrics::counter!("cardamomtally_direct_refused_total", "verdict" => refusal.verdict.as_str())
+            .increment(1);
+        warn!(self.log, "refuse: {}", refusal.detail; "request" => call.id_text(),
+            "route" => &*call.route.name, "status" => refusal.status.as_u16(),
+            "verdict" => refusal.verdict.as_str(), "tried" => tried,
+            "ms" => self.clock.now().since(call.since).as_millis() as u64);
+    }
+
+    /// Logs the end of a stream, or of a part of it.
+    pub fn note_end(&self, call: &Call, why: &str, runs: u32, last: Option<u64>) {
+        info!(self.log, "stream: {}", why; "request" => call.id_text(), "runs" => runs,
+            "last" => last, "ms" => self.clock.now().since(call.since).as_millis() as u64);
+    }
+}
+
+/// Answers a request.
+pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<Body> {
+    let running = Running::new(&app);
+    let mut response = match accept(&app, request).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(),
+    };
+    if app.stopping.load(Ordering::Acquire) {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response.map(|body| guarded(body, running))
+}
+
+async fn accept(app: &Arc<App>, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+    let since = app.clock.now();
+    let held = app.holder.held();
+    let no_lease = Refusal::unavailable("the entry holds no valid configuration", NO_LEASE_RETRY);
+    let table = held.table.as_ref().ok_or_else(|| no_lease.clone())?;
+    let (parts, body) = request.into_parts();
+    let allowed = allow(app, table, &parts);
+    let valid = held.is_valid(since);
+    // What an old configuration denies, the one in force may allow.
+    let (route, holder) = match allowed {
+        Err(_) | Ok((_, Some(_))) if !valid => return Err(no_lease),
+        Err(denial) => return Err(app.deny(&parts, denial, table.number)),
+        Ok(found) => found,
+    };
+    let body = read_body(app, &held, table, body).await?;
+    let call = build(app, &held, table, since, &parts, route, holder, body)?;
+    app.budget(&call.service.name, Budget::earn);
+    let last = number(&parts.headers, &app.names.last_event);
+    Ok(match call.route.class {
+        Class::Stream | Class::Resumable => stream::serve(app, call, last).await,
+        Class::Repeatable => plain::serve(app, &held, call).await,
+        Class::Once => run_alone(app, held, call).await,
+    })
+}
+
+/// Runs a request that goes on when its caller leaves: a backend server that
+/// runs it must not be stopped midway.
+async fn run_alone(app: &Arc<App>, held: Arc<Held>, call: Call) -> Response<Body> {
+    let own = Arc::clone(app);
+    let task = tokio::spawn(async move { plain::serve(&own, &held, call).await });
+    task.await.unwrap_or_else(|_panicked| {
+        let detail = "the entry failed";
+        Refusal::unknown(StatusCode::BAD_GATEWAY, detail).response()
+    })
+}
+
+type Allowed = (Arc<Route>, Option<Arc<KeyHolder>>);
+
+fn allow(app: &App, table: &Table, parts: &Parts) -> Result<Allowed, Denial> {
+    let host = text(&parts.headers, &header::HOST).unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let route = table.route(host, parts.uri.path())?;
+    let holder = table.holder(route, text(&parts.headers, &app.names.key))?;
+    Ok((Arc::clone(route), holder.cloned()))
+}
+
+impl App {
+    fn deny(&self, parts: &Parts, denial: Denial, number: u64) -> Refusal {
+        let (status, detail) = match denial {
+            Denial::NoRoute => (StatusCode::NOT_FOUND, "no route serves this host and path"),
+            Denial::NoKey => (StatusCode::UNAUTHORIZED, "the key belongs to no workspace"),
+        };
+        let id = text(&parts.headers, &self.names.attempt).unwrap_or("?");
+        warn!(self.log, "deny: {}", detail; "request" => id, "document" => number);
+        Refusal::denied(status, detail)
+    }
+}
+
+async fn read_body(
+    app: &App,
+    held: &Held,
+    table: &Table,
+    body: Incoming,
+) -> Result<Bytes, Refusal> {
+    let limits = &table.limits;
+    let read = Limited::new(body, limits.body_bytes).collect();
+    let Ok(read) = tokio::time::timeout(limits.idle_time, read).await else {
+        let detail = "the body took too long";
+        return Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, detail));
+    };
+    match read {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            let detail = "the body is longer than allowed";
+            Err(Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, detail))
+        }
+        Err(error) => {
+            info!(app.log, "request: body ended early"; "error" => %error,
+                "document" => held.document.0);
+            let detail = "the body ended early";
+            Err(Refusal::denied(StatusCode::BAD_REQUEST, detail))
+        }
+    }
+}
+
+#[expect(clippy::too_many_arguments, reason = "each is one part of the call")]
+fn build(
+    app: &App,
+    held: &Held,
+    table: &Table,
+    since: Mono,
+    parts: &Parts,
+    route: Arc<Route>,
+    holder: Option<Arc<KeyHolder>>,
+    body: Bytes,
+) -> Result<Call, Refusal> {
+    let names = &app.names;
+    let Some(id) = parts.headers.get(&names.attempt) else {
+        let detail = "the request has no id";
+        return Err(Refusal::denied(StatusCode::BAD_REQUEST, detail));
+    };
+    let seed = rendezvous::seed(id.to_str().unwrap_or_default());
+    let service = pick(&route, seed).and_then(|name| table.service(name));
+    let Some(service) = service else {
+        let detail = "the route's service is not known";
+        return Err(Refusal::unavailable(detail, NO_LEASE_RETRY));
+    };
+    let caller = number(&parts.headers, &names.deadline).map(Duration::from_millis);
+    let limit = caller.map_or(route.timeout, |caller| caller.min(route.timeout));
+    let mut shared = text(&parts.headers, &names.prefix).map_or_else(Vec::new, call::parts);
+    let own = shared.pop();
+    let session = text(&parts.headers, &names.session).map(rendezvous::seed);
+    let priority = holder.as_ref().and_then(|h| h.priority);
+    let _ = held;
+    Ok(Call {
+        id: id.clone(),
+        method: parts.method.clone(),
+        uri: parts.uri.clone(),
+        headers: call::pass_on(names, parts),
+        body,
+        since,
+        until: since + limit,
+        priority: priority.unwrap_or(route.priority),
+        tokens: text(&parts.headers, &names.tokens).map_or((0, 0), call::tokens),
+        session: session.or(own.map(|part| part.id)).unwrap_or(seed),
+        any_model: text(&parts.headers, &names.model) == Some("*"),
+        shared,
+        service: Arc::clone(service),
+        route,
+        holder,
+    })
+}
+
+/// Returns the service of a route that a request goes to.
+fn pick(route: &Route, seed: u64) -> Option<&Name> {
+    let total: u64 = route.shares.iter().map(|s| u64::from(s.weight)).sum();
+    let mut at = rendezvous::weight(seed, 0) % total.max(1);
+    for share in &route.shares {
+        let weight = u64::from(share.weight);
+        if at < weight {
+            return Some(&share.service);
+        }
+        at -= weight;
+    }
+    None
+}
+
+fn text<'h>(headers: &'h HeaderMap, name: &HeaderName) -> Option<&'h str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
--- /dev/null
+++ b/src/cardamomtally/direct/attempt.rs
@@ -0,0 +1,131 @@
+//! One dispatch of a request to one backend server, and whether it has run.
+
+use super::{
+    call::Call,
+    names::Names,
+    pool::{Answer, Outgoing, SendError},
+    registry::Choice,
+};
+use crate::prelude::*;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, header};
+use http_body_util::Full;
+use std::fmt::Display;
+
+/// What a dispatch led to.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The head of an answer of this request's own.
+    Answered(Box<Answer>),
+    /// It provably has not run and will not.
+    NotRun(&'static str),
+    /// It may have run.
+    Unknown(&'static str),
+}
+
+/// How a request differs from one attempt to the next.
+#[derive(Clone, Copy, Debug)]
+pub struct Turn<'a> {
+    /// Time that the backend server is given.
+    pub left: Duration,
+    /// The model, where the entry chooses it.
+    pub model: Option<&'a str>,
+    /// The last event that the caller has, of a stream that goes on.
+    pub last: Option<u64>,
+}
+
+/// Builds the request for a backend server.
+///
+/// # Panics
+///
+/// Panics if the caller's method and path are none, which its parser excludes.
+#[must_use]
+pub fn request(names: &Names, call: &Call, choice: &Choice, turn: Turn<'_>) -> Outgoing {
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(call.uri.clone())
+        .body(Full::new(call.body.clone()))
+        .expect("the method and path were parsed");
+    let headers = request.headers_mut();
+    headers.clone_from(&call.headers);
+    set(headers, &names.deadline, &turn.left.as_millis());
+    set(headers, &names.priority, &call.priority.min(9));
+    set(headers, &names.instance, &choice.backend.instance);
+    if let Some(holder) = &call.holder {
+        set(headers, &names.workspace, &holder.name);
+    }
+    if let Some(model) = turn.model {
+        set(headers, &names.model, &model);
+    }
+    if let Some(last) = turn.last {
+        set(headers, &names.last_event, &last);
+    }
+    request
+}
+
+fn set(headers: &mut HeaderMap, name: &HeaderName, value: &dyn Display) {
+    // A name that no header can hold reaches no backend server.
+    if let Ok(value) = HeaderValue::from_str(&value.to_string()) {
+        headers.insert(name, value);
+    }
+}
+
+/// Judges what came of sending a request.
+#[must_use]
+pub fn judge(names: &Names, call: &Call, sent: Result<Answer, SendError>) -> Outcome {
+    let answer = match sent {
+        Ok(answer) => answer,
+        Err(SendError::Unsent(why)) => return Outcome::NotRun(why),
+        Err(SendError::Broken(error)) if error.is_parse() => {
+            return Outcome::Unknown("the answer is no HTTP");
+        }
+        Err(SendError::Broken(_)) => return Outcome::Unknown("the connection broke"),
+    };
+    let (status, headers) = (answer.response.status(), answer.response.headers());
+    if headers.contains_key(&names.unexecuted) {
+        return Outcome::NotRun("the backend server did not execute it");
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Outcome::NotRun("another backend server has the address");
+    }
+    if headers.get(&names.attempt) != Some(&call.id) {
+        return Outcome::Unknown("the answer belongs to another request");
+    }
+    if headers.contains_key(header::CONTENT_ENCODING) {
+        return Outcome::Unknown("the answer is not the backend server's");
+    }
+    if !headers.contains_key(&names.signature) && status.is_success() {
+        return Outcome::Unknown("the answer has no signature");
+    }
+    Outcome::Answered(Box::new(answer))
+}
+
+/// Reads a load header: running, waiting, slots.
+#[must_use]
+pub fn load(names: &Names, headers: &HeaderMap) -> Option<(u32, u32)> {
+    let text = headers.get(&names.load)?.to_str().ok()?;
+    let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
+    Some((numbers.next()??, numbers.next()??))
+}
+
+/// Reads the answer's own confidence, 0 to 100.
+#[must_use]
+pub fn confidence(names: &Names, headers: &HeaderMap) -> Option<f64> {
+    headers
+        .get(&names.confidence)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()
+}
+
+/// Reads for how long the peer keeps an idle connection, less a margin.
+#[must_use]
+pub fn keep(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = text
+        .split(',')
+        .find_map(|w| w.trim().strip_prefix("timeout="));
+    let seconds: f64 = timeout?.trim().parse().ok()?;
+    Some(Duration::from_secs_f64((seconds * 0.7).clamp(0.0, 60.0)))
+}
--- /dev/null
+++ b/src/cardamomtally/direct/body.rs
@@ -0,0 +1,60 @@
+//! Bodies of answers.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, combinators::UnsyncBoxBody};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+/// Why an answer's body broke off.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// An answer's body.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Builds a body of known length.
+#[must_use]
+pub fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A body that keeps something until it has been written or dropped.
+struct Guarded<G> {
+    body: Body,
+    /// Dropped with the body.
+    guard: Option<G>,
+}
+
+/// Keeps a guard until the body has been written or dropped.
+pub fn guarded<G: Send + Unpin + 'static>(body: Body, guard: G) -> Body {
+    let guard = Some(guard);
+    Guarded { body, guard }.boxed_unsync()
+}
+
+impl<G: Unpin> HttpBody for Guarded<G> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) {
+            self.guard = None;
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/direct/daemon.rs
@@ -0,0 +1,215 @@
+//! Start, reload and planned stop of an entry without agents.
+//!
+//! At a planned stop the entry says at once that it is not ready, goes on
+//! serving while the balancer still sends to it, asks callers to close, and ends
+//! when nothing is in flight or its time is over.
+
+use super::{
+    app::App,
+    holder::{Holder, HolderSettings},
+    listener,
+    names::Names,
+    outcomes::Counts,
+    pool::Pool,
+    registry::Registry,
+};
+use crate::{
+    net::{nng::Client, transport::Transport},
+    prelude::*,
+};
+use slog::{Logger, info};
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
+
+/// Time between two cleanings of connections and loads.
+const SWEEP: Duration = Duration::from_secs(1);
+/// Time between two looks at what is still in flight.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// What an entry without agents is built from.
+#[derive(Clone, Debug)]
+pub struct DirectSettings {
+    /// Its data centre.
+    pub centre: Name,
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where readiness and metrics are asked for.
+    pub health: SocketAddr,
+    /// Path of the readiness check.
+    pub ready: Arc<str>,
+    /// How it polls.
+    pub holder: HolderSettings,
+    /// Header names.
+    pub names: Names,
+    /// Most connections of callers.
+    pub connections: usize,
+    /// Time for which the balancer may still send after a planned stop begins.
+    pub linger: Duration,
+    /// Time after which a planned stop ends whatever is in flight.
+    pub grace: Duration,
+    /// Longest time to connect to a backend server.
+    pub connect: Duration,
+    /// Share of a retry that each request earns.
+    pub retry_share: f64,
+}
+
+impl Default for DirectSettings {
+    fn default() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            centre: Name::from(""),
+            front: any,
+            health: any,
+            ready: Arc::from("/health/ready"),
+            holder: HolderSettings::default(),
+            names: Names::default(),
+            connections: 2_000,
+            linger: Duration::from_millis(2_500),
+            grace: Duration::from_secs(8),
+            connect: Duration::from_millis(300),
+            retry_share: 0.75,
+        }
+    }
+}
+
+/// What the daemon is given beside its settings.
+pub struct Parts {
+    /// The root logger.
+    pub log: Logger,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Renders metrics.
+    pub render: Arc<dyn Fn() -> String + Send + Sync>,
+}
+
+impl fmt::Debug for Parts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Parts").finish_non_exhaustive()
+    }
+}
+
+/// Builds what requests share.
+#[must_use]
+pub fn build(settings: &DirectSettings, transport: Arc<dyn Transport>, parts: &Parts) -> Arc<App> {
+    let counts = Arc::<Counts>::default();
+    let clock = Arc::clone(&parts.clock);
+    let holder = Holder::new(
+        settings.holder.clone(),
+        transport,
+        Arc::clone(&counts),
+        Arc::clone(&clock),
+        parts.log.clone(),
+    );
+    Arc::new(App {
+        names: settings.names.clone(),
+        holder: Arc::new(holder),
+        registry: Arc::new(Registry::new(
+            Arc::clone(&clock),
+            Arc::clone(&settings.centre),
+        )),
+        pool: Pool::new(Arc::clone(&clock), settings.connect),
+        counts,
+        clock,
+        log: parts.log.clone(),
+        stopping: AtomicBool::new(false),
+        running: AtomicU64::new(0),
+        retry_share: settings.retry_share,
+        budgets: Mutex::default(),
+    })
+}
+
+/// Runs an entry until a signal stops it.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be bound.
+pub async fn run(
+    settings: DirectSettings,
+    parts: Parts,
+    reload: watch::Receiver<Vec<Name>>,
+) -> eyre::Result<()> {
+    let app = build(&settings, Arc::new(Client::default()), &parts);
+    let front = bind(settings.front).await?;
+    let health = bind(settings.health).await?;
+    info!(app.log, "start: entry"; "front" => front.local_addr()?,
+        "health" => health.local_addr()?, "centre" => &*settings.centre);
+    let (close, closed) = watch::channel(false);
+    let holder = Arc::clone(&app.holder);
+    tokio::spawn(async move { holder.run().await });
+    tokio::spawn(follow(Arc::clone(&app), reload));
+    tokio::spawn(sweep(Arc::clone(&app)));
+    let ready = Arc::clone(&settings.ready);
+    tokio::spawn(listener::run_health(
+        Arc::clone(&app),
+        health,
+        ready,
+        parts.render,
+    ));
+    tokio::spawn(listener::run(
+        Arc::clone(&app),
+        front,
+        settings.connections,
+        closed,
+    ));
+    stop(&app, &settings, &close).await
+}
+
+async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.wrap_err_with(|| format!("failed to listen at {address}"))
+}
+
+/// Takes new seeds from reloaded settings.
+async fn follow(app: Arc<App>, mut reload: watch::Receiver<Vec<Name>>) {
+    while reload.changed().await.is_ok() {
+        let seeds = reload.borrow_and_update().clone();
+        info!(app.log, "reload: settings taken"; "seeds" => seeds.join(","));
+        app.holder.reseed(seeds);
+    }
+}
+
+async fn sweep(app: Arc<App>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        app.pool.sweep();
+        app.registry.sweep(&app.holder.held());
+    }
+}
+
+/// Waits for a signal, then drains.
+async fn stop(
+    app: &App,
+    settings: &DirectSettings,
+    close: &watch::Sender<bool>,
+) -> eyre::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    let begun = app.clock.now();
+    app.stopping.store(true, Ordering::Release);
+    let running = || app.running.load(Ordering::Acquire);
+    info!(app.log, "stop: draining"; "in_flight" => running());
+    tokio::time::sleep(settings.linger).await;
+    close.send_replace(true);
+    while running() > 0 && app.clock.now().since(begun) < settings.grace {
+        tokio::time::sleep(STOP_LOOK).await;
+    }
+    // The last answers leave with the connections' own tasks.
+    tokio::time::sleep(STOP_LOOK).await;
+    info!(app.log, "stop: ended"; "in_flight" => running());
+    Ok(())
+}
--- /dev/null
+++ b/src/cardamomtally/direct/holder.rs
@@ -0,0 +1,246 @@
+//! What an entry holds: a compiled document, the fleet, and a lease on them.
+//!
+//! The lease runs from the moment at which the poll was sent, on a clock that
+//! goes on while the VM is suspended. An index below one that was held is never
+//! applied.
+
+use super::outcomes::Counts;
+use crate::{
+    net::{
+        codec,
+        transport::Transport,
+        wire::{Request, Response},
+    },
+    prelude::*,
+    site::{
+        poll::{Poll, PollReply},
+        state::Fleet,
+        table::Table,
+    },
+};
+use arc_swap::ArcSwap;
+use slog::{Logger, info, warn};
+
+/// What an entry holds.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    /// The document, once there is one.
+    pub table: Option<Arc<Table>>,
+    /// Log index of the document.
+    pub document: Index,
+    /// Backend servers, roll-outs and evacuations.
+    pub fleet: Arc<Fleet>,
+    /// End of the lease.
+    pub until: Mono,
+    /// Entries that poll, at least 1.
+    pub entries: u32,
+}
+
+impl Held {
+    /// Tells whether the lease is valid.
+    #[must_use]
+    pub fn is_valid(&self, now: Mono) -> bool {
+        self.table.is_some() && now < self.until
+    }
+}
+
+/// What a holder is built from.
+#[derive(Clone, Debug)]
+pub struct HolderSettings {
+    /// The process's name.
+    pub name: Name,
+    /// Addresses of members to begin with.
+    pub seeds: Vec<Name>,
+    /// Port for polls, the same at all members.
+    pub port: u16,
+    /// Time between polls.
+    pub period: Duration,
+    /// Longest wait for an answer before another member is asked.
+    pub timeout: Duration,
+    /// How long an answer holds, from when its poll was sent.
+    pub lease: Duration,
+}
+
+impl Default for HolderSettings {
+    fn default() -> Self {
+        Self {
+            name: Name::from(""),
+            seeds: Vec::new(),
+            port: 7302,
+            period: Duration::from_millis(350),
+            timeout: Duration::from_millis(500),
+            lease: Duration::from_secs(4),
+        }
+    }
+}
+
+/// Polls the keepers and publishes what they confirm.
+#[derive(Debug)]
+pub struct Holder {
+    settings: HolderSettings,
+    held: ArcSwap<Held>,
+    seeds: ArcSwap<Vec<Name>>,
+    transport: Arc<dyn Transport>,
+    counts: Arc<Counts>,
+    clock: Arc<dyn Clock>,
+    log: Logger,
+}
+
+/// Where to poll next.
+#[derive(Debug, Default)]
+struct Course {
+    members: Vec<Name>,
+    leader: Option<Name>,
+    turn: usize,
+    lost: bool,
+}
+
+impl Course {
+    fn next(&mut self, seeds: &[Name]) -> Option<Name> {
+        if let Some(leader) = &self.leader {
+            return Some(Arc::clone(leader));
+        }
+        self.turn += 1;
+        // Every other turn goes to a seed, since all known members may be gone.
+        let known = if self.members.is_empty() || self.turn.is_multiple_of(2) {
+            seeds
+        } else {
+            &self.members
+        };
+        known.get((self.turn / 2) % known.len().max(1)).cloned()
+    }
+}
+
+impl Holder {
+    /// Builds a holder that holds nothing yet.
+    #[must_use]
+    pub fn new(
+        settings: HolderSettings,
+        transport: Arc<dyn Transport>,
+        counts: Arc<Counts>,
+        clock: Arc<dyn Clock>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            seeds: ArcSwap::from_pointee(settings.seeds.clone()),
+            settings,
+            held: ArcSwap::default(),
+            transport,
+            counts,
+            clock,
+            log,
+        }
+    }
+
+    /// Returns what is held.
+    #[must_use]
+    pub fn held(&self) -> Arc<Held> {
+        self.held.load_full()
+    }
+
+    /// Replaces the members to begin with, after a reload.
+    pub fn reseed(&self, seeds: Vec<Name>) {
+        self.seeds.store(Arc::new(seeds));
+    }
+
+    /// Polls for ever.
+    pub async fn run(&self) {
+        let mut course = Course::default();
+        loop {
+            let begun = self.clock.now();
+            let seeds = self.seeds.load_full();
+            let answered = match course.next(&seeds) {
+                Some(member) => self.ask(&member, &mut course).await,
+                None => false,
+            };
+            let spent = self.clock.now().since(begun);
+            let period = if answered {
+                self.settings.period
+            } else {
+                self.settings.period / 4
+            };
+            tokio::time::sleep(period.saturating_sub(spent)).await;
+        }
+    }
+
+    async fn ask(&self, member: &Name, course: &mut Course) -> bool {
+        let held = self.held();
+        let outcomes = self.counts.take();
+        let poll = Poll {
+            name: Arc::clone(&self.settings.name),
+            document: held.document,
+            fleet: held.fleet.index,
+            outcomes: outcomes.clone(),
+        };
+        let request = Request::Site(codec::encode(&poll).into());
+        let address = format!("{member}:{}", self.settings.port);
+        let sent = self.clock.now();
+        let answer = self
+            .transport
+            .call(&address, request, self.settings.timeout)
+            .await;
+        let reply = match answer {
+            Ok(Response::Site(bytes)) => codec::decode::<PollReply>(&bytes).ok(),
+            Ok(_) | Err(_) => None,
+        };
+        let taken = reply.as_ref().is_some_and(|r| r.leads);
+        if !taken {
+            self.counts.put_back(outcomes);
+        }
+        let Some(reply) = reply else {
+            self.note_loss(member, course);
+            return false;
+        };
+        if course.lost {
+            info!(self.log, "poll: control answers again"; "member" => &**member);
+        }
+        course.lost = false;
+        course.leader.clone_from(&reply.leader);
+        if !reply.members.is_empty() {
+            course.members.clone_from(&reply.members);
+        }
+        self.apply(&held, sent, reply);
+        true
+    }
+
+    fn note_loss(&self, member: &Name, course: &mut Course) {
+        course.leader = None;
+        if !course.lost {
+            let age = self.clock.now().since(self.held().until);
+            warn!(self.log, "poll: control does not answer"; "member" => &**member,
+                "lease_over_ms" => age.as_millis() as u64);
+        }
+        course.lost = true;
+    }
+
+    /// Applies an answer to a poll that was sent at `sent`.
+    pub fn apply(&self, held: &Held, sent: Mono, reply: PollReply) {
+        let stale = reply.document < held.document
+            || reply
+                .fleet
+                .as_ref()
+                .is_some_and(|f| f.index < held.fleet.index);
+        if stale {
+            return;
+        }
+        let mut next = held.clone();
+        if let Some(content) = reply.content {
+            info!(self.log, "poll: document in force"; "number" => content.number,
+                "index" => reply.document.0);
+            next.table = Some(Arc::new(Table::new(&content)));
+            next.document = reply.document;
+        }
+        if let Some(fleet) = reply.fleet {
+            info!(self.log, "poll: fleet in force"; "index" => fleet.index.0,
+                "backends" => fleet.backends.len());
+            next.fleet = Arc::new(fleet);
+        }
+        next.until = next.until.max(sent + self.settings.lease);
+        next.entries = if reply.entries > 0 {
+            reply.entries
+        } else {
+            next.entries.max(1)
+        };
+        self.held.store(Arc::new(next));
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/direct/listener.rs
@@ -0,0 +1,309 @@
+//! Callers' connections.
+//!
+//! The server drops a request's work when its caller leaves. Limits on heads and
+//! idle connections come from the configuration in force and may change while a
+//! connection is open, so they are watched here and not by the server.
+
+use super::{
+    app::{self, App},
+    body::{Body, guarded, whole},
+};
+use crate::prelude::*;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use slog::{debug, info, warn};
+use std::{
+    convert::Infallible,
+    io,
+    pin::Pin,
+    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+    task::{Context, Poll},
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+};
+
+/// Time between two looks at a connection's age.
+const LOOK: Duration = Duration::from_millis(500);
+/// Pause after an accept that failed, such as without descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Bytes of a head that the server library asks for at least.
+const LEAST_HEAD: usize = 8 << 10;
+
+/// What a connection is doing.
+#[derive(Debug, Default)]
+struct Activity {
+    /// Requests in flight.
+    busy: AtomicU32,
+    /// When the last request ended, in microseconds.
+    ended: AtomicU64,
+    /// When bytes first came after that; 0 for none.
+    bytes: AtomicU64,
+}
+
+impl Activity {
+    fn begin(&self) {
+        self.busy.fetch_add(1, Ordering::AcqRel);
+    }
+
+    fn end(&self, now: Mono) {
+        self.ended.store(now.0, Ordering::Release);
+        self.bytes.store(0, Ordering::Release);
+        self.busy.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    fn note_bytes(&self, now: Mono) {
+        if self.busy.load(Ordering::Acquire) == 0 {
+            let first = self
+                .bytes
+                .compare_exchange(0, now.0, Ordering::AcqRel, Ordering::Acquire);
+            // Only the first bytes count.
+            let _later = first.is_err();
+        }
+    }
+}
+
+/// A connection that notes when bytes come.
+#[derive(Debug)]
+struct Watched {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+    clock: Arc<dyn Clock>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.activity.note_bytes(self.clock.now());
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// Takes callers' connections until `close` turns true.
+pub async fn run(
+    app: Arc<App>,
+    listener: TcpListener,
+    most: usize,
+    mut close: watch::Receiver<bool>,
+) {
+    let places = Arc::new(Semaphore::new(most));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = close.wait_for(|close| *close) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let served = serve(Arc::clone(&app), stream, close.clone());
+                tokio::spawn(async move {
+                    served.await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                warn!(app.log, "listen: connection not accepted"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(app: Arc<App>, stream: TcpStream, mut close: watch::Receiver<bool>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(app.log, "listen: socket option not set"; "error" => %error);
+    }
+    let activity = Arc::<Activity>::default();
+    activity.ended.store(app.clock.now().0, Ordering::Release);
+    let watched = Watched {
+        stream,
+        activity: Arc::clone(&activity),
+        clock: Arc::clone(&app.clock),
+    };
+    let table = app.holder.held().table.clone();
+    let head = table.map_or(LEAST_HEAD, |t| t.limits.head_bytes);
+    let service = {
+        let (app, activity) = (Arc::clone(&app), Arc::clone(&activity));
+        service_fn(move |request| answer(Arc::clone(&app), Arc::clone(&activity), request))
+    };
+    let connection = http1::Builder::new()
+        .max_buf_size(head.max(LEAST_HEAD))
+        .serve_connection(TokioIo::new(watched), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut closing = false;
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(error) = ended {
+                    debug!(app.log, "listen: connection broke"; "error" => %error);
+                }
+                return;
+            }
+            _ = close.wait_for(|close| *close), if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = tokio::time::sleep(LOOK) => match verdict(&app, &activity) {
+                Age::Idle if !closing => {
+                    closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+                Age::Fine | Age::Idle => {}
+                Age::SlowHead => {
+                    info!(app.log, "listen: head took too long");
+                    return;
+                }
+            },
+        }
+    }
+}
+
+/// What a connection's age says.
+enum Age {
+    Fine,
+    Idle,
+    SlowHead,
+}
+
+fn verdict(app: &App, activity: &Activity) -> Age {
+    if activity.busy.load(Ordering::Acquire) > 0 {
+        return Age::Fine;
+    }
+    let limits = app.holder.held().table.as_ref().map(|t| t.limits);
+    let limits = limits.unwrap_or_default();
+    let now = app.clock.now();
+    let bytes = activity.bytes.load(Ordering::Acquire);
+    if bytes > 0 {
+        let slow = now.since(Mono(bytes)) > limits.head_time;
+        return if slow { Age::SlowHead } else { Age::Fine };
+    }
+    let idle = now.since(Mono(activity.ended.load(Ordering::Acquire)));
+    if idle > limits.idle_time {
+        Age::Idle
+    } else {
+        Age::Fine
+    }
+}
+
+/// Marks a connection as busy until its answer has been written.
+struct Busy {
+    activity: Arc<Activity>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.activity.end(self.clock.now());
+    }
+}
+
+async fn answer(
+    app: Arc<App>,
+    activity: Arc<Activity>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    activity.begin();
+    let busy = Busy {
+        activity,
+        clock: Arc::clone(&app.clock),
+    };
+    let response = app::handle(app, request).await;
+    Ok(response.map(|body| guarded(body, busy)))
+}
+
+/// Answers whether the entry takes new work, and metrics, on another address.
+pub async fn run_health(
+    app: Arc<App>,
+    listener: TcpListener,
+    ready: Arc<str>,
+    render: Arc<dyn Fn() -> String + Send + Sync>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(app.log, "health: connection not accepted"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let (app, ready, render) = (Arc::clone(&app), Arc::clone(&ready), Arc::clone(&render));
+        let service = service_fn(move |request: Request<Incoming>| {
+            let response = health(&app, &ready, &*render, request.uri().path());
+            async move { Ok::<_, Infallible>(response) }
+        });
+        tokio::spawn(async move {
+            // A broken connection of a health check is its caller's matter.
+            let _ended = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn health(
+    app: &App,
+    ready: &str,
+    render: &(dyn Fn() -> String + Send + Sync),
+    path: &str,
+) -> Response<Body> {
+    let (status, body) = match path {
+        "/metrics" => (StatusCode::OK, render()),
+        "/health/live" => (StatusCode::OK, String::new()),
+        path if path == ready || path == "/health/ready" => {
+            let status = if app.is_ready() {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            };
+            (status, String::new())
+        }
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    };
+    let mut response = Response::new(whole(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/cardamomtally/direct/outcomes.rs
@@ -0,0 +1,61 @@
+//! Counts of answers by route and version, for the next poll.
+
+use crate::{prelude::*, site::poll::Outcomes};
+use std::sync::{Mutex, PoisonError};
+
+/// Names an answer's route, service and version.
+type Kind = (Name, Name, Name);
+
+/// Counts of answers since the last poll that was taken.
+#[derive(Debug, Default)]
+pub struct Counts {
+    counts: Mutex<FastMap<Kind, Outcomes>>,
+}
+
+impl Counts {
+    /// Counts an answer; `first` is the time to its first byte, if it is good.
+    pub fn add(&self, route: &Name, service: &Name, version: &Name, first: Option<Duration>) {
+        let kind = (Arc::clone(route), Arc::clone(service), Arc::clone(version));
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = counts.entry(kind).or_insert_with(|| Outcomes {
+            route: Arc::clone(route),
+            service: Arc::clone(service),
+            version: Arc::clone(version),
+            ..Outcomes::default()
+        });
+        match first {
+            Some(first) => {
+                count.good += 1;
+                count.first += first.as_millis() as u64;
+            }
+            None => count.bad += 1,
+        }
+    }
+
+    /// Takes all counts.
+    #[must_use]
+    pub fn take(&self) -> Vec<Outcomes> {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let taken = std::mem::take(&mut *counts);
+        taken.into_values().collect()
+    }
+
+    /// Puts counts back that nobody took.
+    pub fn put_back(&self, outcomes: Vec<Outcomes>) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        for outcome in outcomes {
+            let kind = (
+                Arc::clone(&outcome.route),
+                Arc::clone(&outcome.service),
+                Arc::clone(&outcome.version),
+            );
+            let Some(count) = counts.get_mut(&kind) else {
+                counts.insert(kind, outcome);
+                continue;
+            };
+            count.good += outcome.good;
+            count.bad += outcome.bad;
+            count.first += outcome.first;
+        }
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/direct/pool.rs
@@ -0,0 +1,223 @@
+//! Connections to backend servers.
+//!
+//! A connection carries one request at a time and is kept while both sides are
+//! willing. A request that was never written is given back, so that it may be
+//! sent elsewhere; after the first byte its outcome is unknown. A connection
+//! whose answer was not read to the end is closed, which cancels the work.
+
+use crate::prelude::*;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+use tokio::{net::TcpStream, task::AbortHandle};
+
+/// Time after which an idle connection is not used any more.
+const IDLE: Duration = Duration::from_secs(4);
+/// Silence after which the kernel asks whether the peer is there.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Questions without an answer that end a connection.
+const KEEPALIVE_COUNT: u32 = 2;
+/// Time after which bytes without an acknowledgement end a connection.
+const UNACKED: Duration = Duration::from_millis(1_500);
+/// Idle connections kept to one backend server.
+const KEPT: usize = 64;
+
+/// A request to a backend server.
+pub type Outgoing = Request<Full<Bytes>>;
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub enum SendError {
+    /// Nothing of it was written.
+    Unsent(&'static str),
+    /// It may have arrived.
+    Broken(hyper::Error),
+}
+
+/// A connection to a backend server.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    idle_since: Mono,
+    idle_limit: Duration,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection within a time.
+    async fn open(address: SocketAddr, limit: Duration) -> Result<Self, SendError> {
+        let connect = tokio::time::timeout(limit, TcpStream::connect(address));
+        let stream = match connect.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) => return Err(SendError::Unsent("connection refused")),
+            Err(_elapsed) => return Err(SendError::Unsent("connection timed out")),
+        };
+        prepare(&stream);
+        let shake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let Ok((sender, connection)) = shake.await else {
+            return Err(SendError::Unsent("connection closed"));
+        };
+        let task = tokio::spawn(async move {
+            // Whoever waits for an answer is told of the error.
+            let _ended = connection.await;
+        });
+        Ok(Self {
+            sender,
+            task: task.abort_handle(),
+            idle_since: Mono::default(),
+            idle_limit: IDLE,
+        })
+    }
+
+    fn is_usable(&self, now: Mono) -> bool {
+        self.sender.is_ready() && now.since(self.idle_since) < self.idle_limit
+    }
+
+    async fn send(&mut self, request: Outgoing) -> Result<Response<Incoming>, SendError> {
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| {
+                if error.take_message().is_some() {
+                    SendError::Unsent("connection closed before the request")
+                } else {
+                    SendError::Broken(error.into_error())
+                }
+            })
+    }
+}
+
+/// Sets what finds out silent peers. Without it they are found out later.
+fn prepare(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_COUNT);
+    let set = socket
+        .set_tcp_nodelay(true)
+        .and_then(|()| socket.set_tcp_keepalive(&probes))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKED)));
+    if set.is_err() {
+        metrics::counter!("cardamomtally_direct_socket_options_failed_total").increment(1);
+    }
+}
+
+/// An answer's head, and the connection that its body comes on.
+#[derive(Debug)]
+pub struct Answer {
+    /// The head and the body to come.
+    pub response: Response<Incoming>,
+    connection: Connection,
+}
+
+/// Connections to all backend servers.
+#[derive(Debug)]
+pub struct Pool {
+    idle: Mutex<FastMap<SocketAddr, Vec<Connection>>>,
+    clock: Arc<dyn Clock>,
+    connect_limit: Duration,
+}
+
+impl Pool {
+    /// Builds an empty pool.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>, connect_limit: Duration) -> Self {
+        Self {
+            idle: Mutex::default(),
+            clock,
+            connect_limit,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, Vec<Connection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let now = self.clock.now();
+        let mut idle = self.lock();
+        let kept = idle.get_mut(&address)?;
+        while let Some(connection) = kept.pop() {
+            if connection.is_usable(now) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Sends a request, on a kept connection if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether anything was written.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut make: impl FnMut() -> Outgoing,
+    ) -> Result<Answer, SendError> {
+        if let Some(mut connection) = self.take_idle(address) {
+            match connection.send(make()).await {
+                Ok(response) => {
+                    return Ok(Answer {
+                        response,
+                        connection,
+                    });
+                }
+                Err(SendError::Unsent(_)) => {}
+                Err(broken @ SendError::Broken(_)) => return Err(broken),
+            }
+        }
+        let mut connection = Connection::open(address, self.connect_limit).await?;
+        let response = connection.send(make()).await?;
+        Ok(Answer {
+            response,
+            connection,
+        })
+    }
+
+    /// Keeps a connection whose answer was read to the end.
+    pub fn keep(&self, address: SocketAddr, mut connection: Connection, limit: Option<Duration>) {
+        connection.idle_since = self.clock.now();
+        connection.idle_limit = limit.unwrap_or(IDLE).min(IDLE);
+        let mut idle = self.lock();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < KEPT {
+            kept.push(connection);
+        }
+    }
+
+    /// Drops idle connections that are not used any more.
+    pub fn sweep(&self) {
+        let now = self.clock.now();
+        let mut idle = self.lock();
+        for kept in idle.values_mut() {
+            kept.retain(|c| !c.sender.is_closed() && now.since(c.idle_since) < c.idle_limit);
+        }
+        idle.retain(|_, kept| !kept.is_empty());
+    }
+}
+
+impl Answer {
+    /// Splits the answer into head, body and the connection to keep.
+    pub fn split(self) -> (http::response::Parts, Incoming, Connection) {
+        let (parts, body) = self.response.into_parts();
+        (parts, body, self.connection)
+    }
+}
--- /dev/null
+++ b/src/cardamomtally/direct/stream.rs
@@ -0,0 +1,413 @@
+//! Requests whose answers are streams of events.
+//!
+//! Events are passed on as they become whole. When a backend server breaks off
+//! or falls silent, a resumable stream goes on at another one behind the last
+//! event that the caller has, within the same answer; the first connection is
+//! closed before, so that no two work on it. What cannot go on is broken off,
+//! so that it does not look complete.
+
+use super::{
+    app::App,
+    attempt::{self, Outcome, Turn},
+    body::{Body, BodyError, whole},
+    call::{self, Call},
+    escalate,
+    events::{Cutter, Events},
+    pool::{Answer, Connection},
+    refusal::Refusal,
+    registry::{Choice, NoChoice, Wanted},
+};
+use crate::{prelude::*, routing::budget::Cause};
+use bytes::Bytes;
+use futures::stream;
+use http::{Response, StatusCode, response::Parts};
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::{Body as _, Frame, Incoming};
+
+/// Time below which nothing is sent any more.
+const LEAST: Duration = Duration::from_millis(20);
+/// Part of the longest good pause after which a stream is taken for stuck.
+const STUCK: f64 = 0.8;
+/// Least silence before the first event that lets a stream go elsewhere.
+const FIRST: Duration = Duration::from_secs(2);
+/// Backend servers that may refuse a request, beyond those that may run it.
+const REFUSALS: usize = 3;
+
+/// A stream that is being passed on.
+struct Flow {
+    app: Arc<App>,
+    call: Call,
+    tried: Vec<Name>,
+    runs: u32,
+    rung: usize,
+    last: Option<u64>,
+    events: u32,
+    source: Option<Source>,
+    /// Where to go on, if that was chosen before.
+    reserved: Option<Choice>,
+}
+
+/// Where events come from.
+struct Source {
+    choice: Choice,
+    connection: Connection,
+    body: Incoming,
+    cutter: Cutter,
+    keep: Option<Duration>,
+    /// Time to the head, which comes with the first event.
+    first: Duration,
+}
+
+/// The next thing that a stream brings.
+enum Next {
+    Events(Events),
+    End,
+    Broken(&'static str),
+}
+
+/// Serves a request.
+pub async fn serve(app: &Arc<App>, call: Call, last: Option<u64>) -> Response<Body> {
+    let mut flow = Flow {
+        app: Arc::clone(app),
+        rung: escalate::first(call.route.cascade.len()),
+        call,
+        tried: Vec::new(),
+        runs: 0,
+        last,
+        events: 0,
+        source: None,
+        reserved: None,
+    };
+    match flow.open().await {
+        Ok(Opened::Stream(parts)) => flow.respond(&parts),
+        Ok(Opened::Whole(response)) => response,
+        Err(refusal) => {
+            app.note_refusal(&flow.call, &refusal, flow.tried.len());
+            refusal.response()
+        }
+    }
+}
+
+/// The head of an answer.
+enum Opened {
+    /// Events follow.
+    Stream(Parts),
+    /// The backend server's own failure, whole.
+    Whole(Response<Body>),
+}
+
+impl Flow {
+    /// Sends the request until a backend server begins to answer.
+    async fn open(&mut self) -> Result<Opened, Refusal> {
+        loop {
+            let since = self.app.clock.now();
+            let answer = self.attempt().await?;
+            let Some((choice, answer)) = answer else {
+                continue;
+            };
+            let (parts, body, connection) = answer.split();
+            if let Some((running, waiting)) = attempt::load(&self.app.names, &parts.headers) {
+                let instance = &choice.backend.instance;
+                self.app.registry.report(instance, running, waiting);
+            }
+            if parts.status.is_success() {
+                if self.escalates(&choice, &parts) {
+                    self.tried.clear();
+                    continue;
+                }
+                self.source = Some(Source {
+                    choice,
+                    connection,
+                    body,
+                    cutter: Cutter::default(),
+                    keep: attempt::keep(&parts.headers),
+                    first: self.app.clock.now().since(since),
+                });
+                return Ok(Opened::Stream(parts));
+            }
+            self.failed(choice);
+            if self.may_go_on(Cause::Failed).is_err() {
+                return Ok(Opened::Whole(self.pass_failure(&parts, body).await));
+            }
+        }
+    }
+
+    /// Tells whether a larger model is to answer, and takes note of it.
+    fn escalates(&mut self, choice: &Choice, parts: &Parts) -> bool {
+        if !self.call.any_model || self.events > 0 || self.runs >= self.call.route.attempts {
+            return false;
+        }
+        let confidence = attempt::confidence(&self.app.names, &parts.headers);
+        let models = self.call.route.cascade.len();
+        let next = escalate::next(self.rung, models, confidence, choice.load);
+        let goes = next.filter(|_| self.app.spend_spare(&self.call.service.name));
+        self.app
+            .note_confidence(&self.call, self.rung, confidence, goes);
+        if let Some(rung) = goes {
+            self.rung = rung;
+        }
+        goes.is_some()
+    }
+
+    fn failed(&self, mut choice: Choice) {
+        choice.bad();
+        self.app.count(&self.call, &choice, None);
+    }
+
+    async fn pass_failure(&self, parts: &Parts, body: Incoming) -> Response<Body> {
+        // A failure whose body breaks off is still that failure.
+        let body = body
+            .collect()
+            .await
+            .map(http_body_util::Collected::to_bytes);
+        let mut response = Response::new(whole(body.unwrap_or_default()));
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = call::pass_back(&self.app.names, &parts.headers);
+        response
+    }
+
+    /// Sends the request once. Returns nothing if it may be sent again.
+    async fn attempt(&mut self) -> Result<Option<(Choice, Answer)>, Refusal> {
+        let now = self.app.clock.now();
+        let left = self.call.left(now);
+        if left < LEAST {
+            return Err(self.give_up(StatusCode::GATEWAY_TIMEOUT, "no time is left"));
+        }
+        let choice = match self.reserved.take() {
+            Some(choice) => choice,
+            None => self.choose()?,
+        };
+        let instance = Arc::clone(&choice.backend.instance);
+        self.tried.push(instance);
+        let outcome = self.send(&choice, left).await;
+        let label = match &outcome {
+            Outcome::Answered(answer) => format!("answered {}", answer.response.status().as_u16()),
+            Outcome::NotRun(why) => format!("not-run: {why}"),
+            Outcome::Unknown(why) => format!("unknown: {why}"),
+        };
+        self.app
+            .note_attempt(&self.call, &choice, self.model(), &label, now);
+        match outcome {
+            Outcome::Answered(answer) => {
+                self.runs += 1;
+                Ok(Some((choice, *answer)))
+            }
+            Outcome::NotRun(why) => {
+                let mut choice = choice;
+                if why != "the backend server did not execute it" {
+                    choice.bad();
+                }
+                self.may_go_on(Cause::Rejected)?;
+                Ok(None)
+            }
+            Outcome::Unknown(_) => {
+                self.runs += 1;
+                self.failed(choice);
+                self.may_go_on(Cause::Failed)?;
+                Ok(None)
+            }
+        }
+    }
+
+    fn choose(&self) -> Result<Choice, Refusal> {
+        let shared = &self.call.shared;
+        let tokens = shared.iter().map(|p| p.tokens).sum();
+        let wanted = Wanted {
+            service: &self.call.service,
+            session: self.call.session,
+            prefix: shared.last().map(|part| (part.id, tokens)),
+            tried: &self.tried,
+        };
+        let held = self.app.holder.held();
+        self.app.registry.choose(&held, &wanted).map_err(|why| {
+            let detail = match why {
+                NoChoice::None => "no other backend server may run it",
+                NoChoice::Busy => "all backend servers are busy or failing",
+            };
+            self.give_up(StatusCode::BAD_GATEWAY, detail)
+        })
+    }
+
+    async fn send(&self, choice: &Choice, left: Duration) -> Outcome {
+        let turn = Turn {
+            left,
+            model: self.model(),
+            last: self.last,
+        };
+        let make = || attempt::request(&self.app.names, &self.call, choice, turn);
+        let limit = if self.runs + 1 < self.call.route.attempts {
+            FIRST.max(self.call.route.target * 2).min(left)
+        } else {
+            left
+        };
+        let sending = self.app.pool.send(choice.backend.address, make);
+        match tokio::time::timeout(limit, sending).await {
+            Ok(sent) => attempt::judge(&self.app.names, &self.call, sent),
+            Err(_elapsed) => Outcome::Unknown("no answer in time"),
+        }
+    }
+
+    /// Returns the model to ask, where the entry chooses it.
+    fn model(&self) -> Option<&str> {
+        let model = self.call.route.cascade.get(self.rung);
+        model.filter(|_| self.call.any_model).map(|m| &**m)
+    }
+
+    fn give_up(&self, status: StatusCode, detail: &'static str) -> Refusal {
+        if self.runs == 0 {
+            return Refusal::unavailable(detail, Duration::from_millis(300));
+        }
+        Refusal::unknown(status, detail)
+    }
+
+    fn may_go_on(&self, cause: Cause) -> Result<(), Refusal> {
+        if self.runs > 0 && !self.call.route.class.repeats() {
+            return Err(self.give_up(StatusCode::BAD_GATEWAY, "the backend server failed"));
+        }
+        let refused = self.tried.len() - self.runs as usize;
+        if self.runs >= self.call.route.attempts || refused > REFUSALS {
+            return Err(self.give_up(StatusCode::BAD_GATEWAY, "no attempt is left"));
+        }
+        if !self.app.spend(&self.call.service.name, cause) {
+            return Err(self.give_up(StatusCode::BAD_GATEWAY, "the retry budget is spent"));
+        }
+        Ok(())
+    }
+
+    /// Answers with the first backend server's head and the events to come.
+    fn respond(self, parts: &Parts) -> Response<Body> {
+        let status = parts.status;
+        let headers = call::pass_back(&self.app.names, &parts.headers);
+        let events = stream::unfold(Some(Box::new(self)), async |flow| {
+            let mut flow = flow?;
+            match flow.next().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(flow))),
+                Ok(None) => None,
+                Err(error) => Some((Err(error), None)),
+            }
+        });
+        let mut response = Response::new(StreamBody::new(events).boxed_unsync());
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// Returns the next events, or nothing at the end.
+    async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+        loop {
+            let left = self.call.left(self.app.clock.now());
+            let Some(source) = &mut self.source else {
+                return Err("the stream has no source".into());
+            };
+            let stuck = self.call.route.pause.mul_f64(STUCK).min(left);
+            let next = match tokio::time::timeout(stuck, source.next()).await {
+                Ok(next) => next,
+                Err(_elapsed) if left.is_zero() => return Err("no time is left".into()),
+                Err(_elapsed) if self.reserve() => Next::Broken("the backend server fell silent"),
+                // Silence alone ends no answer.
+                Err(_elapsed) => continue,
+            };
+            match next {
+                Next::Events(events) => {
+                    if let Some(bytes) = self.pass(events)? {
+                        return Ok(Some(bytes));
+                    }
+                }
+                Next::End => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Next::Broken(why) => self.resume(why).await?,
+            }
+        }
+    }
+
+    /// Takes note of events; those that the caller has already are dropped.
+    fn pass(&mut self, events: Events) -> Result<Option<Bytes>, BodyError> {
+        if let (Some(first), Some(last)) = (events.first, self.last) {
+            if events.last.is_some_and(|end| end <= last) {
+                return Ok(None);
+            }
+            if first != last + 1 {
+                return Err("the stream does not go on where it broke off".into());
+            }
+        }
+        self.last = events.last.or(self.last);
+        self.events += 1;
+        Ok(Some(events.bytes))
+    }
+
+    fn finish(&mut self) {
+        let Some(mut source) = self.source.take() else {
+            return;
+        };
+        source.choice.good();
+        self.app
+            .count(&self.call, &source.choice, Some(source.first));
+        let address = source.choice.backend.address;
+        self.app.pool.keep(address, source.connection, source.keep);
+        self.app
+            .note_end(&self.call, "complete", self.runs, self.last);
+    }
+
+    /// Finds where a silent stream may go on, before what it has is given up.
+    fn reserve(&mut self) -> bool {
+        let may = self.call.left(self.app.clock.now()) >= LEAST
+            && self.runs < self.call.route.attempts
+            && self.call.route.class.repeats();
+        if !may {
+            return false;
+        }
+        let choice = self.choose().ok();
+        self.reserved = choice.filter(|_| self.app.spend(&self.call.service.name, Cause::Failed));
+        self.reserved.is_some()
+    }
+
+    /// Goes on at another backend server.
+    async fn resume(&mut self, why: &'static str) -> Result<(), BodyError> {
+        if let Some(source) = self.source.take() {
+            self.failed(source.choice);
+        }
+        self.app.note_end(&self.call, why, self.runs, self.last);
+        if self.call.left(self.app.clock.now()) < LEAST {
+            return Err("no time is left".into());
+        }
+        if self.reserved.is_none() {
+            self.may_go_on(Cause::Failed).map_err(|r| r.detail)?;
+        }
+        match self.open().await {
+            Ok(Opened::Stream(_)) => Ok(()),
+            Ok(Opened::Whole(_)) => Err("no backend server goes on".into()),
+            Err(refusal) => Err(refusal.detail.into()),
+        }
+    }
+}
+
+impl Source {
+    async fn next(&mut self) -> Next {
+        loop {
+            let Some(frame) = self.body.frame().await else {
+                return if self.cutter.is_partial() {
+                    Next::Broken("the stream ended within an event")
+                } else {
+                    Next::End
+                };
+            };
+            let Ok(frame) = frame else {
+                return Next::Broken("the stream broke off");
+            };
+            // Trailers carry nothing for the caller.
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            match self.cutter.take(&bytes) {
+                Ok(Some(events)) => return Next::Events(events),
+                Ok(None) if self.body.is_end_stream() && !self.cutter.is_partial() => {
+                    return Next::End;
+                }
+                Ok(None) => {}
+                Err(_too_long) => return Next::Broken("an event is too long"),
+            }
+        }
+    }
+}
--- a/src/cardamomtally/net/wire.rs
+++ b/src/cardamomtally/net/wire.rs
@@ -204,6 +204,9 @@
     /// Outcomes that processes have reported, from a member to the leader.
     #[serde(rename = "h")]
     Health(Vec<HealthReport>),
+    /// A request to a member that keeps a site's document.
+    #[serde(rename = "d")]
+    Site(serde_bytes::ByteBuf),
 }
 
 /// A control member's answer.
@@ -224,6 +227,9 @@
     /// The member has taken the reports.
     #[serde(rename = "h")]
     Taken,
+    /// Answer of a member that keeps a site's document.
+    #[serde(rename = "d")]
+    Site(serde_bytes::ByteBuf),
     /// The member cannot answer. Another may.
     #[serde(rename = "n")]
     Unavailable {
--- a/src/cardamomtally/replica/host/group.rs
+++ b/src/cardamomtally/replica/host/group.rs
@@ -103,6 +103,8 @@
             id: storage.identity(),
             name: Arc::clone(name),
             members: spec.members.iter().map(|m| m.as_str().into()).collect(),
+            open: settings.peer_port.is_some(),
+            form: settings.form,
             heartbeat: settings.heartbeat.0,
             election: settings.election.0,
             keep_entries: settings.snapshot_entries / 4,
--- a/src/cardamomtally/replica/host/links.rs
+++ b/src/cardamomtally/replica/host/links.rs
@@ -10,8 +10,13 @@
 /// Longest time without a message to a member.
 const PING_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Silence after which the link of a process that is no member is forgotten.
+const FORGET: Duration = Duration::from_secs(20);
+
 #[derive(Debug)]
 struct Link {
+    /// Whether the settings name the member.
+    listed: bool,
     heard: Mono,
     sent: Mono,
     renewed: Mono,
@@ -19,6 +24,18 @@
     deaf: Option<Mono>,
 }
 
+impl Link {
+    const fn new(now: Mono, listed: bool) -> Self {
+        Self {
+            listed,
+            heard: now,
+            sent: now,
+            renewed: now,
+            deaf: None,
+        }
+    }
+}
+
 /// What to do about the connections.
 #[derive(Debug, Default)]
 pub(super) struct Upkeep {
@@ -35,33 +52,27 @@
 impl Links {
     pub(super) fn new(members: &[MemberSettings], own: &Name, now: Mono) -> Self {
         let others = members.iter().filter(|m| m.name != own.as_ref());
-        let links = others.map(|m| {
-            let link = Link {
-                heard: now,
-                sent: now,
-                renewed: now,
-                deaf: None,
-            };
-            (Name::from(m.name.as_str()), link)
-        });
+        let links = others.map(|m| (Name::from(m.name.as_str()), Link::new(now, true)));
         Self {
             links: links.collect(),
         }
     }
 
+    fn link(&mut self, now: Mono, name: &Name) -> &mut Link {
+        let links = self.links.entry(Arc::clone(name));
+        links.or_insert_with(|| Link::new(now, false))
+    }
+
     /// Notes a message from a member.
     pub(super) fn note_heard(&mut self, now: Mono, name: &Name, hears: bool) {
-        if let Some(link) = self.links.get_mut(name) {
-            link.heard = now;
-            link.deaf = if hears { None } else { link.deaf.or(Some(now)) };
-        }
+        let link = self.link(now, name);
+        link.heard = now;
+        link.deaf = if hears { None } else { link.deaf.or(Some(now)) };
     }
 
     /// Notes a message to a member. Returns whether that member is heard.
     pub(super) fn note_sent(&mut self, now: Mono, name: &Name) -> bool {
-        let Some(link) = self.links.get_mut(name) else {
-            return false;
-        };
+        let link = self.link(now, name);
         link.sent = now;
         now.since(link.heard) < SILENCE
     }
@@ -75,6 +86,8 @@
     /// Returns which connections need a message or a replacement.
     pub(super) fn upkeep(&mut self, now: Mono) -> Upkeep {
         let mut upkeep = Upkeep::default();
+        self.links
+            .retain(|_, link| link.listed || now.since(link.heard) < FORGET);
         for (name, link) in &mut self.links {
             if now.since(link.sent) >= PING_INTERVAL {
                 upkeep.ping.push(Arc::clone(name));
--- a/src/cardamomtally/replica/host/mod.rs
+++ b/src/cardamomtally/replica/host/mod.rs
@@ -16,7 +16,10 @@
 pub use options::{GroupSpec, GroupStatus, HostOptions, MemberStatus, Standing};
 
 use super::{
-    peers::{Deliver, Peers, nng::NngPeers},
+    peers::{
+        Deliver, Peers,
+        nng::{NngOptions, NngPeers},
+    },
     storage::{Storage, disk::Disk},
 };
 use crate::{
@@ -91,11 +94,15 @@
         let others = settings.members.iter().filter(|m| m.name != options.name);
         let others: Vec<_> = others.cloned().collect();
         let log = options.log.clone();
-        let name = Name::from(options.name.as_str());
+        let peers = NngOptions {
+            own: Name::from(options.name.as_str()),
+            listen,
+            others,
+            port: settings.peer_port,
+            log,
+        };
         let peers = move |deliver: Deliver| -> eyre::Result<Box<dyn Peers>> {
-            Ok(Box::new(NngPeers::start(
-                &name, &listen, &others, &log, deliver,
-            )?))
+            Ok(Box::new(NngPeers::start(peers, deliver)?))
         };
         Self::start_with(options, storage, Box::new(peers))
     }
@@ -111,7 +118,8 @@
         peers: Box<OpenPeers<'_>>,
     ) -> eyre::Result<Self> {
         for group in &options.groups {
-            let member = group.members.contains(&options.name);
+            let open = options.settings.peer_port.is_some();
+            let member = open || group.members.contains(&options.name);
             ensure!(
                 member,
                 "group {} lacks member `{}`",
--- a/src/cardamomtally/replica/node/membership.rs
+++ b/src/cardamomtally/replica/node/membership.rs
@@ -13,7 +13,7 @@
 //! next begins when it is committed, so quorums of neighbouring configurations
 //! always overlap.
 
-use super::{Newcomer, Node, Part, Rule, Sender};
+use super::{Newcomer, Node, Outgoing, Part, Rule, Sender};
 use crate::{
     prelude::*,
     replica::{
@@ -25,6 +25,8 @@
 
 /// Elections that a learner may be silent for before it is dropped.
 const LEARNER_SILENCE_ELECTIONS: u32 = 60;
+/// Elections that a voter may be silent for before a newcomer takes its place.
+const VOTER_SILENCE_ELECTIONS: u32 = 3;
 
 impl Node {
     /// Tells whether a message comes from another group at a reused address.
@@ -50,7 +52,7 @@
 
     /// Takes note of a member that is not in the group.
     pub(super) fn note_stranger(&mut self, now: Mono, from: MemberId, mail: &Mail) {
-        let expected = self.options.members.contains(&mail.name);
+        let expected = self.options.open || self.options.members.contains(&mail.name);
         if !expected || self.configs.find(from).is_some() {
             return;
         }
@@ -63,6 +65,24 @@
         self.newcomers.insert(Arc::clone(&mail.name), newcomer);
     }
 
+    /// Passes a stranger's hello on to the leader, which alone can take it in.
+    pub(super) fn pass_on(&mut self, mail: &Mail) {
+        let hello = matches!(mail.message, Message::Hello { .. });
+        let follows = self.life.part() == Part::Follower;
+        if !self.options.open || !hello || !follows || self.configs.find(mail.from).is_some() {
+            return;
+        }
+        let leader = self.leader.and_then(|id| self.configs.find(id));
+        let Some(name) = leader.map(|m| Arc::clone(&m.name)) else {
+            return;
+        };
+        // A hello that another member passed on has the other member's link.
+        if name != mail.name {
+            let mail = mail.clone();
+            self.effects.send.push(Outgoing { name, mail });
+        }
+    }
+
     /// Says hello to all initial members, and forms the group if it may.
     pub(super) fn say_hello(&mut self, now: Mono) {
         self.timer = now + self.options.heartbeat;
@@ -88,7 +108,7 @@
     pub(super) fn on_hello(&mut self, now: Mono, from: &Sender, empty: bool) {
         let first = self.options.members.first() == Some(&from.name);
         let joining = self.life.part() == Part::Joining && self.is_empty();
-        if !first || !joining || !empty || from.cluster <= self.hard.cluster {
+        if !self.options.form || !first || !joining || !empty || from.cluster <= self.hard.cluster {
             return;
         }
         self.hard.cluster = from.cluster;
@@ -106,7 +126,7 @@
     /// whether the group is formed.
     fn found(&mut self, now: Mono) -> bool {
         let first = self.options.members.first();
-        if first != Some(&self.options.name) || !self.is_empty() {
+        if !self.options.form || first != Some(&self.options.name) || !self.is_empty() {
             return false;
         }
         let limit = self.options.election;
@@ -200,7 +220,7 @@
         let learners = members.iter().filter(|m| !m.voter);
         let ready = learners.into_iter().find(|m| self.is_ready(now, m))?;
         let old = self.configs.voters().find(|m| m.name == ready.name);
-        if let Some(old) = old {
+        if let Some(old) = old.or_else(|| self.successor_of(now)) {
             if !self.is_silent(now, old.id, 1) {
                 return None;
             }
@@ -216,6 +236,16 @@
         Some((promoted.collect(), note))
     }
 
+    /// Returns the voter whose place a learner of another name takes: one that
+    /// has been silent for long, in a group that takes in new names.
+    fn successor_of(&self, now: Mono) -> Option<&Member> {
+        if !self.options.open {
+            return None;
+        }
+        let mut voters = self.configs.voters();
+        voters.find(|m| self.is_silent(now, m.id, VOTER_SILENCE_ELECTIONS))
+    }
+
     /// Tells whether a learner answers and holds everything committed.
     fn is_ready(&self, now: Mono, learner: &Member) -> bool {
         let peer = self.lead.as_ref().and_then(|l| l.peers.get(&learner.id));
--- a/src/cardamomtally/replica/node/mod.rs
+++ b/src/cardamomtally/replica/node/mod.rs
@@ -61,8 +61,12 @@
     pub id: MemberId,
     /// Its process name.
     pub name: Name,
-    /// Process names of the group's members.
+    /// Process names of the group's initial members, which newcomers greet.
     pub members: Vec<Name>,
+    /// Whether processes of other names may join.
+    pub open: bool,
+    /// Whether this member may take part in forming a group.
+    pub form: bool,
     /// Time between a leader's heartbeats.
     pub heartbeat: Duration,
     /// Shortest silence of a leader after which a member stands for election.
@@ -81,6 +85,8 @@
             id: MemberId::default(),
             name: Name::from(""),
             members: Vec::new(),
+            open: false,
+            form: true,
             heartbeat: Duration::from_millis(100),
             election: Duration::from_millis(500),
             keep_entries: 1_000,
@@ -251,6 +257,7 @@
         }
         let from = self.sender(&mail);
         self.note_stranger(now, from, &mail);
+        self.pass_on(&mail);
         if !self.is_addressed(&mail) {
             return;
         }
--- a/src/cardamomtally/replica/peers/nng.rs
+++ b/src/cardamomtally/replica/peers/nng.rs
@@ -36,6 +36,21 @@
     Send(Name, Envelope),
 }
 
+/// What the network is built from.
+#[derive(Clone, Debug)]
+pub struct NngOptions {
+    /// This process's name.
+    pub own: Name,
+    /// Where to listen, `IP:PORT`.
+    pub listen: String,
+    /// The other members that the settings list.
+    pub others: Vec<MemberSettings>,
+    /// The port of members that are not listed, whose names are IP addresses.
+    pub port: Option<u16>,
+    /// The root logger.
+    pub log: Logger,
+}
+
 /// The network between members over nng.
 #[derive(Debug)]
 pub struct NngPeers {
@@ -51,20 +66,21 @@
     /// # Errors
     ///
     /// Returns an error if the address cannot be bound.
-    pub fn start(
-        own: &Name,
-        listen: &str,
-        others: &[MemberSettings],
-        log: &Logger,
-        deliver: Deliver,
-    ) -> eyre::Result<Self> {
-        let inlet = Inlet::open(own, listen)?;
+    pub fn start(options: NngOptions, deliver: Deliver) -> eyre::Result<Self> {
+        let NngOptions {
+            own,
+            listen,
+            others,
+            port,
+            log,
+        } = options;
+        let inlet = Inlet::open(&own, &listen)?;
         let bound = inlet.bound().to_string();
         let socket = inlet.socket();
         let (queue, jobs) = sync_channel(QUEUE_MESSAGES);
         let links = others.iter().map(Link::open).collect();
         let receiver = Receiver {
-            own: Arc::clone(own),
+            own,
             socket: inlet.socket(),
             arrived: inlet.arrived(),
             log: log.clone(),
@@ -72,8 +88,9 @@
         };
         let sender = Sender {
             links,
+            port,
             inlet,
-            log: log.clone(),
+            log,
         };
         let send = move || sender.run(&jobs);
         let receive = move || receiver.run();
@@ -143,9 +160,13 @@
 
 impl Link {
     fn open(member: &MemberSettings) -> Self {
+        Self::dial(member.name.as_str().into(), member.peer.clone())
+    }
+
+    fn dial(name: Name, address: String) -> Self {
         let mut link = Self {
-            name: member.name.as_str().into(),
-            address: member.peer.clone(),
+            name,
+            address,
             socket: None,
         };
         link.renew();
@@ -180,6 +201,7 @@
 #[derive(Debug)]
 struct Sender {
     links: Vec<Link>,
+    port: Option<u16>,
     inlet: Inlet,
     log: Logger,
 }
@@ -202,11 +224,25 @@
         }
     }
 
-    fn send(&self, name: &Name, envelope: &Envelope) {
+    fn send(&mut self, name: &Name, envelope: &Envelope) {
+        self.find_out(name);
         if let Some(link) = self.links.iter().find(|l| l.name == *name) {
             link.send(&codec::encode(envelope));
         }
     }
+
+    /// Dials a member that the settings do not list, by its name.
+    fn find_out(&mut self, name: &Name) {
+        let Some(port) = self.port else {
+            return;
+        };
+        if self.links.iter().any(|l| l.name == *name) {
+            return;
+        }
+        let address = format!("{name}:{port}");
+        debug!(self.log, "replica: member found"; "member" => name.as_ref());
+        self.links.push(Link::dial(Arc::clone(name), address));
+    }
 }
 
 /// The receiving thread.
--- a/src/cardamomtally/routing/budget.rs
+++ b/src/cardamomtally/routing/budget.rs
@@ -16,27 +16,19 @@
 pub enum Cause {
     /// Nothing was sent.
     NotSent,
-    /// The agent rejected it.
+    /// The agent or backend server rejected it.
     Rejected,
     /// It failed, or may have run.
     Failed,
 }
 
-impl Cause {
-    const fn price(self) -> f64 {
-        match self {
-            Self::NotSent => 0.0,
-            Self::Rejected => REJECTION_PRICE,
-            Self::Failed => 1.0,
-        }
-    }
-}
-
 /// A budget of retries.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     share: f64,
     saved: f64,
+    burst: f64,
+    rejection: f64,
 }
 
 impl Budget {
@@ -46,17 +38,45 @@
         Self {
             share,
             saved: BURST_RETRIES,
+            burst: BURST_RETRIES,
+            rejection: REJECTION_PRICE,
+        }
+    }
+
+    /// Builds a full budget that saves up at most `burst` retries, where a
+    /// rejection costs a backend server as much as a failure.
+    #[must_use]
+    pub const fn with_burst(share: f64, burst: f64) -> Self {
+        Self {
+            share,
+            saved: burst,
+            burst,
+            rejection: 1.0,
         }
     }
 
     /// Counts a new request.
     pub fn earn(&mut self) {
-        self.saved = (self.saved + self.share).min(BURST_RETRIES);
+        self.saved = (self.saved + self.share).min(self.burst);
+    }
+
+    /// Pays for an attempt that nothing calls for, if a part of the burst is left
+    /// after it.
+    pub fn spend_above(&mut self, part: f64) -> bool {
+        let enough = self.saved >= self.burst * part + 1.0;
+        if enough {
+            self.saved -= 1.0;
+        }
+        enough
     }
 
     /// Pays for a retry, if the budget allows it.
     pub fn spend(&mut self, cause: Cause) -> bool {
-        let price = cause.price();
+        let price = match cause {
+            Cause::NotSent => 0.0,
+            Cause::Rejected => self.rejection,
+            Cause::Failed => 1.0,
+        };
         if self.saved < price {
             return false;
         }
--- a/src/cardamomtally/settings/control.rs
+++ b/src/cardamomtally/settings/control.rs
@@ -137,6 +137,14 @@
     /// Where this member binds for replication, if not at its member address.
     #[serde(default)]
     pub bind_peer: Option<String>,
+    /// Port at which members that are not listed take replication messages;
+    /// their process names are their IP addresses. Without it, only listed
+    /// members may join.
+    #[serde(default)]
+    pub peer_port: Option<u16>,
+    /// Whether this member may help to form a new group.
+    #[serde(default = "default_form")]
+    pub form: bool,
     /// Time between a leader's heartbeats.
     #[serde(default = "default_heartbeat")]
     pub heartbeat: Span,
@@ -151,6 +159,10 @@
     pub segment: Size,
 }
 
+const fn default_form() -> bool {
+    true
+}
+
 const fn default_heartbeat() -> Span {
     Span::ms(100)
 }
--- /dev/null
+++ b/src/cardamomtally/site/judge.rs
@@ -0,0 +1,180 @@
+//! The leader's judgement of roll-outs: when to widen, complete or roll back.
+//!
+//! In the first half of its time a roll-out only starts backend servers: a
+//! session that moved to the new version would have left the one that it began
+//! with. Then a share of the sessions tries the new version, the share grows
+//! while nothing speaks against it, and the rest of the time is for the old
+//! version's last requests.
+//!
+//! The new version is compared with the old one on each route. Its failures count
+//! as bad, and so do its good answers when their first bytes come several times
+//! later than the old version's. It is rolled back when that is more than luck
+//! gives, and also when the time runs out without enough answers.
+
+use super::{
+    poll::Outcomes,
+    rollout::{Rollout, Side, Stage, Step},
+};
+use crate::prelude::*;
+use std::collections::BTreeMap;
+
+/// Shares of the sessions, in a thousand, from a part of the duration on.
+const SHARES: [(f64, u32); 4] = [(0.52, 100), (0.62, 350), (0.67, 700), (0.71, 1000)];
+/// Part of the duration after which it is complete.
+const COMPLETE: f64 = 0.9;
+/// Bad answers below which nothing is concluded.
+const LEAST_BAD: u32 = 4;
+/// Good answers that a version needs before it is widened.
+const LEAST_GOOD: u32 = 6;
+/// How much oftener than the old version a bad one fails.
+const RATIO: f64 = 2.5;
+/// Failures in a request that any version may have.
+const RATE: f64 = 0.08;
+/// How many times later a slow version's first bytes come.
+const SLOW: f64 = 3.0;
+/// Latency that is never called slow, in milliseconds.
+const SLOW_MS: f64 = 250.0;
+
+/// Answers of one version on one route.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    good: u32,
+    bad: u32,
+    first: u64,
+}
+
+impl Tally {
+    fn add(&mut self, outcomes: &Outcomes) {
+        self.good = self.good.saturating_add(outcomes.good);
+        self.bad = self.bad.saturating_add(outcomes.bad);
+        self.first = self.first.saturating_add(outcomes.first);
+    }
+
+    fn rate(&self) -> f64 {
+        f64::from(self.bad) / f64::from((self.good + self.bad).max(1))
+    }
+
+    fn mean(&self) -> f64 {
+        self.first as f64 / f64::from(self.good.max(1))
+    }
+}
+
+/// What a leader has seen of a roll-out.
+#[derive(Clone, Debug, Default)]
+struct Trial {
+    ordered: u64,
+    old: BTreeMap<Name, Tally>,
+    new: BTreeMap<Name, Tally>,
+}
+
+/// What a leader has seen of all roll-outs.
+#[derive(Debug, Default)]
+pub struct Judge {
+    trials: BTreeMap<Name, Trial>,
+}
+
+impl Judge {
+    /// Takes outcomes that entries report.
+    pub fn add(&mut self, rollouts: &BTreeMap<Name, Rollout>, outcomes: &[Outcomes]) {
+        for outcome in outcomes {
+            let rollout = rollouts.get(&outcome.service);
+            let trial = self.trials.get_mut(&outcome.service);
+            let (Some(rollout), Some(trial)) = (rollout, trial) else {
+                continue;
+            };
+            let side = match rollout.side_of(&outcome.version) {
+                Side::New => &mut trial.new,
+                Side::Old => &mut trial.old,
+            };
+            let tally = side.entry(Arc::clone(&outcome.route)).or_default();
+            tally.add(outcome);
+        }
+    }
+
+    /// Returns the steps that are due at a wall time, in milliseconds.
+    pub fn steps(&mut self, wall: u64, rollouts: &BTreeMap<Name, Rollout>) -> Vec<Step> {
+        let running = |r: &Rollout| r.stage == Stage::Running;
+        self.trials
+            .retain(|service, _| rollouts.get(service).is_some_and(running));
+        let mut steps = Vec::new();
+        for (service, rollout) in rollouts.iter().filter(|(_, r)| running(r)) {
+            let trial = self.trials.entry(Arc::clone(service)).or_default();
+            if trial.ordered != rollout.ordered {
+                *trial = Trial {
+                    ordered: rollout.ordered,
+                    ..Trial::default()
+                };
+            }
+            let (stage, permille) = trial.next(wall, rollout);
+            if (stage, permille) != (rollout.stage, rollout.permille) {
+                steps.push(Step {
+                    service: Arc::clone(service),
+                    ordered: rollout.ordered,
+                    stage,
+                    permille,
+                });
+            }
+        }
+        steps
+    }
+}
+
+impl Trial {
+    fn next(&self, wall: u64, rollout: &Rollout) -> (Stage, u32) {
+        if self.is_bad() {
+            return (Stage::RolledBack, 0);
+        }
+        let passed = wall.saturating_sub(rollout.ordered);
+        let part = passed as f64 / rollout.duration.max(1) as f64;
+        let full = rollout.permille == 1000;
+        if part >= COMPLETE {
+            let stage = if full {
+                Stage::Completed
+            } else {
+                Stage::RolledBack
+            };
+            return (stage, rollout.permille);
+        }
+        let due = SHARES.iter().filter(|(from, _)| part >= *from);
+        let due = due.map(|(_, permille)| *permille).max().unwrap_or(0);
+        let good: u32 = self.new.values().map(|t| t.good).sum();
+        let proven = rollout.permille == 0 || good >= LEAST_GOOD;
+        let permille = if proven {
+            due.max(rollout.permille)
+        } else {
+            rollout.permille
+        };
+        (Stage::Running, permille.min(next_share(rollout.permille)))
+    }
+
+    fn is_bad(&self) -> bool {
+        let total = |tallies: &BTreeMap<Name, Tally>| {
+            tallies.values().fold(Tally::default(), |sum, t| Tally {
+                good: sum.good + t.good,
+                bad: sum.bad + t.bad,
+                first: sum.first + t.first,
+            })
+        };
+        let whole = fails(&total(&self.new), &total(&self.old));
+        whole
+            || self.new.iter().any(|(route, new)| {
+                let old = self.old.get(route).copied().unwrap_or_default();
+                fails(new, &old) || lags(new, &old)
+            })
+    }
+}
+
+/// Returns the share after a share, so that none is left out.
+fn next_share(permille: u32) -> u32 {
+    let mut shares = SHARES.iter().map(|(_, share)| *share);
+    shares.find(|share| *share > permille).unwrap_or(permille)
+}
+
+fn fails(new: &Tally, old: &Tally) -> bool {
+    new.bad >= LEAST_BAD && new.rate() > RATE.max(old.rate() * RATIO)
+}
+
+fn lags(new: &Tally, old: &Tally) -> bool {
+    let known = new.good >= LEAST_BAD && old.good >= LEAST_GOOD;
+    known && new.mean() > SLOW_MS.max(old.mean() * SLOW)
+}
--- /dev/null
+++ b/src/cardamomtally/site/keeper.rs
@@ -0,0 +1,428 @@
+//! A member that keeps a site's document on the replicated log.
+//!
+//! Operators' calls and entries' polls come in at any member. A change is
+//! proposed to the log and acknowledged once a quorum has synced it; a read
+//! waits for a quorum round that began after it. The leader also reads the
+//! platform's list of backend servers and judges roll-outs.
+
+use super::{
+    backend::{Inventory, settle},
+    document::{Document, Fault},
+    judge::Judge,
+    poll::{Poll, PollReply},
+    rollout::Rollout,
+    state::{Command, Machine, Reply, Store, Submission},
+};
+use crate::{
+    core::log::{Log, LogError},
+    net::{
+        codec,
+        nng::{Call, Server},
+        wire::{Request, Response},
+    },
+    prelude::*,
+    replica::host::{GroupSpec, Host, HostOptions},
+    settings::{
+        control::{GroupSettings, MemberSettings},
+        units::{Size, Span},
+    },
+    timeline::Recorder,
+};
+use slog::{Logger, info, warn};
+use std::{
+    path::PathBuf,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+use tokio::runtime::Handle;
+
+/// Time between two turns of the leader's tasks.
+const TURN: Duration = Duration::from_millis(200);
+/// Time after which an entry that does not poll is not counted any more.
+const ENTRY_SILENCE: Duration = Duration::from_secs(5);
+/// Log entries between two snapshots: documents can be large.
+const SNAPSHOT_ENTRIES: u64 = 96;
+/// Events kept for the time line.
+const EVENTS: usize = 512;
+
+/// What a keeper is built from.
+#[derive(Clone, Debug)]
+pub struct KeeperSettings {
+    /// Its process name, which is its IP address.
+    pub name: String,
+    /// Folder for its state.
+    pub folder: PathBuf,
+    /// Names of members to find the group through.
+    pub seeds: Vec<String>,
+    /// Whether it may help to form a new group.
+    pub form: bool,
+    /// Port for polls, the same at all members.
+    pub poll_port: u16,
+    /// Port for replication, the same at all members.
+    pub peer_port: u16,
+    /// Time between two readings of the platform's list.
+    pub list_period: Duration,
+}
+
+impl Default for KeeperSettings {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            folder: PathBuf::new(),
+            seeds: Vec::new(),
+            form: false,
+            poll_port: 7302,
+            peer_port: 7303,
+            list_period: Duration::from_millis(700),
+        }
+    }
+}
+
+impl KeeperSettings {
+    fn group(&self) -> GroupSettings {
+        let mut names = self.seeds.clone();
+        if !names.contains(&self.name) {
+            names.push(self.name.clone());
+        }
+        let members = names.into_iter().map(|name| MemberSettings {
+            poll: format!("{name}:{}", self.poll_port),
+            peer: format!("{name}:{}", self.peer_port),
+            name,
+        });
+        GroupSettings {
+            folder: self.folder.clone(),
+            members: members.collect(),
+            bind_poll: None,
+            bind_peer: None,
+            peer_port: Some(self.peer_port),
+            form: self.form && self.seeds.contains(&self.name),
+            heartbeat: Span::ms(100),
+            election: Span::ms(500),
+            snapshot_entries: SNAPSHOT_ENTRIES,
+            segment: Size(2 << 20),
+        }
+    }
+}
+
+/// Why an operator's call was not done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// The document is faulty; nothing has changed.
+    Faulty(Vec<Fault>),
+    /// No quorum answered; nothing was proposed.
+    Unavailable,
+    /// It may have been done.
+    Unknown,
+}
+
+impl From<LogError> for Refusal {
+    fn from(error: LogError) -> Self {
+        match error {
+            LogError::NoLeader => Self::Unavailable,
+            LogError::Stopped | LogError::Unknown => Self::Unknown,
+        }
+    }
+}
+
+/// A member that keeps a site's document.
+#[derive(Debug)]
+pub struct Keeper {
+    name: Name,
+    log: Arc<dyn Log>,
+    host: Arc<Host>,
+    store: Arc<Store>,
+    clock: Arc<dyn Clock>,
+    logger: Logger,
+    shared: Mutex<Shared>,
+}
+
+/// What polls and the leader's tasks share.
+#[derive(Debug, Default)]
+struct Shared {
+    judge: Judge,
+    entries: FastMap<Name, Mono>,
+}
+
+impl Keeper {
+    /// Starts the member's replica.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the folder or the address cannot be used.
+    pub fn start(
+        settings: &KeeperSettings,
+        clock: Arc<dyn Clock>,
+        logger: Logger,
+    ) -> eyre::Result<Arc<Self>> {
+        let store = Arc::<Store>::default();
+        let group = GroupSpec {
+            id: GroupId::CONFIG,
+            members: settings.seeds.clone(),
+            machine: Box::new(Machine::new(Arc::clone(&store))),
+        };
+        let host = Arc::new(Host::start(HostOptions {
+            settings: settings.group(),
+            name: settings.name.clone(),
+            groups: vec![group],
+            log: logger.clone(),
+            events: Arc::new(Recorder::new(&settings.name, Arc::clone(&clock), EVENTS)),
+            clock: Arc::clone(&clock),
+        })?);
+        Ok(Arc::new(Self {
+            name: settings.name.as_str().into(),
+            log: Arc::clone(&host) as Arc<dyn Log>,
+            host,
+            store,
+            clock,
+            logger,
+            shared: Mutex::default(),
+        }))
+    }
+
+    /// Answers polls on an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn listen(self: &Arc<Self>, address: &str) -> eyre::Result<Server> {
+        let keeper = Arc::clone(self);
+        let runtime = Handle::current();
+        Server::start(address, move |request, call| {
+            keeper.take(&runtime, request, call);
+        })
+    }
+
+    fn take(self: &Arc<Self>, runtime: &Handle, request: Request, call: Call) {
+        let poll = match request {
+            Request::Site(bytes) => codec::decode::<Poll>(&bytes).ok(),
+            Request::Claims(_)
+            | Request::Health(_)
+            | Request::Poll(_)
+            | Request::Propose(..)
+            | Request::Status => None,
+        };
+        let Some(poll) = poll else {
+            call.answer(&unavailable("this member keeps a site's document", true));
+            return;
+        };
+        let keeper = Arc::clone(self);
+        runtime.spawn(async move {
+            let response = match keeper.poll(poll).await {
+                Ok(reply) => Response::Site(codec::encode(&reply).into()),
+                Err(error) => unavailable(&error.to_string(), false),
+            };
+            call.answer(&response);
+        });
+    }
+
+    /// Answers a poll.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no quorum confirms what is in force.
+    pub async fn poll(&self, poll: Poll) -> Result<PollReply, LogError> {
+        self.log.barrier(GroupId::CONFIG).await?;
+        let leader = self.log.leader(GroupId::CONFIG);
+        let now = self.clock.now();
+        let entries = self.note_entry(now, &poll, leader.here);
+        let members = self.members();
+        Ok(self.store.read(|state| {
+            let (document, content) = match &state.document {
+                Some((index, held)) if *index != poll.document => {
+                    (*index, Some(held.document.clone()))
+                }
+                Some((index, _)) => (*index, None),
+                None => (Index::default(), None),
+            };
+            let fleet = (state.fleet.index != poll.fleet).then(|| (*state.fleet).clone());
+            PollReply {
+                document,
+                content,
+                fleet,
+                leads: leader.here,
+                leader: leader.name,
+                members,
+                entries,
+            }
+        }))
+    }
+
+    fn note_entry(&self, now: Mono, poll: &Poll, leads: bool) -> u32 {
+        if !leads {
+            return 0;
+        }
+        let rollouts = self.store.read(|state| state.fleet.rollouts.clone());
+        let mut shared = self.shared();
+        shared.judge.add(&rollouts, &poll.outcomes);
+        shared.entries.insert(Arc::clone(&poll.name), now);
+        shared
+            .entries
+            .retain(|_, at| now.since(*at) < ENTRY_SILENCE);
+        shared.entries.len() as u32
+    }
+
+    fn members(&self) -> Vec<Name> {
+        let groups = self.host.status();
+        let members = groups.into_iter().flat_map(|group| group.members);
+        members.map(|member| member.name).collect()
+    }
+
+    fn shared(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn propose(&self, command: &Command) -> Result<Reply, LogError> {
+        let answer = self
+            .log
+            .propose(GroupId::CONFIG, codec::encode(command))
+            .await?;
+        codec::decode(&answer).map_err(|_undecodable| LogError::Unknown)
+    }
+
+    /// Puts a document in force, unless a higher number is.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the document is faulty or no quorum took it.
+    pub async fn submit(&self, document: Document, source: Vec<u8>) -> Result<Reply, Refusal> {
+        let faults = document.check();
+        if !faults.is_empty() {
+            return Err(Refusal::Faulty(faults));
+        }
+        let number = document.number;
+        let submission = Submission { document, source };
+        let outcome = self.propose(&Command::Submit(Box::new(submission))).await;
+        info!(self.logger, "site: document submitted";
+            "number" => number, "outcome" => format!("{outcome:?}"));
+        Ok(outcome?)
+    }
+
+    /// Returns the document in force as it was sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no quorum confirms it.
+    pub async fn read(&self) -> Result<Option<Arc<Submission>>, Refusal> {
+        self.log.barrier(GroupId::CONFIG).await?;
+        let document = self.store.read(|state| state.document.clone());
+        Ok(document.map(|(_, submission)| submission))
+    }
+
+    /// Begins a roll-out, or acknowledges the same order again.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no quorum took it.
+    pub async fn roll_out(
+        &self,
+        service: Name,
+        target: Name,
+        duration: Duration,
+    ) -> Result<Reply, Refusal> {
+        info!(self.logger, "site: roll-out ordered"; "service" => &*service, "target" => &*target);
+        let command = Command::Begin {
+            service,
+            target,
+            duration: duration.as_millis() as u64,
+            wall: self.wall_ms(),
+        };
+        Ok(self.propose(&command).await?)
+    }
+
+    /// Returns a service's latest roll-out.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no quorum confirms it.
+    pub async fn rollout(&self, service: &str) -> Result<Option<Rollout>, Refusal> {
+        self.log.barrier(GroupId::CONFIG).await?;
+        let found = |state: &super::state::State| state.fleet.rollouts.get(service).cloned();
+        Ok(self.store.read(found))
+    }
+
+    /// Takes a data centre out, or back.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no quorum took it.
+    pub async fn evacuate(&self, centre: Name, out: bool) -> Result<Reply, Refusal> {
+        info!(self.logger, "site: evacuation ordered"; "centre" => &*centre, "out" => out);
+        Ok(self.propose(&Command::Evacuate { centre, out }).await?)
+    }
+
+    /// Gives up leadership and stops the replica.
+    pub fn stop(&self) {
+        self.host.stop();
+    }
+
+    fn wall_ms(&self) -> u64 {
+        self.clock.wall_micros() / 1_000
+    }
+
+    /// Runs the leader's tasks for ever.
+    pub async fn lead(self: Arc<Self>, inventory: Arc<dyn Inventory>, period: Duration) {
+        let mut listed = Mono::default();
+        loop {
+            tokio::time::sleep(TURN).await;
+            if !self.log.leader(GroupId::CONFIG).here {
+                *self.shared() = Shared::default();
+                continue;
+            }
+            self.step_rollouts().await;
+            let now = self.clock.now();
+            if now.since(listed) >= period {
+                listed = now;
+                let reading = self.read_list(&*inventory);
+                if tokio::time::timeout(period * 2, reading).await.is_err() {
+                    warn!(self.logger, "site: the list of backend servers is late");
+                }
+            }
+        }
+    }
+
+    async fn step_rollouts(&self) {
+        let rollouts = self.store.read(|state| state.fleet.rollouts.clone());
+        let steps = self.shared().judge.steps(self.wall_ms(), &rollouts);
+        for step in steps {
+            info!(self.logger, "site: roll-out step"; "service" => &*step.service,
+                "stage" => format!("{:?}", step.stage), "permille" => step.permille);
+            if let Err(error) = self.propose(&Command::Step(step)).await {
+                warn!(self.logger, "site: roll-out step not committed"; "error" => %error);
+            }
+        }
+    }
+
+    async fn read_list(&self, inventory: &dyn Inventory) {
+        let mut backends = match inventory.list().await {
+            Ok(backends) => backends,
+            Err(error) => {
+                warn!(self.logger, "site: the list of backend servers cannot be read";
+                    "error" => format!("{error:#}"));
+                return;
+            }
+        };
+        let same = self.store.read(|state| {
+            settle(&state.fleet.backends, &mut backends);
+            state.fleet.backends == backends
+        });
+        if same {
+            return;
+        }
+        info!(self.logger, "site: backend servers changed"; "count" => backends.len());
+        if let Err(error) = self.propose(&Command::Backends(backends)).await {
+            warn!(self.logger, "site: backend servers not committed"; "error" => %error);
+        }
+    }
+
+    /// Returns this member's name.
+    #[must_use]
+    pub const fn name(&self) -> &Name {
+        &self.name
+    }
+}
+
+fn unavailable(reason: &str, refused: bool) -> Response {
+    Response::Unavailable {
+        reason: reason.to_owned(),
+        refused,
+    }
+}
--- a/src/cardamomtally/util/log.rs
+++ b/src/cardamomtally/util/log.rs
@@ -7,7 +7,7 @@
 use crate::settings::common::{Level, LogForm, LogSettings};
 use slog::{Drain, Logger, o};
 use slog_async::OverflowStrategy;
-use std::io::{IsTerminal as _, stderr};
+use std::io::{IsTerminal as _, stderr, stdout};
 
 /// Log lines that may wait to be written.
 const QUEUE_LINES: usize = 4_096;
@@ -29,6 +29,12 @@
     logger(drain, level, process)
 }
 
+/// Builds a logger that writes JSON lines to standard output.
+pub fn on_stdout(level: Level, process: &str) -> Logger {
+    let drain = slog_json::Json::default(stdout()).fuse();
+    logger(drain, slog_level(level), process)
+}
+
 /// Builds a logger that writes nothing.
 pub fn discard() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/tests/testsuite/replica/live.rs
+++ b/tests/testsuite/replica/live.rs
@@ -136,6 +136,8 @@
             members: members.collect(),
             bind_poll: None,
             bind_peer: Some("127.0.0.1:0".to_owned()),
+            peer_port: None,
+            form: true,
             heartbeat: Span::ms(100),
             election: Span::ms(500),
             snapshot_entries: self.snapshot_entries,
