--- a/src/cardamomtally/direct/plain.rs
+++ b/src/cardamomtally/direct/plain.rs
@@ -200,6 +200,9 @@
 
     /// Allows another attempt, or ends the request.
     fn go_on(&self, app: &App, call: &Call, cause: Cause) -> Result<(), Refusal> {
+        if call.left(app.clock.now()) < LEAST {
+            return Err(self.give_up(StatusCode::GATEWAY_TIMEOUT, "no time is left"));
+        }
         let may_repeat = self.runs == 0 || call.route.class.repeats();
         if !may_repeat {
             return Err(self.give_up(StatusCode::BAD_GATEWAY, "the backend server failed"));
--- a/src/cardamomtally/direct/stream.rs
+++ b/src/cardamomtally/direct/stream.rs
@@ -261,6 +261,9 @@
     }
 
     fn may_go_on(&self, cause: Cause) -> Result<(), Refusal> {
+        if self.call.left(self.app.clock.now()) < LEAST {
+            return Err(self.give_up(StatusCode::GATEWAY_TIMEOUT, "no time is left"));
+        }
         if self.runs > 0 && !self.call.route.class.repeats() {
             return Err(self.give_up(StatusCode::BAD_GATEWAY, "the backend server failed"));
         }
@@ -369,9 +372,6 @@
             self.failed(source.choice);
         }
         self.app.note_end(&self.call, why, self.runs, self.last);
-        if self.call.left(self.app.clock.now()) < LEAST {
-            return Err("no time is left".into());
-        }
         if self.reserved.is_none() {
             self.may_go_on(Cause::Failed).map_err(|r| r.detail)?;
         }
--- a/src/cardamomtally/replica/node/membership.rs
+++ b/src/cardamomtally/replica/node/membership.rs
@@ -189,7 +189,8 @@
         let next = self
             .add_learner(now)
             .or_else(|| self.replace_voter(now))
-            .or_else(|| self.drop_learner(now));
+            .or_else(|| self.drop_learner(now))
+            .or_else(|| self.drop_voter(now));
         if let Some((members, note)) = next {
             self.append(Payload::Members(members));
             self.sync_peers(now);
@@ -220,7 +221,7 @@
         let learners = members.iter().filter(|m| !m.voter);
         let ready = learners.into_iter().find(|m| self.is_ready(now, m))?;
         let old = self.configs.voters().find(|m| m.name == ready.name);
-        if let Some(old) = old.or_else(|| self.successor_of(now)) {
+        if let Some(old) = old.or_else(|| self.silent_voter(now)) {
             if !self.is_silent(now, old.id, 1) {
                 return None;
             }
@@ -236,9 +237,9 @@
         Some((promoted.collect(), note))
     }
 
-    /// Returns the voter whose place a learner of another name takes: one that
-    /// has been silent for long, in a group that takes in new names.
-    fn successor_of(&self, now: Mono) -> Option<&Member> {
+    /// Returns a voter that has been silent for long, whose place a learner of
+    /// another name may take, in a group that takes in new names.
+    fn silent_voter(&self, now: Mono) -> Option<&Member> {
         if !self.options.open {
             return None;
         }
@@ -246,6 +247,18 @@
         voters.find(|m| self.is_silent(now, m.id, VOTER_SILENCE_ELECTIONS))
     }
 
+    /// Removes a voter that has been silent for long where more vote than the
+    /// group began with: a newcomer was faster than the silence.
+    fn drop_voter(&self, now: Mono) -> Option<(Members, String)> {
+        if self.configs.voters().count() <= self.options.members.len() {
+            return None;
+        }
+        let gone = self.silent_voter(now)?;
+        let kept = self.configs.members().iter().filter(|m| m.id != gone.id);
+        let note = format!("removed {} ({}), which is silent", gone.name, gone.id);
+        Some((kept.cloned().collect(), note))
+    }
+
     /// Tells whether a learner answers and holds everything committed.
     fn is_ready(&self, now: Mono, learner: &Member) -> bool {
         let peer = self.lead.as_ref().and_then(|l| l.peers.get(&learner.id));
--- a/src/cardamomtally/site/keeper.rs
+++ b/src/cardamomtally/site/keeper.rs
@@ -11,7 +11,7 @@
     judge::Judge,
     poll::{Poll, PollReply},
     rollout::Rollout,
-    state::{Command, Machine, Reply, Store, Submission},
+    state::{Command, Fleet, Machine, Reply, Store, Submission},
 };
 use crate::{
     core::log::{Log, LogError},
@@ -21,7 +21,7 @@
         wire::{Request, Response},
     },
     prelude::*,
-    replica::host::{GroupSpec, Host, HostOptions},
+    replica::host::{GroupSpec, Host, HostOptions, MemberStatus, Standing},
     settings::{
         control::{GroupSettings, MemberSettings},
         units::{Size, Span},
@@ -126,7 +126,6 @@
 /// A member that keeps a site's document.
 #[derive(Debug)]
 pub struct Keeper {
-    name: Name,
     log: Arc<dyn Log>,
     host: Arc<Host>,
     store: Arc<Store>,
@@ -168,7 +167,6 @@
             clock: Arc::clone(&clock),
         })?);
         Ok(Arc::new(Self {
-            name: settings.name.as_str().into(),
             log: Arc::clone(&host) as Arc<dyn Log>,
             host,
             store,
@@ -413,10 +411,18 @@
         }
     }
 
-    /// Returns this member's name.
+    /// Returns the members that vote, as this one sees them.
     #[must_use]
-    pub const fn name(&self) -> &Name {
-        &self.name
+    pub fn voters(&self) -> Vec<MemberStatus> {
+        let groups = self.host.status();
+        let members = groups.into_iter().flat_map(|group| group.members);
+        members.filter(|m| m.standing == Standing::Voter).collect()
+    }
+
+    /// Returns the fleet as this member has applied it.
+    #[must_use]
+    pub fn fleet(&self) -> Arc<Fleet> {
+        self.store.read(|state| Arc::clone(&state.fleet))
     }
 }
 
--- /dev/null
+++ b/tests/testsuite/direct/callers.rs
@@ -0,0 +1,162 @@
+//! Callers' connections: limits that change, planned stops, broken requests.
+
+use super::fixtures::{Act, Entry, Server, answer, connect, read_answer, reply, request};
+use crate::{site::fixtures::document, support::wait::eventually};
+use cardamomtally::{prelude::*, site::document::Class};
+use std::{
+    io::{Read as _, Write as _},
+    net::TcpStream,
+    sync::atomic::Ordering,
+};
+
+fn server() -> Server {
+    Server::start("i-1", |seen, _| vec![answer(seen, "200 OK", "", "done")])
+}
+
+fn limited(change: impl FnOnce(&mut cardamomtally::site::document::Limits)) -> Entry {
+    let mut document = document(1, Class::Once);
+    change(&mut document.limits);
+    Entry::with(document, &[])
+}
+
+/// Waits until the entry closes a connection.
+fn ends(stream: &mut TcpStream) -> bool {
+    matches!(stream.read(&mut [0; 64]), Ok(0) | Err(_))
+}
+
+#[test]
+fn connection_carries_many_requests() {
+    let server = server();
+    let entry = Entry::start(Class::Once, &[&server]);
+    let mut caller = entry.connect();
+
+    for number in 0..3 {
+        let text = request(&format!("a-{number}"), "", "").replace("Connection: close\r\n", "");
+        caller.write_all(text.as_bytes()).unwrap();
+        let mut bytes = [0; 2048];
+        let mut got = String::new();
+        while !got.ends_with("done") {
+            let count = caller.read(&mut bytes).unwrap();
+            assert!(count > 0, "closed after {number}: {got}");
+            got.push_str(&String::from_utf8_lossy(&bytes[..count]));
+        }
+        assert!(got.starts_with("HTTP/1.1 200"), "{got}");
+    }
+}
+
+#[test]
+fn idle_connection_is_closed() {
+    let entry = limited(|limits| limits.idle_time = Duration::from_millis(100));
+
+    let mut caller = entry.connect();
+
+    assert!(ends(&mut caller));
+}
+
+#[test]
+fn idle_limit_of_a_new_document_holds_for_open_connections() {
+    let entry = limited(|limits| limits.idle_time = Duration::from_secs(600));
+    let mut caller = entry.connect();
+    let mut next = document(2, Class::Once);
+    next.limits.idle_time = Duration::from_millis(100);
+
+    entry.hold(reply(2, next, vec![]));
+
+    assert!(ends(&mut caller));
+}
+
+#[test]
+fn head_that_does_not_end_closes_its_connection() {
+    let entry = limited(|limits| limits.head_time = Duration::from_millis(100));
+    let mut caller = entry.connect();
+
+    caller
+        .write_all(b"POST /drafts/ HTTP/1.1\r\nHost: si")
+        .unwrap();
+
+    assert!(ends(&mut caller));
+}
+
+#[test]
+fn body_over_the_limit_is_refused_unread() {
+    let entry = limited(|limits| limits.body_bytes = 10);
+
+    let got = entry.ask(&request("a-1", "", "longer than ten bytes"));
+
+    assert_eq!(got.status, 413);
+}
+
+#[test]
+fn head_over_the_limit_is_refused() {
+    let entry = limited(|limits| limits.head_bytes = 8 << 10);
+    let more = format!("X-Long: {}\r\n", "x".repeat(32 << 10));
+
+    let got = entry.ask(&request("a-1", &more, ""));
+
+    assert_eq!(got.status, 431);
+}
+
+#[test]
+fn request_that_hides_another_runs_as_one_or_not_at_all() {
+    let server = server();
+    let entry = Entry::start(Class::Once, &[&server]);
+    let hidden = request("a-2", "", "");
+    let text = request("a-1", "Transfer-Encoding: chunked\r\n", "").replace(
+        "Content-Length: 0\r\n\r\n",
+        &format!(
+            "Content-Length: {}\r\n\r\n0\r\n\r\n{hidden}",
+            hidden.len() + 5
+        ),
+    );
+
+    entry.ask(&text);
+
+    let seen = server.seen();
+    assert!(seen.len() <= 1, "{seen:?}");
+    assert!(
+        seen.iter()
+            .all(|s| !s.head.contains("a-2") && s.body.is_empty())
+    );
+}
+
+#[test]
+fn chunked_body_is_passed_on_with_its_length() {
+    let server = server();
+    let entry = Entry::start(Class::Once, &[&server]);
+    let text = request("a-1", "Transfer-Encoding: chunked\r\n", "")
+        .replace("Content-Length: 0\r\n\r\n", "\r\n5\r\nhello\r\n0\r\n\r\n");
+
+    let got = entry.ask(&text);
+
+    assert_eq!(got.status, 200);
+    assert_eq!(server.seen()[0].body, "hello");
+}
+
+#[test]
+fn planned_stop_is_told_at_once_and_cuts_nothing() {
+    let server = Server::start("i-1", |seen, _| {
+        let pause = Act::Wait(Duration::from_millis(500));
+        vec![pause, answer(seen, "200 OK", "", "done")]
+    });
+    let entry = Entry::start(Class::Once, &[&server]);
+    let ready = || {
+        let mut stream = connect(entry.health);
+        let text = "GET /health/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        stream.write_all(text.as_bytes()).unwrap();
+        read_answer(&mut stream).status
+    };
+    assert_eq!(ready(), 200);
+
+    let text = request("a-1", "", "").replace("Connection: close\r\n", "");
+    let mut caller = entry.connect();
+    caller.write_all(text.as_bytes()).unwrap();
+    eventually("it runs", || server.seen().len() == 1);
+    entry.app.stopping.store(true, Ordering::Release);
+    assert_eq!(ready(), 503);
+    entry.close.send_replace(true);
+
+    let got = read_answer(&mut caller);
+    assert_eq!((got.status, got.body.as_str()), (200, "done"));
+    assert_eq!(got.header("connection"), Some("close"));
+    eventually("nothing is in flight", || entry.running() == 0);
+}
--- /dev/null
+++ b/tests/testsuite/direct/choice.rs
@@ -0,0 +1,205 @@
+//! The choice among backend servers.
+
+use crate::site::fixtures::{SERVICE, backend};
+use cardamomtally::{
+    core::clock::SystemClock,
+    direct::{
+        holder::Held,
+        registry::{Choice, NoChoice, Registry, Wanted},
+    },
+    prelude::*,
+    site::{
+        backend::Backend,
+        document::Service,
+        rollout::{Rollout, Stage},
+        state::Fleet,
+    },
+};
+
+fn registry() -> Arc<Registry> {
+    let clock = Arc::new(SystemClock::default());
+    Arc::new(Registry::new(clock, "north".into()))
+}
+
+fn fleet(names: &[&str]) -> Fleet {
+    let address = "127.0.0.1:9".parse().unwrap();
+    Fleet {
+        backends: names.iter().map(|n| backend(n, address)).collect(),
+        ..Fleet::default()
+    }
+}
+
+fn held(fleet: Fleet) -> Held {
+    Held {
+        fleet: Arc::new(fleet),
+        entries: 1,
+        ..Held::default()
+    }
+}
+
+fn service() -> Service {
+    Service {
+        name: SERVICE.into(),
+        ..Service::default()
+    }
+}
+
+fn choose(
+    registry: &Arc<Registry>,
+    held: &Held,
+    session: u64,
+    tried: &[Name],
+) -> Result<Choice, NoChoice> {
+    let wanted = Wanted {
+        service: &service(),
+        session,
+        prefix: None,
+        tried,
+    };
+    registry.choose(held, &wanted)
+}
+
+fn change(fleet: &mut Fleet, at: usize, change: impl FnOnce(&mut Backend)) {
+    change(&mut fleet.backends[at]);
+}
+
+#[test]
+fn requests_spread_by_what_is_in_flight() {
+    let (registry, held) = (registry(), held(fleet(&["i-1", "i-2", "i-3"])));
+
+    let choices: Vec<_> = (0..6)
+        .map(|n| choose(&registry, &held, n, &[]).unwrap())
+        .collect();
+
+    for instance in ["i-1", "i-2", "i-3"] {
+        let count = choices.iter().filter(|c| *c.backend.instance == *instance);
+        assert_eq!(count.count(), 2, "{instance}");
+    }
+}
+
+#[test]
+fn leaving_evacuated_and_tried_backend_servers_get_nothing() {
+    let mut fleet = fleet(&["i-1", "i-2", "i-3", "i-4"]);
+    change(&mut fleet, 0, |b| b.ready = false);
+    change(&mut fleet, 1, |b| b.centre = "south".into());
+    fleet.out.insert("south".into());
+    let (registry, held) = (registry(), held(fleet));
+
+    let tried = [Name::from("i-3")];
+    let choices: Vec<_> = (0..5)
+        .map(|n| choose(&registry, &held, n, &tried).unwrap())
+        .collect();
+
+    assert!(choices.iter().all(|c| &*c.backend.instance == "i-4"));
+    let all = [Name::from("i-3"), Name::from("i-4")];
+    assert_eq!(
+        choose(&registry, &held, 9, &all).err(),
+        Some(NoChoice::None)
+    );
+}
+
+#[test]
+fn nearer_one_is_taken_until_it_is_busier() {
+    let mut fleet = fleet(&["near", "far"]);
+    change(&mut fleet, 1, |b| b.centre = "south".into());
+    let (registry, held) = (registry(), held(fleet));
+
+    let first = choose(&registry, &held, 1, &[]).unwrap();
+    let second = choose(&registry, &held, 2, &[]).unwrap();
+
+    assert_eq!(&*first.backend.instance, "near");
+    assert_eq!(&*second.backend.instance, "far");
+}
+
+#[test]
+fn failing_one_is_left_alone_for_a_while() {
+    let (registry, held) = (registry(), held(fleet(&["i-1"])));
+    for _ in 0..2 {
+        choose(&registry, &held, 1, &[]).unwrap().bad();
+    }
+
+    let refused = choose(&registry, &held, 1, &[]).err();
+
+    assert_eq!(refused, Some(NoChoice::Busy));
+}
+
+#[test]
+fn cold_one_gets_this_entrys_share_of_its_rate() {
+    let mut fleet = fleet(&["i-1"]);
+    change(&mut fleet, 0, |b| b.cold_until = u64::MAX);
+    let held = Held {
+        entries: 4,
+        ..held(fleet)
+    };
+    let service = Service {
+        cold_rate: 2.0,
+        ..service()
+    };
+    let registry = registry();
+    let wanted = Wanted {
+        service: &service,
+        session: 1,
+        prefix: None,
+        tried: &[],
+    };
+
+    let first = registry.choose(&held, &wanted).map(drop);
+    let second = registry.choose(&held, &wanted).map(drop);
+
+    assert_eq!((first, second), (Ok(()), Err(NoChoice::Busy)));
+}
+
+#[test]
+fn rollout_decides_the_version_of_a_session() {
+    let mut fleet = fleet(&["old", "new"]);
+    change(&mut fleet, 1, |b| b.version = "v2".into());
+    let version_at = |stage, permille| {
+        let rollout = Rollout {
+            stage,
+            permille,
+            ..Rollout::new("v2".into(), 1, 0)
+        };
+        let mut fleet = fleet.clone();
+        fleet.rollouts.insert(SERVICE.into(), rollout);
+        let held = held(fleet);
+        let choice = choose(&registry(), &held, 7, &[]);
+        choice.map(|c| c.backend.version.to_string())
+    };
+
+    assert_eq!(version_at(Stage::Running, 0).as_deref(), Ok("v1"));
+    assert_eq!(version_at(Stage::Running, 1000).as_deref(), Ok("v2"));
+    assert_eq!(version_at(Stage::RolledBack, 0).as_deref(), Ok("v1"));
+    assert_eq!(version_at(Stage::Completed, 1000).as_deref(), Ok("v2"));
+}
+
+#[test]
+fn version_that_was_rolled_back_gets_nothing_even_alone() {
+    let mut fleet = fleet(&["new"]);
+    change(&mut fleet, 0, |b| b.version = "v2".into());
+    let rollout = Rollout {
+        stage: Stage::RolledBack,
+        ..Rollout::new("v2".into(), 1, 0)
+    };
+    fleet.rollouts.insert(SERVICE.into(), rollout);
+
+    let refused = choose(&registry(), &held(fleet), 7, &[]).err();
+
+    assert_eq!(refused, Some(NoChoice::None));
+}
+
+#[test]
+fn prompts_that_begin_alike_go_to_one_backend_server() {
+    let (registry, held) = (registry(), held(fleet(&["i-1", "i-2", "i-3"])));
+    let service = service();
+    let wanted = Wanted {
+        service: &service,
+        session: 1,
+        prefix: Some((77, 4_000)),
+        tried: &[],
+    };
+
+    let first = registry.choose(&held, &wanted).unwrap();
+    let second = registry.choose(&held, &wanted).unwrap();
+
+    assert_eq!(first.backend.instance, second.backend.instance);
+}
--- /dev/null
+++ b/tests/testsuite/direct/held.rs
@@ -0,0 +1,193 @@
+//! What an entry holds, and until when.
+
+use super::fixtures::{Entry, FakeKeeper, Server, answer, reply, request};
+use crate::{site::fixtures::document, support::wait::eventually};
+use cardamomtally::{
+    core::clock::{SOURCE, SystemClock},
+    direct::{
+        holder::{Held, Holder, HolderSettings},
+        outcomes::Counts,
+    },
+    prelude::*,
+    site::{document::Class, poll::PollReply},
+    util::log,
+};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// A clock that a test sets, in milliseconds.
+#[derive(Debug, Default)]
+struct SetClock(AtomicU64);
+
+impl Clock for SetClock {
+    fn now(&self) -> Mono {
+        Mono(self.0.load(Ordering::Acquire) * 1_000)
+    }
+
+    fn wall_micros(&self) -> u64 {
+        0
+    }
+}
+
+fn holder(clock: Arc<dyn Clock>) -> Holder {
+    let settings = HolderSettings {
+        lease: Duration::from_secs(4),
+        ..HolderSettings::default()
+    };
+    let keeper = Arc::<FakeKeeper>::default();
+    Holder::new(
+        settings,
+        keeper,
+        Arc::<Counts>::default(),
+        clock,
+        log::discard(),
+    )
+}
+
+fn at(ms: u64) -> Mono {
+    Mono(ms * 1_000)
+}
+
+#[test]
+fn lease_runs_from_the_sending_of_the_poll() {
+    let clock = Arc::<SetClock>::default();
+    let holder = holder(Arc::clone(&clock) as Arc<dyn Clock>);
+
+    holder.apply(
+        &Held::default(),
+        at(1_000),
+        reply(3, document(1, Class::Once), vec![]),
+    );
+
+    let held = holder.held();
+    assert!(held.is_valid(at(4_999)));
+    assert!(!held.is_valid(at(5_000)));
+}
+
+#[test]
+fn lease_ends_during_a_suspension() {
+    let clock = Arc::<SetClock>::default();
+    let holder = holder(Arc::clone(&clock) as Arc<dyn Clock>);
+    holder.apply(
+        &Held::default(),
+        at(0),
+        reply(3, document(1, Class::Once), vec![]),
+    );
+    assert!(holder.held().is_valid(clock.now()));
+
+    clock.0.store(60_000, Ordering::Release);
+
+    assert!(!holder.held().is_valid(clock.now()));
+}
+
+#[test]
+fn system_clock_counts_suspensions() {
+    assert_eq!(SOURCE, nix::time::ClockId::CLOCK_BOOTTIME);
+    let clock = SystemClock::default();
+
+    let (first, second) = (clock.now(), clock.now());
+
+    assert!(first <= second);
+}
+
+#[test]
+fn older_document_is_never_applied() {
+    let holder = holder(Arc::<SetClock>::default());
+    holder.apply(
+        &Held::default(),
+        at(0),
+        reply(9, document(7, Class::Once), vec![]),
+    );
+
+    let held = holder.held();
+    holder.apply(&held, at(10), reply(8, document(6, Class::Once), vec![]));
+
+    let number = holder.held().table.as_ref().map(|t| t.number);
+    assert_eq!(number, Some(7));
+}
+
+#[test]
+fn entry_without_a_document_refuses_truthfully_and_denies_nothing() {
+    let entry = Entry::bare(Duration::from_secs(60));
+
+    let got = entry.ask(&request("a-1", "", ""));
+
+    assert_eq!(got.status, 503);
+    assert_eq!(got.header("x-cardamomtally-verdict"), Some("not-run"));
+    assert!(got.header("retry-after").is_some());
+}
+
+#[test]
+fn unknown_route_and_key_are_told_apart() {
+    let entry = Entry::start(Class::Once, &[]);
+
+    let route = entry.ask(&request("a-1", "", "").replace("/drafts/", "/none/"));
+    let key = entry.ask(&request("a-2", "", "").replace("key-1", "key-9"));
+    let none = entry.ask(&request("a-3", "", ""));
+
+    assert_eq!((route.status, key.status, none.status), (404, 401, 503));
+}
+
+#[test]
+fn entry_whose_lease_is_over_runs_nothing_and_denies_nothing() {
+    let server = Server::start("i-1", |seen, _| vec![answer(seen, "200 OK", "", "done")]);
+    let entry = Entry::bare(Duration::from_millis(300));
+    entry.hold(reply(1, document(1, Class::Once), vec![server.backend()]));
+    assert_eq!(entry.ask(&request("a-1", "", "")).status, 200);
+
+    entry.keeper.set(None);
+    eventually("the lease is over", || !entry.app.is_ready());
+
+    assert_eq!(entry.ask(&request("a-2", "", "")).status, 503);
+    let unknown = request("a-3", "", "").replace("key-1", "key-9");
+    assert_eq!(entry.ask(&unknown).status, 503);
+    assert_eq!(server.seen().len(), 1);
+}
+
+#[test]
+fn new_document_is_in_force_at_the_next_poll() {
+    let server = Server::start("i-1", |seen, _| vec![answer(seen, "200 OK", "", "done")]);
+    let entry = Entry::start(Class::Once, &[&server]);
+    let mut next = document(2, Class::Once);
+    next.workspaces[0].keys = vec!["key-2".into()];
+
+    entry.hold(reply(2, next, vec![server.backend()]));
+
+    assert_eq!(entry.ask(&request("a-1", "", "")).status, 401);
+}
+
+#[test]
+fn outcomes_stay_until_a_leader_takes_them() {
+    let counts = Counts::default();
+    let name = |text: &str| Name::from(text);
+    let add = |first| counts.add(&name("r"), &name("s"), &name("v1"), first);
+    add(Some(Duration::from_millis(40)));
+    let taken = counts.take();
+    add(None);
+
+    counts.put_back(taken);
+
+    let all = counts.take();
+    assert_eq!(all.len(), 1);
+    assert_eq!((all[0].good, all[0].bad, all[0].first), (1, 1, 40));
+    assert!(counts.take().is_empty());
+}
+
+#[test]
+fn answer_without_changes_renews_the_lease() {
+    let holder = holder(Arc::<SetClock>::default());
+    holder.apply(
+        &Held::default(),
+        at(0),
+        reply(3, document(1, Class::Once), vec![]),
+    );
+    let held = holder.held();
+
+    let same = PollReply {
+        document: Index(3),
+        ..PollReply::default()
+    };
+    holder.apply(&held, at(2_000), same);
+
+    assert!(holder.held().is_valid(at(5_900)));
+    assert_eq!(holder.held().document, Index(3));
+}
--- /dev/null
+++ b/tests/testsuite/direct/mod.rs
@@ -0,0 +1,10 @@
+//! Entries that call backend servers themselves.
+
+mod callers;
+mod cascade;
+mod choice;
+mod fixtures;
+mod held;
+mod once;
+mod parts;
+mod streams;
--- /dev/null
+++ b/tests/testsuite/direct/once.rs
@@ -0,0 +1,233 @@
+//! What runs at most once, what may be repeated, and what refusals say.
+
+use super::fixtures::{Act, Entry, Server, answer, header, request};
+use crate::support::wait::eventually;
+use cardamomtally::{prelude::*, site::document::Class};
+use std::{io::Write as _, net::TcpListener};
+
+fn good(instance: &str) -> Server {
+    Server::start(instance, |seen, _| vec![answer(seen, "200 OK", "", "done")])
+}
+
+fn breaking(instance: &str) -> Server {
+    Server::start(instance, |_, _| vec![Act::Close])
+}
+
+fn refusing(instance: &str) -> Server {
+    Server::start(instance, |seen, _| {
+        let more = "Cardamomtally-Unexecuted: 1\r\n";
+        vec![answer(seen, "503 Busy", more, "")]
+    })
+}
+
+/// Returns a server that is gone: its address refuses connections.
+fn gone(instance: &str) -> Server {
+    let mut server = good(instance);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    server.addr = listener.local_addr().unwrap();
+    server
+}
+
+#[test]
+fn answer_comes_back_unchanged() {
+    let server = good("i-1");
+    let entry = Entry::start(Class::Once, &[&server]);
+
+    let got = entry.ask(&request("a-1", "", "hello"));
+
+    assert_eq!((got.status, got.body.as_str()), (200, "done"));
+    assert_eq!(got.header("cardamomtally-signature"), Some("s-1"));
+    assert_eq!(got.header("cardamomtally-attempt"), Some("a-1"));
+}
+
+#[test]
+fn backend_server_gets_the_request_less_what_is_the_entrys_to_set() {
+    let server = good("i-1");
+    let entry = Entry::start(Class::Once, &[&server]);
+
+    let more = "Cardamomtally-Workspace: forged\r\nCardamomtally-Instance: forged\r\n\
+                Cardamomtally-Priority: 0\r\nX-Own: kept\r\nKeep-Alive: timeout=9\r\n";
+    entry.ask(&request("a-1", more, "hello"));
+
+    let seen = server.seen().remove(0);
+    assert!(seen.head.starts_with("POST /drafts/one?x=1 HTTP/1.1\r\n"));
+    assert_eq!(seen.body, "hello");
+    let of = |name| header(&seen.head, name);
+    assert_eq!(of("cardamomtally-key"), None);
+    assert_eq!(of("cardamomtally-workspace"), Some("studio"));
+    assert_eq!(of("cardamomtally-instance"), Some("i-1"));
+    assert_eq!(of("keep-alive"), None);
+    assert_eq!(of("x-own"), Some("kept"));
+    assert_eq!(of("host"), Some("site.example"));
+    let left: u64 = of("cardamomtally-deadline").unwrap().parse().unwrap();
+    assert!(left <= 9_000, "{left} ms of 9000");
+}
+
+#[test]
+fn request_that_may_have_run_is_not_run_again() {
+    let (first, second) = (breaking("i-1"), breaking("i-2"));
+    let entry = Entry::start(Class::Once, &[&first, &second]);
+
+    let got = entry.ask(&request("a-1", "", ""));
+
+    assert_eq!(got.status, 502);
+    assert_eq!(got.header("x-cardamomtally-verdict"), Some("unknown"));
+    assert_eq!(first.seen().len() + second.seen().len(), 1);
+}
+
+#[test]
+fn request_that_was_not_sent_goes_elsewhere() {
+    let (first, second) = (gone("i-1"), good("i-2"));
+    let entry = Entry::start(Class::Once, &[&first, &second]);
+
+    for number in 0..4 {
+        let got = entry.ask(&request(&format!("a-{number}"), "", ""));
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+
+    assert_eq!(second.seen().len(), 4);
+}
+
+#[test]
+fn rejected_request_goes_elsewhere_and_is_refused_truthfully() {
+    let (first, second) = (refusing("i-1"), refusing("i-2"));
+    let entry = Entry::start(Class::Once, &[&first, &second]);
+
+    let got = entry.ask(&request("a-1", "", ""));
+
+    assert_eq!(got.status, 503);
+    assert_eq!(got.header("x-cardamomtally-verdict"), Some("not-run"));
+    let retry: f64 = got.header("retry-after").unwrap().parse().unwrap();
+    assert!(retry > 0.0);
+    assert_eq!((first.seen().len(), second.seen().len()), (1, 1));
+}
+
+#[test]
+fn repeatable_request_is_repeated_after_any_failure() {
+    let (first, second) = (breaking("i-1"), good("i-2"));
+    let entry = Entry::start(Class::Repeatable, &[&first, &second]);
+
+    for number in 0..4 {
+        let got = entry.ask(&request(&format!("a-{number}"), "", ""));
+        assert_eq!((got.status, got.body.as_str()), (200, "done"));
+    }
+}
+
+#[test]
+fn repeatable_request_is_tried_elsewhere_when_an_answer_is_late() {
+    let slow = Server::start("i-1", |_, _| vec![Act::AwaitClose]);
+    let fast = good("i-2");
+    let entry = Entry::start(Class::Repeatable, &[&slow, &fast]);
+    let text = |n| request(&format!("a-{n}"), "", "").replace("Deadline: 9000", "Deadline: 3000");
+
+    for number in 0..3 {
+        assert_eq!(entry.ask(&text(number)).status, 200);
+    }
+
+    let waiting = slow.seen().len() as u32;
+    eventually("the late work is cancelled", || slow.closed() == waiting);
+}
+
+#[test]
+fn failure_of_the_last_backend_server_is_passed_on_as_it_is() {
+    let server = Server::start("i-1", |seen, _| {
+        vec![answer(seen, "500 Broken", "", "its own words")]
+    });
+    let entry = Entry::start(Class::Repeatable, &[&server]);
+
+    let got = entry.ask(&request("a-1", "", ""));
+
+    assert_eq!((got.status, got.body.as_str()), (500, "its own words"));
+    assert_eq!(got.header("cardamomtally-signature"), Some("s-1"));
+}
+
+#[test]
+fn answer_of_another_request_reaches_no_caller() {
+    let server = Server::start("i-1", |_, _| {
+        let text = "HTTP/1.1 200 OK\r\nCardamomtally-Attempt: a-other\r\n\
+                    Cardamomtally-Signature: s-1\r\nContent-Length: 6\r\n\r\nsecret";
+        vec![Act::Send(text.to_owned())]
+    });
+    let entry = Entry::start(Class::Once, &[&server]);
+
+    let got = entry.ask(&request("a-1", "", ""));
+
+    assert_eq!(got.status, 502);
+    assert!(!got.body.contains("secret"), "{}", got.body);
+}
+
+#[test]
+fn second_answer_on_a_connection_reaches_no_caller() {
+    let server = Server::start("i-1", |seen, _| {
+        let extra = Act::Send("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecret".to_owned());
+        vec![answer(seen, "200 OK", "", "done"), extra]
+    });
+    let entry = Entry::start(Class::Repeatable, &[&server]);
+
+    for number in 0..3 {
+        let got = entry.ask(&request(&format!("a-{number}"), "", ""));
+        assert!(!got.body.contains("secret"), "{got:?}");
+        assert!(got.status == 502 || got.body == "done", "{got:?}");
+    }
+}
+
+#[test]
+fn unsigned_success_and_encoded_body_are_no_answers() {
+    for more in [
+        "",
+        "Cardamomtally-Signature: s-1\r\nContent-Encoding: gzip\r\n",
+    ] {
+        let server = Server::start("i-1", move |_, _| {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nCardamomtally-Attempt: a-1\r\n{more}Content-Length: 4\r\n\r\nbody"
+            );
+            vec![Act::Send(text)]
+        });
+        let entry = Entry::start(Class::Once, &[&server]);
+
+        assert_eq!(entry.ask(&request("a-1", "", "")).status, 502, "{more:?}");
+    }
+}
+
+#[test]
+fn cut_answer_is_not_passed_on_as_whole() {
+    let server = Server::start("i-1", |seen, _| {
+        let Act::Send(text) = answer(seen, "200 OK", "", "all of it") else {
+            return Vec::new();
+        };
+        vec![Act::Send(text.replace("all of it", "all")), Act::Close]
+    });
+    let entry = Entry::start(Class::Once, &[&server]);
+
+    assert_eq!(entry.ask(&request("a-1", "", "")).status, 502);
+}
+
+#[test]
+fn time_that_is_over_ends_the_request_at_once() {
+    let server = Server::start("i-1", |_, _| vec![Act::AwaitClose]);
+    let entry = Entry::start(Class::Once, &[&server]);
+
+    let text = request("a-1", "", "").replace("Deadline: 9000", "Deadline: 300");
+    let got = entry.ask(&text);
+
+    assert_eq!(got.status, 504);
+    assert_eq!(got.header("x-cardamomtally-verdict"), Some("unknown"));
+}
+
+#[test]
+fn request_that_runs_once_goes_on_when_its_caller_leaves() {
+    let server = Server::start("i-1", |seen, _| {
+        let pause = Act::Wait(Duration::from_millis(400));
+        vec![pause, answer(seen, "200 OK", "", "done")]
+    });
+    let entry = Entry::start(Class::Once, &[&server]);
+
+    let mut caller = entry.connect();
+    caller.write_all(request("a-1", "", "").as_bytes()).unwrap();
+    eventually("it runs", || server.seen().len() == 1);
+    drop(caller);
+    entry.ask(&request("a-2", "", ""));
+
+    assert_eq!(server.seen().len(), 2);
+    assert_eq!(server.closed(), 0);
+}
--- /dev/null
+++ b/tests/testsuite/direct/parts.rs
@@ -0,0 +1,84 @@
+//! Reading prompts, loads and events.
+
+use bytes::Bytes;
+use cardamomtally::direct::{
+    attempt,
+    call::{self, Part},
+    events::Cutter,
+    names::Names,
+};
+use http::{HeaderMap, HeaderValue};
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn headers(name: &'static str, value: &str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(name, HeaderValue::from_str(value).unwrap());
+    headers
+}
+
+#[test]
+fn parts_of_a_prompt_are_read_in_order() {
+    let parts = call::parts("5c1e:800, ff:410");
+
+    let expected = [(0x5c1e, 800), (0xff, 410)].map(|(id, tokens)| Part { id, tokens });
+    assert_eq!(parts, expected);
+}
+
+#[test]
+fn part_that_cannot_be_read_ends_the_list() {
+    assert_eq!(call::parts("aa:1,bb,cc:3").len(), 1);
+    assert!(call::parts("").is_empty());
+}
+
+#[test]
+fn loads_and_tokens_are_read() {
+    let names = Names::default();
+
+    assert_eq!(
+        attempt::load(&names, &headers("cardamomtally-load", "3, 2,8")),
+        Some((3, 2))
+    );
+    assert_eq!(
+        attempt::load(&names, &headers("cardamomtally-load", "x,2,8")),
+        None
+    );
+    assert_eq!(call::tokens("1460,80"), (1460, 80));
+    assert_eq!(call::tokens("nonsense"), (0, 0));
+}
+
+#[test]
+fn kept_connection_is_given_up_before_its_peer_does() {
+    let keep = attempt::keep(&headers("keep-alive", "timeout=2, max=9"));
+
+    assert_eq!(keep, Some(Duration::from_millis(1_400)));
+    assert_eq!(attempt::keep(&HeaderMap::new()), None);
+}
+
+proptest! {
+    #[test]
+    fn events_come_out_whole_however_the_bytes_are_cut(count in 1_u64..8, cuts in prop::collection::vec(1_usize..40, 1..30)) {
+        let text: String = (1..=count).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect();
+        let mut rest = text.as_bytes();
+        let mut cutter = Cutter::default();
+        let (mut joined, mut last) = (Vec::new(), None);
+
+        for cut in cuts.iter().cycle() {
+            let (piece, after) = rest.split_at((*cut).min(rest.len()));
+            rest = after;
+            if let Some(events) = cutter.take(&Bytes::copy_from_slice(piece)).unwrap() {
+                prop_assert!(events.bytes.ends_with(b"\n\n"));
+                prop_assert!(events.first <= events.last);
+                joined.extend_from_slice(&events.bytes);
+                last = events.last;
+            }
+            if rest.is_empty() {
+                break;
+            }
+        }
+
+        prop_assert_eq!(joined, text.into_bytes());
+        prop_assert_eq!(last, Some(count));
+        prop_assert!(!cutter.is_partial());
+    }
+}
--- /dev/null
+++ b/tests/testsuite/direct/streams.rs
@@ -0,0 +1,190 @@
+//! Streams: passed on event by event, resumed, or visibly broken off.
+
+use super::fixtures::{
+    Act, Entry, Server, chunk, dechunk, event, events, header, request, stream_end, stream_head,
+};
+use crate::support::wait::eventually;
+use cardamomtally::{prelude::*, site::document::Class};
+use std::io::{Read as _, Write as _};
+
+fn whole(instance: &str, count: u64) -> Server {
+    Server::start(instance, move |seen, _| {
+        let last = header(&seen.head, "last-event-id").and_then(|l| l.parse().ok());
+        let from = last.unwrap_or(0_u64) + 1;
+        vec![stream_head(seen, ""), events(from..=count), stream_end()]
+    })
+}
+
+fn text_of(count: u64) -> String {
+    (1..=count).map(event).collect()
+}
+
+#[test]
+fn stream_is_passed_on_whole() {
+    let server = whole("i-1", 5);
+    let entry = Entry::start(Class::Stream, &[&server]);
+
+    let got = entry.ask(&request("a-1", "", ""));
+
+    assert_eq!(got.status, 200);
+    assert_eq!(got.header("cardamomtally-signature"), Some("s-1"));
+    assert_eq!(dechunk(&got.body), (text_of(5), true));
+}
+
+#[test]
+fn event_is_passed_on_before_the_next_one_comes() {
+    let server = Server::start("i-1", |seen, _| {
+        vec![stream_head(seen, ""), events(1..=1), Act::AwaitClose]
+    });
+    let entry = Entry::start(Class::Stream, &[&server]);
+
+    let mut caller = entry.connect();
+    caller.write_all(request("a-1", "", "").as_bytes()).unwrap();
+    let mut text = String::new();
+    let mut bytes = [0; 1024];
+    while !text.contains("piece 1") {
+        let count = caller.read(&mut bytes).unwrap();
+        assert!(count > 0, "the stream ended: {text}");
+        text.push_str(&String::from_utf8_lossy(&bytes[..count]));
+    }
+}
+
+#[test]
+fn stream_goes_on_elsewhere_behind_the_last_whole_event() {
+    let breaking = Server::start("i-1", |seen, _| {
+        let half = chunk("id: 4\nda");
+        vec![stream_head(seen, ""), events(1..=3), half, Act::Close]
+    });
+    let whole = whole("i-2", 6);
+    let entry = Entry::start(Class::Resumable, &[&breaking, &whole]);
+
+    let bodies: Vec<_> = (0..4)
+        .map(|n| dechunk(&entry.ask(&request(&format!("a-{n}"), "", "")).body))
+        .collect();
+
+    assert!(
+        bodies.iter().all(|b| *b == (text_of(6), true)),
+        "{bodies:?}"
+    );
+    let resumed = whole.seen();
+    let resumed = resumed
+        .iter()
+        .filter_map(|s| header(&s.head, "last-event-id"));
+    assert!(resumed.clone().count() > 0);
+    assert!(resumed.into_iter().all(|last| last == "3"));
+}
+
+#[test]
+fn stream_that_may_not_go_on_is_visibly_broken_off() {
+    let server = Server::start("i-1", |seen, _| {
+        vec![stream_head(seen, ""), events(1..=3), Act::Close]
+    });
+    let other = whole("i-2", 6);
+    other.noted.lock().unwrap().seen.clear();
+    let entry = Entry::start(Class::Stream, &[&server]);
+
+    let got = entry.ask(&request("a-1", "", ""));
+
+    let (text, ended) = dechunk(&got.body);
+    assert_eq!((text, ended), (text_of(3), false));
+}
+
+#[test]
+fn stream_that_goes_on_at_the_wrong_event_is_broken_off() {
+    let breaking = Server::start("i-1", |seen, _| {
+        vec![stream_head(seen, ""), events(1..=2), Act::Close]
+    });
+    let skipping = Server::start("i-2", |seen, _| {
+        if header(&seen.head, "last-event-id").is_none() {
+            return vec![Act::Close];
+        }
+        vec![stream_head(seen, ""), events(5..=6), stream_end()]
+    });
+    let entry = Entry::start(Class::Resumable, &[&breaking, &skipping]);
+
+    for number in 0..3 {
+        let got = entry.ask(&request(&format!("a-{number}"), "", ""));
+        let (text, ended) = dechunk(&got.body);
+        assert!(!ended, "{text}");
+        assert!(!text.contains("piece 5"), "{text}");
+    }
+}
+
+#[test]
+fn silence_ends_no_stream_where_nothing_else_may_go_on() {
+    let server = Server::start("i-1", |seen, _| {
+        let pause = Act::Wait(Duration::from_millis(900));
+        vec![
+            stream_head(seen, ""),
+            events(1..=1),
+            pause,
+            events(2..=2),
+            stream_end(),
+        ]
+    });
+    let entry = Entry::start(Class::Resumable, &[&server]);
+
+    let got = entry.ask(&request("a-1", "", ""));
+
+    assert_eq!(dechunk(&got.body), (text_of(2), true));
+}
+
+#[test]
+fn silent_stream_goes_on_elsewhere_and_its_first_work_is_cancelled() {
+    let silent = Server::start("i-1", |seen, _| {
+        vec![stream_head(seen, ""), events(1..=2), Act::AwaitClose]
+    });
+    let whole = whole("i-2", 4);
+    let entry = Entry::start(Class::Resumable, &[&silent, &whole]);
+
+    for number in 0..3 {
+        let got = entry.ask(&request(&format!("a-{number}"), "", ""));
+        assert_eq!(dechunk(&got.body), (text_of(4), true));
+    }
+
+    let begun = silent.seen().len() as u32;
+    assert!(begun > 0);
+    eventually("the silent work is cancelled", || silent.closed() == begun);
+}
+
+#[test]
+fn caller_that_leaves_cancels_its_stream() {
+    let server = Server::start("i-1", |seen, _| {
+        vec![stream_head(seen, ""), events(1..=1), Act::AwaitClose]
+    });
+    let entry = Entry::start(Class::Stream, &[&server]);
+
+    let mut caller = entry.connect();
+    caller.write_all(request("a-1", "", "").as_bytes()).unwrap();
+    eventually("it runs", || server.seen().len() == 1);
+    drop(caller);
+
+    eventually("its work is cancelled", || server.closed() == 1);
+    eventually("nothing is in flight", || entry.running() == 0);
+}
+
+#[test]
+fn caller_that_leaves_before_the_first_byte_cancels_its_work() {
+    for class in [Class::Stream, Class::Repeatable] {
+        let server = Server::start("i-1", |_, _| vec![Act::AwaitClose]);
+        let entry = Entry::start(class, &[&server]);
+
+        let mut caller = entry.connect();
+        caller.write_all(request("a-1", "", "").as_bytes()).unwrap();
+        eventually("it runs", || server.seen().len() == 1);
+        drop(caller);
+
+        eventually("its work is cancelled", || server.closed() == 1);
+    }
+}
+
+#[test]
+fn callers_last_event_is_passed_on() {
+    let server = whole("i-1", 5);
+    let entry = Entry::start(Class::Resumable, &[&server]);
+
+    let got = entry.ask(&request("a-1", "Last-Event-Id: 3\r\n", ""));
+
+    let expected: String = (4..=5).map(event).collect();
+    assert_eq!(dechunk(&got.body), (expected, true));
+}
--- /dev/null
+++ b/tests/testsuite/site/fixtures.rs
@@ -0,0 +1,90 @@
+//! Documents, backend servers and outcomes for tests.
+
+use cardamomtally::{
+    prelude::*,
+    site::{
+        backend::Backend,
+        document::{Class, Document, Route, Service, Share, Workspace},
+        poll::Outcomes,
+        rollout::Rollout,
+    },
+};
+use std::{collections::BTreeMap, net::SocketAddr};
+
+/// The service of all routes here.
+pub const SERVICE: &str = "drafts";
+
+/// Returns a route of a class, `/drafts/` at `site.example`.
+pub fn route(class: Class) -> Route {
+    Route {
+        name: "draft".into(),
+        host: "site.example".into(),
+        prefix: "/drafts/".into(),
+        class,
+        timeout: Duration::from_secs(20),
+        target: Duration::from_millis(500),
+        pause: Duration::from_millis(400),
+        shares: vec![share(SERVICE, 1)],
+        attempts: 3,
+        ..Route::default()
+    }
+}
+
+/// Returns a share of a route.
+pub fn share(service: &str, weight: u32) -> Share {
+    Share {
+        service: service.into(),
+        weight,
+    }
+}
+
+/// Returns a document with one route and one workspace.
+pub fn document(number: u64, class: Class) -> Document {
+    Document {
+        number,
+        routes: vec![route(class)],
+        services: vec![Service {
+            name: SERVICE.into(),
+            connections: 100,
+            ..Service::default()
+        }],
+        workspaces: vec![Workspace {
+            name: "studio".into(),
+            keys: vec!["key-1".into()],
+            priority: None,
+        }],
+        ..Document::default()
+    }
+}
+
+/// Returns a backend server of version `v1`.
+pub fn backend(instance: &str, address: SocketAddr) -> Backend {
+    Backend {
+        instance: instance.into(),
+        service: SERVICE.into(),
+        address,
+        centre: "north".into(),
+        version: "v1".into(),
+        slots: 8,
+        ready: true,
+        cold_until: 0,
+    }
+}
+
+/// Returns outcomes of a version on a route.
+pub fn outcomes(version: &str, good: u32, bad: u32, first_ms: u64) -> Outcomes {
+    Outcomes {
+        route: "draft".into(),
+        service: SERVICE.into(),
+        version: version.into(),
+        good,
+        bad,
+        first: first_ms * u64::from(good),
+    }
+}
+
+/// Returns the roll-outs of a site with one to `v2`, ordered at wall time 0.
+pub fn rollouts(duration_ms: u64) -> BTreeMap<Name, Rollout> {
+    let rollout = Rollout::new("v2".into(), duration_ms, 0);
+    BTreeMap::from([(SERVICE.into(), rollout)])
+}
--- /dev/null
+++ b/tests/testsuite/site/judge.rs
@@ -0,0 +1,196 @@
+//! The leader's judgement of roll-outs.
+
+use super::fixtures::{SERVICE, outcomes, rollouts};
+use cardamomtally::{
+    prelude::*,
+    routing::rendezvous,
+    site::{
+        judge::Judge,
+        poll::Outcomes,
+        rollout::{Rollout, Side, Stage},
+    },
+};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const DURATION_MS: u64 = 10_000;
+const TURN_MS: u64 = 200;
+
+/// A roll-out that is judged every turn, with what entries report meanwhile.
+struct Trial {
+    judge: Judge,
+    rollouts: BTreeMap<Name, Rollout>,
+    wall: u64,
+}
+
+impl Trial {
+    fn new() -> Self {
+        Self {
+            judge: Judge::default(),
+            rollouts: rollouts(DURATION_MS),
+            wall: 0,
+        }
+    }
+
+    fn rollout(&self) -> &Rollout {
+        &self.rollouts[SERVICE]
+    }
+
+    /// Lets time pass until a wall time, with a report each turn.
+    fn run(&mut self, until: u64, report: impl Fn(&Rollout) -> Vec<Outcomes>) {
+        while self.wall < until && self.rollout().stage == Stage::Running {
+            self.wall += TURN_MS;
+            let found = report(self.rollout());
+            self.judge.add(&self.rollouts, &found);
+            for step in self.judge.steps(self.wall, &self.rollouts) {
+                let rollout = self.rollouts.get_mut(&step.service).unwrap();
+                rollout.take(&step);
+            }
+        }
+    }
+}
+
+fn good(rollout: &Rollout) -> Vec<Outcomes> {
+    let mut found = vec![outcomes("v1", 10, 0, 100)];
+    if rollout.permille > 0 {
+        found.push(outcomes("v2", 4, 0, 110));
+    }
+    found
+}
+
+#[test]
+fn no_session_moves_in_the_first_half() {
+    let mut trial = Trial::new();
+
+    trial.run(DURATION_MS / 2, good);
+
+    assert_eq!(trial.rollout().permille, 0);
+}
+
+#[test]
+fn good_version_is_complete_before_the_deadline() {
+    let mut trial = Trial::new();
+
+    trial.run(DURATION_MS, good);
+
+    assert_eq!(trial.rollout().stage, Stage::Completed);
+    assert!(trial.wall < DURATION_MS, "at {} ms", trial.wall);
+}
+
+#[test]
+fn share_grows_by_steps() {
+    let mut trial = Trial::new();
+    let mut shares = Vec::new();
+
+    for wall in (0..DURATION_MS).step_by(TURN_MS as usize) {
+        trial.run(wall, good);
+        shares.push(trial.rollout().permille);
+    }
+    shares.dedup();
+
+    assert_eq!(shares, [0, 100, 350, 700, 1000]);
+}
+
+#[test]
+fn failing_version_is_rolled_back_within_a_turn_of_its_evidence() {
+    let mut trial = Trial::new();
+    let bad = |rollout: &Rollout| {
+        let mut found = vec![outcomes("v1", 10, 0, 100)];
+        if rollout.permille > 0 {
+            found.push(outcomes("v2", 2, 2, 100));
+        }
+        found
+    };
+
+    trial.run(DURATION_MS, bad);
+
+    assert_eq!(trial.rollout().stage, Stage::RolledBack);
+    assert!(trial.wall <= 6_000, "at {} ms", trial.wall);
+}
+
+#[test]
+fn version_that_turns_bad_at_full_share_is_rolled_back() {
+    let mut trial = Trial::new();
+    trial.run(8_000, good);
+    assert_eq!(trial.rollout().permille, 1000);
+
+    trial.run(DURATION_MS, |_| vec![outcomes("v2", 10, 10, 100)]);
+
+    assert_eq!(trial.rollout().stage, Stage::RolledBack);
+}
+
+#[test]
+fn version_that_is_slow_on_one_route_is_rolled_back() {
+    let mut trial = Trial::new();
+    let slow = |rollout: &Rollout| {
+        let mut found = vec![outcomes("v1", 10, 0, 100)];
+        if rollout.permille > 0 {
+            found.push(outcomes("v2", 2, 0, 900));
+        }
+        found
+    };
+
+    trial.run(DURATION_MS, slow);
+
+    assert_eq!(trial.rollout().stage, Stage::RolledBack);
+}
+
+#[test]
+fn failures_that_the_old_version_has_too_are_no_reason() {
+    let mut trial = Trial::new();
+    let noisy = |rollout: &Rollout| {
+        let mut found = vec![outcomes("v1", 16, 4, 100)];
+        if rollout.permille > 0 {
+            found.push(outcomes("v2", 8, 2, 100));
+        }
+        found
+    };
+
+    trial.run(DURATION_MS, noisy);
+
+    assert_eq!(trial.rollout().stage, Stage::Completed);
+}
+
+#[test]
+fn version_without_answers_is_rolled_back_in_time() {
+    let mut trial = Trial::new();
+
+    trial.run(DURATION_MS, |_| vec![outcomes("v1", 10, 0, 100)]);
+
+    assert_eq!(trial.rollout().stage, Stage::RolledBack);
+    assert!(trial.rollout().permille < 1000);
+}
+
+#[test]
+fn new_leader_goes_on_with_the_same_clock() {
+    let mut trial = Trial::new();
+    trial.run(6_400, good);
+
+    trial.judge = Judge::default();
+    trial.run(DURATION_MS, good);
+
+    assert_eq!(trial.rollout().stage, Stage::Completed);
+}
+
+proptest! {
+    #[test]
+    fn session_that_uses_the_new_version_stays_as_the_share_grows(key: u64, low in 0_u32..=1000, more in 0_u32..=1000) {
+        let at = |permille| Rollout { permille, ..Rollout::new("v2".into(), 1, 0) };
+        let (few, many) = (at(low), at((low + more).min(1000)));
+
+        prop_assume!(few.side(key) == Side::New);
+
+        prop_assert_eq!(many.side(key), Side::New);
+    }
+
+    #[test]
+    fn share_of_sessions_is_about_the_one_asked_for(seed: u32, permille in 0_u32..=1000) {
+        let rollout = Rollout { permille, ..Rollout::new("v2".into(), 1, 0) };
+        let keys = (0..2_000_u64).map(|i| rendezvous::weight(u64::from(seed), i));
+
+        let new = keys.filter(|key| rollout.side(*key) == Side::New).count() as f64;
+
+        let expected = f64::from(permille) * 2.0;
+        prop_assert!((new - expected).abs() < 140.0, "{new} of {expected}");
+    }
+}
--- /dev/null
+++ b/tests/testsuite/site/mod.rs
@@ -0,0 +1,7 @@
+//! Sites that are configured by one complete document.
+
+mod document;
+pub mod fixtures;
+mod judge;
+mod keeper;
+mod state;
--- /dev/null
+++ b/tests/testsuite/site/state.rs
@@ -0,0 +1,163 @@
+//! The state behind a site's log.
+
+use super::fixtures::{SERVICE, backend, document};
+use cardamomtally::{
+    core::log::Machine as _,
+    net::codec,
+    prelude::*,
+    site::{
+        backend::settle,
+        document::Class,
+        rollout::{Stage, Step},
+        state::{Command, Machine, Reply, State, Store, Submission},
+    },
+};
+
+fn submit(number: u64, source: &str) -> Command {
+    Command::Submit(Box::new(Submission {
+        document: document(number, Class::Once),
+        source: source.as_bytes().to_vec(),
+    }))
+}
+
+fn begin(target: &str, wall: u64) -> Command {
+    Command::Begin {
+        service: SERVICE.into(),
+        target: target.into(),
+        duration: 10_000,
+        wall,
+    }
+}
+
+fn step(ordered: u64, stage: Stage, permille: u32) -> Command {
+    Command::Step(Step {
+        service: SERVICE.into(),
+        ordered,
+        stage,
+        permille,
+    })
+}
+
+fn source(state: &State) -> Option<&[u8]> {
+    state.document.as_ref().map(|(_, s)| s.source.as_slice())
+}
+
+#[test]
+fn highest_number_is_in_force_whatever_the_order() {
+    let mut state = State::default();
+
+    let replies = [(4, "four"), (9, "nine"), (7, "seven"), (9, "other")]
+        .map(|(number, text)| state.apply(Index(number), submit(number, text)));
+
+    assert_eq!(
+        replies,
+        [Reply::Done, Reply::Done, Reply::Same, Reply::Same]
+    );
+    assert_eq!(source(&state), Some(b"nine".as_slice()));
+}
+
+#[test]
+fn repeated_rollout_order_changes_nothing_and_a_later_one_begins_anew() {
+    let mut state = State::default();
+
+    let first = state.apply(Index(1), begin("v2", 1_000));
+    let repeated = state.apply(Index(2), begin("v2", 1_900));
+    state.apply(Index(3), step(1_000, Stage::RolledBack, 0));
+    let late = state.apply(Index(4), begin("v2", 4_000));
+    let anew = state.apply(Index(5), begin("v2", 30_000));
+
+    assert_eq!(
+        [first, repeated, late, anew],
+        [Reply::Done, Reply::Same, Reply::Same, Reply::Done]
+    );
+    assert_eq!(state.fleet.rollouts[SERVICE].stage, Stage::Running);
+}
+
+#[test]
+fn ended_rollout_takes_no_step_and_an_older_leaders_step_is_ignored() {
+    let mut state = State::default();
+    state.apply(Index(1), begin("v2", 1_000));
+
+    let foreign = state.apply(Index(2), step(500, Stage::Completed, 1000));
+    let ended = state.apply(Index(3), step(1_000, Stage::RolledBack, 0));
+    let after = state.apply(Index(4), step(1_000, Stage::Completed, 1000));
+
+    assert_eq!(
+        [foreign, ended, after],
+        [Reply::Same, Reply::Done, Reply::Same]
+    );
+    assert_eq!(state.fleet.rollouts[SERVICE].stage, Stage::RolledBack);
+}
+
+#[test]
+fn evacuation_holds_until_it_is_taken_back() {
+    let mut state = State::default();
+    let evacuate = |out| Command::Evacuate {
+        centre: "north".into(),
+        out,
+    };
+
+    state.apply(Index(1), evacuate(true));
+    let again = state.apply(Index(2), evacuate(true));
+    assert_eq!(again, Reply::Same);
+    assert!(state.fleet.out.contains("north"));
+
+    state.apply(Index(3), evacuate(false));
+    assert!(state.fleet.out.is_empty());
+}
+
+#[test]
+fn fleet_index_moves_only_with_a_change() {
+    let mut state = State::default();
+    let list = vec![backend("i-1", "127.0.0.1:1".parse().unwrap())];
+
+    state.apply(Index(5), Command::Backends(list.clone()));
+    state.apply(Index(6), Command::Backends(list));
+
+    assert_eq!(state.fleet.index, Index(5));
+}
+
+#[test]
+fn snapshot_holds_the_whole_state() {
+    let store = Arc::<Store>::default();
+    let mut machine = Machine::new(Arc::clone(&store));
+    for (index, command) in [submit(3, "three"), begin("v2", 7)].iter().enumerate() {
+        machine.apply(Index(index as u64 + 1), &codec::encode(command));
+    }
+    let copy = Arc::<Store>::default();
+    let mut other = Machine::new(Arc::clone(&copy));
+
+    other.restore(&machine.snapshot()).unwrap();
+
+    let state = store.read(Clone::clone);
+    assert_eq!(copy.read(Clone::clone), state);
+    assert_eq!(source(&state), Some(b"three".as_slice()));
+}
+
+#[test]
+fn command_that_does_not_decode_changes_nothing() {
+    let store = Arc::<Store>::default();
+    let mut machine = Machine::new(Arc::clone(&store));
+
+    let reply = machine.apply(Index(1), b"\xff\xff");
+
+    assert_eq!(codec::decode::<Reply>(&reply).unwrap(), Reply::Unreadable);
+    assert_eq!(store.read(Clone::clone), State::default());
+}
+
+#[test]
+fn readings_of_one_cold_time_a_moment_apart_are_equal() {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let mut before = backend("i-1", address);
+    before.cold_until = 10_000;
+    let mut near = vec![before.clone()];
+    near[0].cold_until = 10_300;
+    let mut far = vec![before.clone()];
+    far[0].cold_until = 14_000;
+
+    settle(std::slice::from_ref(&before), &mut near);
+    settle(std::slice::from_ref(&before), &mut far);
+
+    assert_eq!(near, vec![before]);
+    assert_eq!(far[0].cold_until, 14_000);
+}
