Charge no retry for what was never sent; shorten what a planned stop must wait for

Changed: unsent and rejected are told apart, and unsent costs nothing; one refused connection opens the breaker; no escalation after a planned stop has begun.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -38,7 +38,7 @@
 /// Part of the retries saved up that is kept for failures.
 const RESERVE: f64 = 0.5;
 /// Retries of a service that all entries together may save up.
-const BURST: f64 = 40.0;
+const BURST: f64 = 56.0;
 
 /// What an entry's requests share.
 #[derive(Debug)]
--- a/src/cardamomtally/direct/attempt.rs
+++ b/src/cardamomtally/direct/attempt.rs
@@ -16,12 +16,27 @@
 pub enum Outcome {
     /// The head of an answer of this request's own.
     Answered(Box<Answer>),
-    /// It provably has not run and will not.
-    NotRun(&'static str),
+    /// It never left this entry.
+    Unsent(&'static str),
+    /// The backend server rejected it: it has not run and will not.
+    Rejected(&'static str),
     /// It may have run.
     Unknown(&'static str),
 }
 
+impl Outcome {
+    /// Returns a few words for logs.
+    #[must_use]
+    pub fn label(&self) -> String {
+        match self {
+            Self::Answered(answer) => format!("answered {}", answer.response.status().as_u16()),
+            Self::Unsent(why) => format!("not sent: {why}"),
+            Self::Rejected(why) => format!("rejected: {why}"),
+            Self::Unknown(why) => format!("unknown: {why}"),
+        }
+    }
+}
+
 /// How a request differs from one attempt to the next.
 #[derive(Clone, Copy, Debug)]
 pub struct Turn<'a> {
@@ -74,7 +89,7 @@
 pub fn judge(names: &Names, call: &Call, sent: Result<Answer, SendError>) -> Outcome {
     let answer = match sent {
         Ok(answer) => answer,
-        Err(SendError::Unsent(why)) => return Outcome::NotRun(why),
+        Err(SendError::Unsent(why)) => return Outcome::Unsent(why),
         Err(SendError::Broken(error)) if error.is_parse() => {
             return Outcome::Unknown("the answer is no HTTP");
         }
@@ -82,10 +97,10 @@
     };
     let (status, headers) = (answer.response.status(), answer.response.headers());
     if headers.contains_key(&names.unexecuted) {
-        return Outcome::NotRun("the backend server did not execute it");
+        return Outcome::Rejected("the backend server did not execute it");
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
-        return Outcome::NotRun("another backend server has the address");
+        return Outcome::Rejected("another backend server has the address");
     }
     if headers.get(&names.attempt) != Some(&call.id) {
         return Outcome::Unknown("the answer belongs to another request");
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -78,7 +78,7 @@
             linger: Duration::from_millis(2_500),
             grace: Duration::from_secs(8),
             connect: Duration::from_millis(300),
-            retry_share: 0.75,
+            retry_share: 0.8,
         }
     }
 }
--- a/src/cardamomtally/direct/escalate.rs
+++ b/src/cardamomtally/direct/escalate.rs
@@ -7,7 +7,7 @@
 //! model's answer that comes too late is worth less than a doubtful one in time.
 
 /// Confidence below which an answer is dropped while there is room.
-const BOUND: f64 = 60.0;
+const BOUND: f64 = 55.0;
 /// Load from which on the bound falls.
 const BUSY: f64 = 0.35;
 /// Load at which no answer is dropped any more.
--- a/src/cardamomtally/direct/plain.rs
+++ b/src/cardamomtally/direct/plain.rs
@@ -19,6 +19,8 @@
 const ANSWER_BYTES: usize = 8 << 20;
 /// Time below which nothing is sent any more.
 const LEAST: Duration = Duration::from_millis(5);
+/// Backend servers that may refuse a request, beyond those that may run it.
+const REFUSALS: u32 = 2;
 /// Part of the time left after which a repeatable request is tried elsewhere.
 const HEDGE: f64 = 0.45;
 
@@ -84,7 +86,8 @@
                 progress.failure = Some(done);
                 Cause::Failed
             }
-            Tried::NotRun(_) => Cause::Rejected,
+            Tried::Unsent(_) => Cause::NotSent,
+            Tried::Rejected(_) => Cause::Rejected,
             Tried::Unknown(_) => {
                 progress.runs += 1;
                 Cause::Failed
@@ -107,7 +110,8 @@
 #[derive(Debug)]
 enum Tried {
     Done(Done),
-    NotRun(&'static str),
+    Unsent(&'static str),
+    Rejected(&'static str),
     Unknown(&'static str),
 }
 
@@ -115,7 +119,8 @@
     fn label(&self) -> String {
         match self {
             Self::Done(done) => format!("answered {}", done.parts.status.as_u16()),
-            Self::NotRun(why) => format!("not-run: {why}"),
+            Self::Unsent(why) => format!("not sent: {why}"),
+            Self::Rejected(why) => format!("rejected: {why}"),
             Self::Unknown(why) => format!("unknown: {why}"),
         }
     }
@@ -140,7 +145,8 @@
         let sent = app.pool.send(address, make).await;
         match attempt::judge(&app.names, call, sent) {
             Outcome::Answered(answer) => read(app, choice, *answer).await,
-            Outcome::NotRun(why) => Tried::NotRun(why),
+            Outcome::Unsent(why) => Tried::Unsent(why),
+            Outcome::Rejected(why) => Tried::Rejected(why),
             Outcome::Unknown(why) => Tried::Unknown(why),
         }
     };
@@ -155,8 +161,8 @@
             let good = !done.parts.status.is_server_error();
             app.count(call, choice, good.then_some(first));
         }
-        Tried::NotRun("the backend server did not execute it") => {}
-        Tried::NotRun(_) => choice.bad(),
+        Tried::Unsent(_) => choice.gone(),
+        Tried::Rejected(_) => {}
         Tried::Unknown(_) => {
             choice.bad();
             app.count(call, choice, None);
@@ -207,7 +213,7 @@
         if !may_repeat {
             return Err(self.give_up(StatusCode::BAD_GATEWAY, "the backend server failed"));
         }
-        let most = call.route.attempts.max(1) + u32::from(self.runs == 0);
+        let most = call.route.attempts.max(1) + REFUSALS;
         if self.tried.len() as u32 >= most || self.runs >= call.route.attempts {
             return Err(self.give_up(StatusCode::BAD_GATEWAY, "no attempt is left"));
         }
--- a/src/cardamomtally/direct/registry.rs
+++ b/src/cardamomtally/direct/registry.rs
@@ -21,6 +21,11 @@
     errors: 2,
     open: Duration::from_millis(700),
 };
+/// What one refused connection does: nobody is there.
+const GONE: BreakerSettings = BreakerSettings {
+    errors: 1,
+    open: Duration::from_millis(500),
+};
 /// Age at which a report says nothing any more.
 const REPORT_AGE: Duration = Duration::from_secs(2);
 /// Load that a backend server in another data centre must be below.
@@ -240,6 +245,11 @@
         self.judge(|breaker, now| breaker.bad(BREAKER, now));
     }
 
+    /// Notes that nobody took the connection.
+    pub fn gone(&mut self) {
+        self.judge(|breaker, now| breaker.bad(GONE, now));
+    }
+
     fn judge(&mut self, judge: impl FnOnce(&mut Breaker, Mono)) {
         self.judged = true;
         let now = self.registry.clock.now();
--- a/src/cardamomtally/direct/stream.rs
+++ b/src/cardamomtally/direct/stream.rs
@@ -23,6 +23,7 @@
 use http::{Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
+use std::sync::atomic::Ordering;
 
 /// Time below which nothing is sent any more.
 const LEAST: Duration = Duration::from_millis(20);
@@ -139,7 +140,10 @@
         }
         let confidence = attempt::confidence(&self.app.names, &parts.headers);
         let models = self.call.route.cascade.len();
-        let next = escalate::next(self.rung, models, confidence, choice.load);
+        let stopping = self.app.stopping.load(Ordering::Acquire);
+        // A large model's answer might outlast a planned stop.
+        let load = if stopping { f64::INFINITY } else { choice.load };
+        let next = escalate::next(self.rung, models, confidence, load);
         let goes = next.filter(|_| self.app.spend_spare(&self.call.service.name));
         self.app
             .note_confidence(&self.call, self.rung, confidence, goes);
@@ -180,23 +184,20 @@
         let instance = Arc::clone(&choice.backend.instance);
         self.tried.push(instance);
         let outcome = self.send(&choice, left).await;
-        let label = match &outcome {
-            Outcome::Answered(answer) => format!("answered {}", answer.response.status().as_u16()),
-            Outcome::NotRun(why) => format!("not-run: {why}"),
-            Outcome::Unknown(why) => format!("unknown: {why}"),
-        };
         self.app
-            .note_attempt(&self.call, &choice, self.model(), &label, now);
+            .note_attempt(&self.call, &choice, self.model(), &outcome.label(), now);
         match outcome {
             Outcome::Answered(answer) => {
                 self.runs += 1;
                 Ok(Some((choice, *answer)))
             }
-            Outcome::NotRun(why) => {
+            Outcome::Unsent(_) => {
                 let mut choice = choice;
-                if why != "the backend server did not execute it" {
-                    choice.bad();
-                }
+                choice.gone();
+                self.may_go_on(Cause::NotSent)?;
+                Ok(None)
+            }
+            Outcome::Rejected(_) => {
                 self.may_go_on(Cause::Rejected)?;
                 Ok(None)
             }
