--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -24,7 +24,9 @@
     },
 };
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header, request::Parts};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header, request::Parts,
+};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use slog::{Logger, info, warn};
@@ -34,7 +36,7 @@
 };
 
 /// Time after which a caller of an entry without a lease comes back.
-const NO_LEASE_RETRY: Duration = Duration::from_millis(500);
+const NO_LEASE_RETRY: Duration = Duration::from_secs(1);
 /// Part of the retries saved up that is kept for failures.
 const RESERVE: f64 = 0.5;
 /// Retries of a service that all entries together may save up.
@@ -160,6 +162,16 @@
             "ms" => self.clock.now().since(call.since).as_millis() as u64);
     }
 
+    /// Logs a refusal before dispatch, with what the entry held.
+    fn note_early(&self, id: Option<&HeaderValue>, refusal: &Refusal) {
+        let held = self.holder.held();
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
+        let left = held.until.since(self.clock.now());
+        warn!(self.log, "refuse: {}", refusal.detail; "request" => id,
+            "status" => refusal.status.as_u16(), "verdict" => refusal.verdict.as_str(),
+            "document" => held.document.0, "lease_ms" => left.as_millis() as u64);
+    }
+
     /// Logs the end of a stream, or of a part of it.
     pub fn note_end(&self, call: &Call, why: &str, runs: u32, last: Option<u64>) {
         info!(self.log, "stream: {}", why; "request" => call.id_text(), "runs" => runs,
@@ -170,12 +182,16 @@
 /// Answers a request.
 pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<Body> {
     let running = Running::new(&app);
+    let id = request.headers().get(&app.names.attempt).cloned();
     let mut response = match accept(&app, request).await {
         Ok(response) => response,
-        Err(refusal) => refusal.response(),
+        Err(refusal) => {
+            app.note_early(id.as_ref(), &refusal);
+            refusal.response()
+        }
     };
     if app.stopping.load(Ordering::Acquire) {
-        let close = http::HeaderValue::from_static("close");
+        let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
     response.map(|body| guarded(body, running))
@@ -192,7 +208,7 @@
     // What an old configuration denies, the one in force may allow.
     let (route, holder) = match allowed {
         Err(_) | Ok((_, Some(_))) if !valid => return Err(no_lease),
-        Err(denial) => return Err(app.deny(&parts, denial, table.number)),
+        Err(denial) => return Err(deny(denial)),
         Ok(found) => found,
     };
     let body = read_body(app, &held, table, body).await?;
@@ -227,15 +243,14 @@
     Ok((Arc::clone(route), holder.cloned()))
 }
 
-impl App {
-    fn deny(&self, parts: &Parts, denial: Denial, number: u64) -> Refusal {
-        let (status, detail) = match denial {
-            Denial::NoRoute => (StatusCode::NOT_FOUND, "no route serves this host and path"),
-            Denial::NoKey => (StatusCode::UNAUTHORIZED, "the key belongs to no workspace"),
-        };
-        let id = text(&parts.headers, &self.names.attempt).unwrap_or("?");
-        warn!(self.log, "deny: {}", detail; "request" => id, "document" => number);
-        Refusal::denied(status, detail)
+fn deny(denial: Denial) -> Refusal {
+    match denial {
+        Denial::NoRoute => {
+            Refusal::denied(StatusCode::NOT_FOUND, "no route serves this host and path")
+        }
+        Denial::NoKey => {
+            Refusal::denied(StatusCode::UNAUTHORIZED, "the key belongs to no workspace")
+        }
     }
 }
 
--- a/src/cardamomtally/direct/registry.rs
+++ b/src/cardamomtally/direct/registry.rs
@@ -31,7 +31,7 @@
 /// Load that a backend server in another data centre must be below.
 const DISTANCE: f64 = 0.06;
 /// Load that a backend server may have more if it holds the prompt's parts.
-const AFFINITY: f64 = 0.35;
+const AFFINITY: f64 = 0.12;
 /// Shared tokens from which on affinity goes before distance.
 const FAR_TOKENS: u32 = 1_000;
 /// Load from which on a backend server is full.
