Take in no newcomer that is a member already

Cause: a member heard before the group was formed stayed noted as a newcomer. A leader elected within half a second of that added it as a learner beside its own vote; that learner was ready, its namesake was heard, and no other learner was looked at: a wiped member then never voted again.

Ruled out: the earlier first election (no member that restarts there holds a log).

--- a/src/cardamomtally/replica/node/membership.rs
+++ b/src/cardamomtally/replica/node/membership.rs
@@ -200,7 +200,10 @@
 
     fn add_learner(&mut self, now: Mono) -> Option<(Members, String)> {
         let limit = self.options.election;
-        self.newcomers.retain(|_, n| now.since(n.at) < limit);
+        let configs = &self.configs;
+        // One that was noted before the group took it in is none any more.
+        self.newcomers
+            .retain(|_, n| now.since(n.at) < limit && configs.find(n.id).is_none());
         let (name, newcomer) = self.newcomers.pop_first()?;
         let members = self.configs.members().iter();
         let kept = members.filter(|m| m.voter || m.name != name).cloned();
@@ -217,9 +220,15 @@
     }
 
     fn replace_voter(&self, now: Mono) -> Option<(Members, String)> {
+        let learners = self.configs.members().iter().filter(|m| !m.voter);
+        let mut ready = learners.filter(|m| self.is_ready(now, m));
+        ready.find_map(|m| self.admit(now, m))
+    }
+
+    /// Takes the next step that lets a learner vote, unless the voter whose
+    /// place it takes is still heard.
+    fn admit(&self, now: Mono, ready: &Member) -> Option<(Members, String)> {
         let members = self.configs.members();
-        let learners = members.iter().filter(|m| !m.voter);
-        let ready = learners.into_iter().find(|m| self.is_ready(now, m))?;
         let old = self.configs.voters().find(|m| m.name == ready.name);
         if let Some(old) = old.or_else(|| self.silent_voter(now)) {
             if !self.is_silent(now, old.id, 1) {
