Send late streams elsewhere during a planned stop

Ruled out: a longer grace (the platform kills after it); no escalation alone (in force already, the stream was the smallest model's).

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -37,6 +37,8 @@
 
 /// Longest wait of a request for an entry's first document.
 const FIRST_DOCUMENT: Duration = Duration::from_millis(400);
+/// Time after which a caller of a stopping entry comes back, to another one.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
 /// Time after which a caller of an entry without a lease comes back.
 const NO_LEASE_RETRY: Duration = Duration::from_secs(1);
 /// Part of the retries saved up that is kept for failures.
@@ -63,6 +65,8 @@
     pub log: Logger,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
+    /// Whether streams go elsewhere, since a planned stop would cut them.
+    pub no_streams: AtomicBool,
     /// Requests in flight.
     pub running: AtomicU64,
     /// Share of a retry that each request earns.
@@ -213,6 +217,12 @@
         Err(denial) => return Err(deny(denial)),
         Ok(found) => found,
     };
+    if route.class.streams() && app.no_streams.load(Ordering::Acquire) {
+        return Err(Refusal::unavailable(
+            "the entry is stopping",
+            STOPPING_RETRY,
+        ));
+    }
     let body = read_body(app, &held, table, body).await?;
     let call = build(app, &held, table, since, &parts, route, holder, body)?;
     app.budget(&call.service.name, Budget::earn);
--- a/tests/testsuite/direct/callers.rs
+++ b/tests/testsuite/direct/callers.rs
@@ -132,6 +132,24 @@
     assert_eq!(server.seen()[0].body, "hello");
 }
 
+#[test]
+fn stream_that_a_planned_stop_would_cut_goes_elsewhere() {
+    let server = server();
+    let streams = Entry::start(Class::Resumable, &[&server]);
+    let plain = Entry::start(Class::Once, &[&server]);
+    for entry in [&streams, &plain] {
+        entry.app.no_streams.store(true, Ordering::Release);
+    }
+
+    let refused = streams.ask(&request("a-1", "", ""));
+    let other = plain.ask(&request("a-2", "", ""));
+
+    assert_eq!((refused.status, other.status), (503, 200));
+    assert_eq!(refused.header("x-cardamomtally-verdict"), Some("not-run"));
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(server.seen().len(), 1);
+}
+
 #[test]
 fn planned_stop_is_told_at_once_and_cuts_nothing() {
     let server = Server::start("i-1", |seen, _| {
