Look at the lease again after the body; hand an admitted request on as one

The lease was looked at before the body was read, so a VM suspended meanwhile would have run the request under an ended one (test: lease_that_ends_while_the_body_comes_lets_nothing_run). build() took eight arguments, one of them unused.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -223,8 +223,19 @@
             STOPPING_RETRY,
         ));
     }
-    let body = read_body(app, &held, table, body).await?;
-    let call = build(app, &held, table, since, &parts, route, holder, body)?;
+    let body = read_body(app, table, body).await?;
+    // The lease may have ended while the body came, or the VM was suspended.
+    let held = app.holder.held();
+    if holder.is_some() && !held.is_valid(app.clock.now()) {
+        return Err(no_lease);
+    }
+    let admitted = Admitted {
+        since,
+        table: Arc::clone(table),
+        route,
+        holder,
+    };
+    let call = build(app, admitted, &parts, body)?;
     app.budget(&call.service.name, Budget::earn);
     let last = number(&parts.headers, &app.names.last_event);
     Ok(match call.route.class {
@@ -266,12 +277,7 @@
     }
 }
 
-async fn read_body(
-    app: &App,
-    held: &Held,
-    table: &Table,
-    body: Incoming,
-) -> Result<Bytes, Refusal> {
+async fn read_body(app: &App, table: &Table, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = &table.limits;
     let read = Limited::new(body, limits.body_bytes).collect();
     let Ok(read) = tokio::time::timeout(limits.idle_time, read).await else {
@@ -286,24 +292,29 @@
         }
         Err(error) => {
             info!(app.log, "request: body ended early"; "error" => %error,
-                "document" => held.document.0);
+                "document" => table.number);
             let detail = "the body ended early";
             Err(Refusal::denied(StatusCode::BAD_REQUEST, detail))
         }
     }
 }
 
-#[expect(clippy::too_many_arguments, reason = "each is one part of the call")]
-fn build(
-    app: &App,
-    held: &Held,
-    table: &Table,
+/// A request that the document allows.
+struct Admitted {
     since: Mono,
-    parts: &Parts,
+    table: Arc<Table>,
     route: Arc<Route>,
     holder: Option<Arc<KeyHolder>>,
-    body: Bytes,
-) -> Result<Call, Refusal> {
+}
+
+/// Reads the rest of what a call needs from the request's head.
+fn build(app: &App, admitted: Admitted, parts: &Parts, body: Bytes) -> Result<Call, Refusal> {
+    let Admitted {
+        since,
+        table,
+        route,
+        holder,
+    } = admitted;
     let names = &app.names;
     let Some(id) = parts.headers.get(&names.attempt) else {
         let detail = "the request has no id";
@@ -321,7 +332,6 @@
     let own = shared.pop();
     let session = text(&parts.headers, &names.session).map(rendezvous::seed);
     let priority = holder.as_ref().and_then(|h| h.priority);
-    let _ = held;
     Ok(Call {
         id: id.clone(),
         method: parts.method.clone(),
--- a/tests/testsuite/direct/held.rs
+++ b/tests/testsuite/direct/held.rs
@@ -159,6 +159,25 @@
     assert_eq!(server.seen().len(), 1);
 }
 
+#[test]
+fn lease_that_ends_while_the_body_comes_lets_nothing_run() {
+    let server = Server::start("i-1", |seen, _| vec![answer(seen, "200 OK", "", "done")]);
+    let entry = Entry::bare(Duration::from_millis(300));
+    entry.hold(reply(1, document(1, Class::Once), vec![server.backend()]));
+    let text = request("a-1", "", "body!");
+    let (head, body) = text.split_at(text.len() - 5);
+    let mut caller = entry.connect();
+    caller.write_all(head.as_bytes()).unwrap();
+    eventually("its head is read", || entry.running() == 1);
+
+    entry.keeper.set(None);
+    eventually("the lease is over", || !entry.app.is_ready());
+    caller.write_all(body.as_bytes()).unwrap();
+
+    assert_eq!(read_answer(&mut caller).status, 503);
+    assert!(server.seen().is_empty());
+}
+
 #[test]
 fn new_document_is_in_force_at_the_next_poll() {
     let server = Server::start("i-1", |seen, _| vec![answer(seen, "200 OK", "", "done")]);
