--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -65,8 +65,6 @@
     pub log: Logger,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
-    /// Whether streams go elsewhere, since a planned stop would cut them.
-    pub no_streams: AtomicBool,
     /// Requests in flight.
     pub running: AtomicU64,
     /// Share of a retry that each request earns.
@@ -217,7 +215,8 @@
         Err(denial) => return Err(deny(denial)),
         Ok(found) => found,
     };
-    if route.class.streams() && app.no_streams.load(Ordering::Acquire) {
+    // A stream might outlast the stop.
+    if route.class.streams() && app.stopping.load(Ordering::Acquire) {
         return Err(Refusal::unavailable(
             "the entry is stopping",
             STOPPING_RETRY,
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -2,8 +2,8 @@
 //!
 //! At a planned stop the entry says at once that it is not ready, goes on
 //! serving while the balancer still sends to it, asks callers to close, and ends
-//! when nothing is in flight or its time is over. Streams that come late are sent
-//! elsewhere, since they might outlast it.
+//! when nothing is in flight or its time is over. New streams are sent elsewhere,
+//! since they might outlast it.
 
 use super::{
     app::App,
@@ -35,8 +35,6 @@
 
 /// Time between two cleanings of connections and loads.
 const SWEEP: Duration = Duration::from_secs(1);
-/// Time for which streams may still begin once a planned stop has begun.
-const STREAMS: Duration = Duration::from_secs(1);
 /// Time between two looks at what is still in flight.
 const STOP_LOOK: Duration = Duration::from_millis(50);
 
@@ -126,7 +124,6 @@
         clock,
         log: parts.log.clone(),
         stopping: AtomicBool::new(false),
-        no_streams: AtomicBool::new(false),
         running: AtomicU64::new(0),
         retry_share: settings.retry_share,
         budgets: Mutex::default(),
@@ -207,10 +204,7 @@
     app.stopping.store(true, Ordering::Release);
     let running = || app.running.load(Ordering::Acquire);
     info!(app.log, "stop: draining"; "in_flight" => running());
-    let streams = settings.linger.min(STREAMS);
-    tokio::time::sleep(streams).await;
-    app.no_streams.store(true, Ordering::Release);
-    tokio::time::sleep(settings.linger.saturating_sub(streams)).await;
+    tokio::time::sleep(settings.linger).await;
     close.send_replace(true);
     while running() > 0 && app.clock.now().since(begun) < settings.grace {
         tokio::time::sleep(STOP_LOOK).await;
--- a/tests/testsuite/direct/callers.rs
+++ b/tests/testsuite/direct/callers.rs
@@ -138,7 +138,7 @@
     let streams = Entry::start(Class::Resumable, &[&server]);
     let plain = Entry::start(Class::Once, &[&server]);
     for entry in [&streams, &plain] {
-        entry.app.no_streams.store(true, Ordering::Release);
+        entry.app.stopping.store(true, Ordering::Release);
     }
 
     let refused = streams.ask(&request("a-1", "", ""));
