--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -6,6 +6,7 @@
     holder::{Held, Holder},
     names::Names,
     outcomes::Counts,
+    peers::Peers,
     plain,
     pool::Pool,
     refusal::Refusal,
@@ -57,6 +58,8 @@
     pub registry: Arc<Registry>,
     /// Connections to them.
     pub pool: Pool,
+    /// Other entries, and what they tell.
+    pub peers: Arc<Peers>,
     /// Outcomes for the next poll.
     pub counts: Arc<Counts>,
     /// The clock.
@@ -138,6 +141,7 @@
         info!(self.log, "dispatch: {}", label; "request" => call.id_text(),
             "route" => &*call.route.name, "instance" => &*choice.backend.instance,
             "version" => &*choice.backend.version, "load" => choice.load,
+            "backlog_ms" => choice.backlog as u64, "expected_ms" => choice.estimate.first as u64,
             "session" => call.session, "model" => model,
             "left_ms" => call.left(since).as_millis() as u64,
             "ms" => now.since(since).as_millis() as u64);
@@ -330,6 +334,8 @@
     let mut shared = text(&parts.headers, &names.prefix).map_or_else(Vec::new, call::parts);
     let own = shared.pop();
     let session = text(&parts.headers, &names.session).map(rendezvous::seed);
+    let tokens = text(&parts.headers, &names.tokens).map_or((0, 0), call::tokens);
+    let model = text(&parts.headers, &names.model);
     let priority = holder.as_ref().and_then(|h| h.priority);
     Ok(Call {
         id: id.clone(),
@@ -340,10 +346,11 @@
         since,
         until: since + limit,
         priority: priority.unwrap_or(route.priority),
-        tokens: text(&parts.headers, &names.tokens).map_or((0, 0), call::tokens),
+        tokens,
         session: session.or(own.map(|part| part.id)).unwrap_or(seed),
-        any_model: text(&parts.headers, &names.model) == Some("*"),
-        shared,
+        any_model: model == Some("*"),
+        model: model.filter(|model| *model != "*").map(Name::from),
+        prompt: call::prompt(&shared, tokens.0),
         service: Arc::clone(service),
         route,
         holder,
--- a/src/cardamomtally/direct/call.rs
+++ b/src/cardamomtally/direct/call.rs
@@ -1,6 +1,6 @@
 //! A caller's request, read and allowed.
 
-use super::names::Names;
+use super::{names::Names, placing::Prompt};
 use crate::{
     prelude::*,
     routing::rendezvous,
@@ -62,14 +62,16 @@
     pub until: Mono,
     /// Rank, 0 first.
     pub priority: u8,
-    /// Parts of its prompt that other requests share, outermost first.
-    pub shared: Vec<Part>,
+    /// Its prompt; empty for a plain service.
+    pub prompt: Prompt,
     /// Tokens of the prompt, and most tokens of the answer.
     pub tokens: (u32, u32),
     /// The same for all requests of its session.
     pub session: u64,
     /// Whether the entry chooses the model.
     pub any_model: bool,
+    /// The model that the caller names.
+    pub model: Option<Name>,
 }
 
 impl Call {
@@ -143,6 +145,17 @@
     text.split(',').map_while(read).collect()
 }
 
+/// Joins the parts that a prompt shares and its tokens.
+#[must_use]
+pub fn prompt(shared: &[Part], tokens: u32) -> Prompt {
+    let sum: u32 = shared.iter().map(|part| part.tokens).sum();
+    Prompt {
+        prefix: shared.last().map(|part| part.id),
+        shared: sum,
+        own: tokens.saturating_sub(sum),
+    }
+}
+
 /// Reads `in,out` tokens; what is missing is 0.
 #[must_use]
 pub fn tokens(text: &str) -> (u32, u32) {
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -11,6 +11,7 @@
     listener,
     names::Names,
     outcomes::Counts,
+    peers::Peers,
     pool::Pool,
     registry::Registry,
 };
@@ -28,7 +29,7 @@
     },
 };
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
     sync::watch,
 };
@@ -51,6 +52,8 @@
     pub ready: Arc<str>,
     /// How it polls.
     pub holder: HolderSettings,
+    /// Where other entries tell of their prompt work, if they do.
+    pub exchange: Option<SocketAddr>,
     /// Header names.
     pub names: Names,
     /// Most connections of callers.
@@ -74,6 +77,7 @@
             health: any,
             ready: Arc::from("/health/ready"),
             holder: HolderSettings::default(),
+            exchange: None,
             names: Names::default(),
             connections: 2_000,
             linger: Duration::from_millis(2_500),
@@ -105,6 +109,8 @@
 pub fn build(settings: &DirectSettings, transport: Arc<dyn Transport>, parts: &Parts) -> Arc<App> {
     let counts = Arc::<Counts>::default();
     let clock = Arc::clone(&parts.clock);
+    let name = Arc::clone(&settings.holder.name);
+    let peers = Arc::new(Peers::new(name, parts.log.clone()));
     let holder = Holder::new(
         settings.holder.clone(),
         transport,
@@ -112,13 +118,13 @@
         Arc::clone(&clock),
         parts.log.clone(),
     );
+    let holder = holder.with_peers(Arc::clone(&peers));
+    let registry = Registry::new(Arc::clone(&clock), Arc::clone(&settings.centre));
     Arc::new(App {
         names: settings.names.clone(),
         holder: Arc::new(holder),
-        registry: Arc::new(Registry::new(
-            Arc::clone(&clock),
-            Arc::clone(&settings.centre),
-        )),
+        registry: Arc::new(registry.with_peers(Arc::clone(&peers))),
+        peers,
         pool: Pool::new(Arc::clone(&clock), settings.connect),
         counts,
         clock,
@@ -150,6 +156,9 @@
     tokio::spawn(async move { holder.run().await });
     tokio::spawn(follow(Arc::clone(&app), reload));
     tokio::spawn(sweep(Arc::clone(&app)));
+    if let Some(address) = settings.exchange {
+        exchange(&app, address).await?;
+    }
     let ready = Arc::clone(&settings.ready);
     tokio::spawn(listener::run_health(
         Arc::clone(&app),
@@ -166,6 +175,18 @@
     stop(&app, &settings, &close).await
 }
 
+/// Begins to tell other entries of prompt work, and to take what they tell.
+async fn exchange(app: &Arc<App>, address: SocketAddr) -> eyre::Result<()> {
+    let bound = UdpSocket::bind(address).await;
+    let socket = bound.wrap_err_with(|| format!("failed to take datagrams at {address}"))?;
+    let socket = Arc::new(socket);
+    let (own, taken) = (Arc::clone(app), Arc::clone(&socket));
+    tokio::spawn(async move { own.peers.listen(&taken, &own.registry).await });
+    let own = Arc::clone(app);
+    tokio::spawn(async move { own.peers.tell(&socket, &own.registry).await });
+    Ok(())
+}
+
 async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
     let bound = TcpListener::bind(address).await;
     bound.wrap_err_with(|| format!("failed to listen at {address}"))
--- a/src/cardamomtally/direct/escalate.rs
+++ b/src/cardamomtally/direct/escalate.rs
@@ -3,15 +3,17 @@
 //! The smallest model answers first; its confidence comes with the head, before
 //! the caller has anything. Below a bound the answer is dropped and the largest
 //! model answers instead: the ones between cost almost as much time as they
-//! save. The fuller the backend servers, the lower the bound, since a large
-//! model's answer that comes too late is worth less than a doubtful one in time.
+//! save. The later the large model's first event would come, the lower the bound,
+//! since an answer that comes too late is worth less than a doubtful one in time.
 
-/// Confidence below which an answer is dropped while there is room.
+/// Confidence below which an answer is dropped while there is time.
 const BOUND: f64 = 55.0;
-/// Load from which on the bound falls.
-const BUSY: f64 = 0.35;
-/// Load at which no answer is dropped any more.
-const FULL: f64 = 0.9;
+/// Bound where the larger model's answer would just be late.
+const LATE: f64 = 15.0;
+/// Part of the route's target that may be used before the bound falls.
+const EARLY: f64 = 0.5;
+/// Part of the target from which on no answer is dropped.
+const HOPELESS: f64 = 3.0;
 
 /// Returns the place in a cascade of the model that is asked first.
 #[must_use]
@@ -19,17 +21,26 @@
     0
 }
 
-/// Returns the place of the model to ask next, or nothing if the answer stands.
-///
-/// `load` is that of the backend servers, in requests by slot.
+/// Returns the place in a cascade of the model to ask after another.
 #[must_use]
-pub fn next(at: usize, models: usize, confidence: Option<f64>, load: f64) -> Option<usize> {
+pub fn larger(at: usize, models: usize) -> Option<usize> {
     let last = models.checked_sub(1)?;
-    let confidence = confidence?;
-    (at < last && confidence < bound(load)).then_some(last)
+    (at < last).then_some(last)
+}
+
+/// Tells whether an answer of this confidence is dropped.
+///
+/// `used` is the part of the route's target that will have passed when the
+/// larger model's first event is due.
+#[must_use]
+pub fn drops(confidence: Option<f64>, used: f64) -> bool {
+    confidence.is_some_and(|confidence| confidence < bound(used))
 }
 
-fn bound(load: f64) -> f64 {
-    let room = (FULL - load) / (FULL - BUSY);
-    BOUND * room.clamp(0.0, 1.0)
+fn bound(used: f64) -> f64 {
+    if used <= 1.0 {
+        let rest = (1.0 - used) / (1.0 - EARLY);
+        return LATE + (BOUND - LATE) * rest.min(1.0);
+    }
+    LATE * ((HOPELESS - used) / (HOPELESS - 1.0)).max(0.0)
 }
--- a/src/cardamomtally/direct/holder.rs
+++ b/src/cardamomtally/direct/holder.rs
@@ -4,7 +4,7 @@
 //! goes on while the VM is suspended. An index below one that was held is never
 //! applied.
 
-use super::outcomes::Counts;
+use super::{outcomes::Counts, peers::Peers};
 use crate::{
     net::{
         codec,
@@ -13,13 +13,14 @@
     },
     prelude::*,
     site::{
-        poll::{Poll, PollReply},
+        poll::{self, Poll, PollReply},
         state::Fleet,
         table::Table,
     },
 };
 use arc_swap::ArcSwap;
 use slog::{Logger, info, warn};
+use std::net::SocketAddr;
 use tokio::sync::Notify;
 
 /// What an entry holds.
@@ -50,6 +51,8 @@
 pub struct HolderSettings {
     /// The process's name.
     pub name: Name,
+    /// Where it takes what other entries tell, if it does.
+    pub exchange: Option<SocketAddr>,
     /// Addresses of members to begin with.
     pub seeds: Vec<Name>,
     /// Port for polls, the same at all members.
@@ -66,6 +69,7 @@
     fn default() -> Self {
         Self {
             name: Name::from(""),
+            exchange: None,
             seeds: Vec::new(),
             port: 7302,
             period: Duration::from_millis(350),
@@ -83,6 +87,7 @@
     seeds: ArcSwap<Vec<Name>>,
     transport: Arc<dyn Transport>,
     counts: Arc<Counts>,
+    peers: Option<Arc<Peers>>,
     first: Notify,
     clock: Arc<dyn Clock>,
     log: Logger,
@@ -129,12 +134,22 @@
             held: ArcSwap::default(),
             transport,
             counts,
+            peers: None,
             first: Notify::new(),
             clock,
             log,
         }
     }
 
+    /// Tells an exchange of the other entries that polls name.
+    #[must_use]
+    pub fn with_peers(self, peers: Arc<Peers>) -> Self {
+        Self {
+            peers: Some(peers),
+            ..self
+        }
+    }
+
     /// Returns what is held, and waits up to a limit if there is no document yet,
     /// as in the first moments after a start.
     pub async fn held_soon(&self, limit: Duration) -> Arc<Held> {
@@ -188,6 +203,8 @@
             name: Arc::clone(&self.settings.name),
             document: held.document,
             fleet: held.fleet.index,
+            exchange: self.settings.exchange,
+            peers: poll::digest(&self.peers.as_ref().map(|p| p.known()).unwrap_or_default()),
             outcomes: outcomes.clone(),
         };
         let request = Request::Site(codec::encode(&poll).into());
@@ -217,6 +234,9 @@
         if !reply.members.is_empty() {
             course.members.clone_from(&reply.members);
         }
+        if let (Some(peers), Some(told)) = (&self.peers, &reply.peers) {
+            peers.set(told.clone());
+        }
         self.apply(&held, sent, reply);
         true
     }
--- /dev/null
+++ b/src/cardamomtally/direct/placing.rs
@@ -0,0 +1,71 @@
+//! What it costs to place a request at a backend server, as pure logic.
+//!
+//! Costs are milliseconds. For a model's request that is above all the time to
+//! its first event: prompt work that waits there, and the prompt's own tokens
+//! that are read. Prompts that begin alike belong to one backend server, their
+//! home, which keeps the shared tokens; it is left when its backlog costs more
+//! than reading them again. Running requests slow down whatever comes next to
+//! them; where nothing is told of prompts, that is all that counts. This answers
+//! days on which a few very long prompts meet many short ones.
+
+use super::speed::Speed;
+
+/// Cost of a backend server all of whose slots are taken.
+const LOAD: f64 = 500.0;
+/// Cost of another data centre.
+const DISTANCE: f64 = 30.0;
+/// Cost of each shared token that is read again, beside the time that it takes.
+const AGAIN: f64 = 0.01;
+
+/// A prompt.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Prompt {
+    /// What it begins with that other prompts share, by identity.
+    pub prefix: Option<u64>,
+    /// Tokens that it shares.
+    pub shared: u32,
+    /// Tokens of its own.
+    pub own: u32,
+}
+
+/// What is known of a backend server for one request.
+#[derive(Clone, Copy, Debug)]
+pub struct View {
+    /// Requests by slot.
+    pub load: f64,
+    /// Prompt work that waits there, in milliseconds.
+    pub backlog: f64,
+    /// Whether it is in another data centre.
+    pub away: bool,
+    /// Whether it keeps the shared tokens.
+    pub keeps: bool,
+}
+
+/// A request's cost and times at a backend server, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Estimate {
+    /// What is compared.
+    pub cost: f64,
+    /// Time to read what is not kept there.
+    pub work: f64,
+    /// Time to the first event.
+    pub first: f64,
+    /// Tokens that are read.
+    pub tokens: f64,
+}
+
+/// Estimates a request at a backend server.
+#[must_use]
+pub fn estimate(prompt: &Prompt, speed: Speed, view: &View) -> Estimate {
+    let shared = f64::from(prompt.shared);
+    let again = if view.keeps { 0.0 } else { shared };
+    let tokens = f64::from(prompt.own) + again;
+    let work = speed.work(tokens);
+    let distance = if view.away { DISTANCE } else { 0.0 };
+    Estimate {
+        cost: view.backlog + work + again * AGAIN + view.load * LOAD + distance,
+        work,
+        first: view.backlog + speed.fixed + work,
+        tokens,
+    }
+}
--- a/src/cardamomtally/direct/plain.rs
+++ b/src/cardamomtally/direct/plain.rs
@@ -70,7 +70,8 @@
         let wanted = Wanted {
             service: &call.service,
             session: call.session,
-            prefix: None,
+            model: call.model.as_deref(),
+            prompt: call.prompt,
             tried: &progress.tried,
         };
         let choice = app.registry.choose(held, &wanted);
@@ -155,6 +156,7 @@
         Err(_elapsed) => Tried::Unknown("no answer in time"),
     };
     let first = app.clock.now().since(since);
+    choice.begun();
     match &tried {
         Tried::Done(done) => {
             choice.good();
--- a/src/cardamomtally/direct/registry.rs
+++ b/src/cardamomtally/direct/registry.rs
@@ -1,11 +1,17 @@
 //! What this entry knows of each backend server, and the choice among them.
 //!
 //! The load of a backend server is its last report, corrected by what this
-//! entry has begun and ended there since. A request goes where its load,
-//! distance and the prompt parts that it would read again cost least. A backend
-//! server that fails gets nothing for a while, then one trial.
+//! entry has begun and ended there since; prompt work that waits comes from
+//! [`super::backlog`]. A request goes where [`super::placing`] says that it costs
+//! least. A backend server that fails gets nothing for a while, then one trial.
 
-use super::holder::Held;
+use super::{
+    backlog::{Backlog, ServerKey, Sums},
+    holder::Held,
+    peers::Peers,
+    placing::{self, Estimate, Prompt, View},
+    speed::Speeds,
+};
 use crate::{
     prelude::*,
     routing::{
@@ -28,28 +34,40 @@
 };
 /// Age at which a report says nothing any more.
 const REPORT_AGE: Duration = Duration::from_secs(2);
-/// Load that a backend server in another data centre must be below.
-const DISTANCE: f64 = 0.06;
-/// Load that a backend server may have more if it holds the prompt's parts.
-const AFFINITY: f64 = 0.12;
-/// Shared tokens from which on affinity goes before distance.
+/// Shared tokens from which on a home may be in another data centre.
 const FAR_TOKENS: u32 = 1_000;
-/// Load from which on a backend server is full.
+/// Load from which on a backend server is full and no home.
 const FULL: f64 = 1.0;
+/// Time for which a backend server keeps what it has read.
+const KEPT: Duration = Duration::from_secs(7);
+/// Prompt work whose begin and end other entries are told at once.
+const LARGE_MS: f64 = 20.0;
+/// Backlog below which a first event shows how fast prompts are read.
+const CALM_MS: f64 = 10.0;
 
 /// What a request needs.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
     /// The service.
     pub service: &'a Service,
     /// The same for all requests of a session.
     pub session: u64,
-    /// What the prompt begins with: its identity and length.
-    pub prefix: Option<(u64, u32)>,
+    /// The model, where the entry chooses it or the caller names one.
+    pub model: Option<&'a str>,
+    /// Its prompt; empty for a plain service.
+    pub prompt: Prompt,
     /// Backend servers that were tried.
     pub tried: &'a [Name],
 }
 
+impl Wanted<'_> {
+    /// Returns what identifies the shared tokens in one model's memory.
+    fn kept_key(&self) -> Option<u64> {
+        let prefix = self.prompt.prefix?;
+        Some(prefix ^ self.model.map_or(0, rendezvous::seed))
+    }
+}
+
 /// A report of a backend server's load.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -60,15 +78,24 @@
 
 #[derive(Debug, Default)]
 struct Node {
+    key: ServerKey,
     here: u32,
     report: Option<Report>,
     breaker: Breaker,
     /// When the next request may go to it while it is cold.
     cold_next: Mono,
-    seen: Mono,
+    /// Shared tokens that this entry has sent there, and when.
+    kept: FastMap<u64, Mono>,
 }
 
 impl Node {
+    fn new(instance: &str) -> Self {
+        Self {
+            key: rendezvous::seed(instance),
+            ..Self::default()
+        }
+    }
+
     /// Returns requests that it is likely to have.
     fn busy(&self, now: Mono, entries: u32) -> f64 {
         let recent = self.report.filter(|r| now.since(r.at) < REPORT_AGE);
@@ -80,16 +107,28 @@
             None => f64::from(self.here) * f64::from(entries),
         }
     }
+
+    fn keeps(&self, key: u64, now: Mono) -> bool {
+        let sent = self.kept.get(&key);
+        sent.is_some_and(|at| now.since(*at) < KEPT)
+    }
 }
 
-type Nodes = FastMap<Name, Node>;
+/// What the registry's lock guards.
+#[derive(Debug, Default)]
+struct State {
+    nodes: FastMap<Name, Node>,
+    backlog: Backlog,
+    speeds: Speeds,
+}
 
 /// What this entry knows of each backend server.
 #[derive(Debug)]
 pub struct Registry {
-    nodes: Mutex<Nodes>,
+    state: Mutex<State>,
     clock: Arc<dyn Clock>,
     centre: Name,
+    peers: Option<Arc<Peers>>,
 }
 
 /// A backend server that was chosen. Dropping it ends the request there.
@@ -100,6 +139,14 @@
     pub backend: Backend,
     /// Load that it was chosen at, in requests by slot.
     pub load: f64,
+    /// Backlog that it was chosen at, in milliseconds.
+    pub backlog: f64,
+    /// What was expected of it.
+    pub estimate: Estimate,
+    key: ServerKey,
+    model: Option<Name>,
+    chosen: Mono,
+    reading: bool,
     judged: bool,
 }
 
@@ -117,14 +164,24 @@
     #[must_use]
     pub fn new(clock: Arc<dyn Clock>, centre: Name) -> Self {
         Self {
-            nodes: Mutex::default(),
+            state: Mutex::default(),
             clock,
             centre,
+            peers: None,
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Nodes> {
-        self.nodes.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Tells other entries of prompt work from now on.
+    #[must_use]
+    pub fn with_peers(self, peers: Arc<Peers>) -> Self {
+        Self {
+            peers: Some(peers),
+            ..self
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Chooses a backend server.
@@ -134,62 +191,111 @@
     /// Returns why none was chosen.
     pub fn choose(self: &Arc<Self>, held: &Held, wanted: &Wanted<'_>) -> Result<Choice, NoChoice> {
         let now = self.clock.now();
-        let wall = self.clock.wall_micros() / 1_000;
         let allowed = allowed(held, wanted);
         if allowed.is_empty() {
             return Err(NoChoice::None);
         }
-        let mut nodes = self.lock();
-        let mut best: Option<(f64, f64, &Backend)> = None;
-        for backend in allowed.iter().copied() {
-            let node = nodes.entry(Arc::clone(&backend.instance)).or_default();
-            node.seen = now;
-            let cold = is_cold(backend, wanted.service, wall);
-            if !node.breaker.allows(now) || (cold && now < node.cold_next) {
-                continue;
-            }
-            let load = node.busy(now, held.entries) / f64::from(backend.slots.max(1));
-            let cost = self.cost(backend, load, wanted, &allowed);
-            if best.is_none_or(|(least, ..)| cost < least) {
-                best = Some((cost, load, backend));
+        let mut state = self.lock();
+        for backend in &allowed {
+            let instance = &backend.instance;
+            if !state.nodes.contains_key(instance) {
+                let node = Node::new(instance);
+                state.nodes.insert(Arc::clone(instance), node);
             }
         }
-        let (_, load, backend) = best.ok_or(NoChoice::Busy)?;
-        let node = nodes.entry(Arc::clone(&backend.instance)).or_default();
+        let (best, view, estimate) = self
+            .best(&state, held, wanted, &allowed)
+            .ok_or(NoChoice::Busy)?;
+        let cold = is_cold(best, wanted.service, self.wall_ms());
+        let State { nodes, backlog, .. } = &mut *state;
+        let node = nodes.entry(Arc::clone(&best.instance)).or_default();
         node.breaker.begin();
         node.here += 1;
-        if is_cold(backend, wanted.service, wall) {
+        if cold {
             let pause = f64::from(held.entries.max(1)) / wanted.service.cold_rate;
             node.cold_next = now + Duration::from_secs_f64(pause);
         }
+        if let Some(key) = wanted.kept_key() {
+            node.kept.insert(key, now);
+        }
+        let key = node.key;
+        backlog.add(key, estimate.work);
+        drop(state);
+        self.tell(estimate.work);
         Ok(Choice {
             registry: Arc::clone(self),
-            backend: backend.clone(),
-            load,
+            backend: best.clone(),
+            load: view.load,
+            backlog: view.backlog,
+            estimate,
+            key,
+            model: wanted.model.map(Name::from),
+            chosen: now,
+            reading: true,
             judged: false,
         })
     }
 
-    fn cost(&self, backend: &Backend, load: f64, wanted: &Wanted<'_>, all: &[&Backend]) -> f64 {
-        let away = backend.centre != self.centre;
-        let mut cost = load + if away { DISTANCE } else { 0.0 };
-        if let Some((prefix, tokens)) = wanted.prefix {
-            let far = tokens >= FAR_TOKENS;
-            let here = |b: &&&Backend| far || b.centre == self.centre;
-            let rank = |b: &Backend| rendezvous::weight(prefix, rendezvous::seed(&b.instance));
-            let home = all.iter().filter(here).max_by_key(|b| rank(b));
-            let is_home = home.is_some_and(|home| home.instance == backend.instance);
-            if is_home && load < FULL {
-                cost -= AFFINITY;
+    /// Returns the backend server that costs least, and what was known of it.
+    fn best<'b>(
+        &self,
+        state: &State,
+        held: &Held,
+        wanted: &Wanted<'_>,
+        allowed: &[&'b Backend],
+    ) -> Option<(&'b Backend, View, Estimate)> {
+        let (now, wall) = (self.clock.now(), self.wall_ms());
+        let speed = state.speeds.of(wanted.model);
+        let kept = wanted.kept_key();
+        let home = kept.and_then(|kept| self.home(state, wanted, kept, allowed));
+        let mut best: Option<(&Backend, View, Estimate)> = None;
+        for backend in allowed.iter().copied() {
+            let Some(node) = state.nodes.get(&backend.instance) else {
+                continue;
+            };
+            let cold = is_cold(backend, wanted.service, wall);
+            if !node.breaker.allows(now) || (cold && now < node.cold_next) {
+                continue;
+            }
+            let load = node.busy(now, held.entries) / f64::from(backend.slots.max(1));
+            let is_home = home == Some(node.key) && load < FULL;
+            let view = View {
+                load,
+                backlog: state.backlog.at(node.key),
+                away: backend.centre != self.centre,
+                keeps: is_home || kept.is_some_and(|kept| node.keeps(kept, now)),
+            };
+            let estimate = placing::estimate(&wanted.prompt, speed, &view);
+            if best.is_none_or(|(_, _, least)| estimate.cost < least.cost) {
+                best = Some((backend, view, estimate));
             }
         }
-        cost
+        best
+    }
+
+    /// Returns the backend server that shared tokens belong to.
+    fn home(
+        &self,
+        state: &State,
+        wanted: &Wanted<'_>,
+        kept: u64,
+        allowed: &[&Backend],
+    ) -> Option<ServerKey> {
+        let far = wanted.prompt.shared >= FAR_TOKENS;
+        let near = |b: &&&Backend| far || b.centre == self.centre;
+        let keys = allowed.iter().filter(near);
+        let keys = keys.filter_map(|b| Some(state.nodes.get(&b.instance)?.key));
+        keys.max_by_key(|key| rendezvous::weight(kept, *key))
+    }
+
+    fn wall_ms(&self) -> u64 {
+        self.clock.wall_micros() / 1_000
     }
 
     /// Notes a load report: running and waiting requests.
     pub fn report(&self, instance: &Name, running: u32, waiting: u32) {
         let now = self.clock.now();
-        if let Some(node) = self.lock().get_mut(instance) {
+        if let Some(node) = self.lock().nodes.get_mut(instance) {
             node.report = Some(Report {
                 busy: running + waiting,
                 at: now,
@@ -198,11 +304,35 @@
         }
     }
 
+    /// Takes what another entry tells of its prompt work.
+    pub fn take_sums(&self, entry: &Name, sums: Sums) {
+        let now = self.clock.now();
+        self.lock().backlog.take(entry, sums, now);
+    }
+
+    /// Returns this entry's prompt work, and forgets what others told long ago.
+    pub fn sums(&self, most: usize) -> Sums {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.backlog.expire(now);
+        state.backlog.own(most)
+    }
+
+    fn tell(&self, work: f64) {
+        if let Some(peers) = self.peers.as_ref().filter(|_| work >= LARGE_MS) {
+            peers.note();
+        }
+    }
+
     /// Forgets backend servers that are not in the fleet any more.
     pub fn sweep(&self, held: &Held) {
+        let now = self.clock.now();
         let live: FastSet<&Name> = held.fleet.backends.iter().map(|b| &b.instance).collect();
-        self.lock()
-            .retain(|instance, node| node.here > 0 || live.contains(instance));
+        let nodes = &mut self.lock().nodes;
+        nodes.retain(|instance, node| node.here > 0 || live.contains(instance));
+        for node in nodes.values_mut() {
+            node.kept.retain(|_, at| now.since(*at) < KEPT);
+        }
     }
 }
 
@@ -235,6 +365,28 @@
 }
 
 impl Choice {
+    /// Returns the time to the first event that was expected.
+    #[must_use]
+    pub fn first(&self) -> Duration {
+        Duration::from_secs_f64(self.estimate.first.max(0.0) / 1e3)
+    }
+
+    /// Notes that the answer begins: its prompt has been read.
+    pub fn begun(&mut self) {
+        if !std::mem::take(&mut self.reading) {
+            return;
+        }
+        let registry = &self.registry;
+        let first = registry.clock.now().since(self.chosen).as_secs_f64() * 1e3;
+        let mut state = registry.lock();
+        state.backlog.remove(self.key, self.estimate.work);
+        if let Some(model) = self.model.as_ref().filter(|_| self.backlog < CALM_MS) {
+            state.speeds.learn(model, self.estimate.tokens, first);
+        }
+        drop(state);
+        registry.tell(self.estimate.work);
+    }
+
     /// Notes that the backend server answered as it should.
     pub fn good(&mut self) {
         self.judge(|breaker, _| breaker.good());
@@ -253,7 +405,7 @@
     fn judge(&mut self, judge: impl FnOnce(&mut Breaker, Mono)) {
         self.judged = true;
         let now = self.registry.clock.now();
-        if let Some(node) = self.registry.lock().get_mut(&self.backend.instance) {
+        if let Some(node) = self.registry.lock().nodes.get_mut(&self.backend.instance) {
             judge(&mut node.breaker, now);
         }
     }
@@ -261,11 +413,19 @@
 
 impl Drop for Choice {
     fn drop(&mut self) {
-        if let Some(node) = self.registry.lock().get_mut(&self.backend.instance) {
+        let mut state = self.registry.lock();
+        if self.reading {
+            state.backlog.remove(self.key, self.estimate.work);
+        }
+        if let Some(node) = state.nodes.get_mut(&self.backend.instance) {
             node.here = node.here.saturating_sub(1);
             if !self.judged {
                 node.breaker.neutral();
             }
         }
+        drop(state);
+        if self.reading {
+            self.registry.tell(self.estimate.work);
+        }
     }
 }
--- a/src/cardamomtally/direct/stream.rs
+++ b/src/cardamomtally/direct/stream.rs
@@ -29,15 +29,20 @@
 const LEAST: Duration = Duration::from_millis(20);
 /// Part of the longest good pause after which a stream is taken for stuck.
 const STUCK: f64 = 0.8;
-/// Least silence before the first event that lets a stream go elsewhere.
-const FIRST: Duration = Duration::from_secs(2);
+/// Silence before the first event that lets a stream go elsewhere, beside the
+/// parts below.
+const FIRST: Duration = Duration::from_millis(600);
+/// Part of the route's target that adds to it.
+const FIRST_TARGET: f64 = 0.4;
+/// How many times the time that was expected adds to it.
+const FIRST_EXPECTED: f64 = 3.0;
 /// Backend servers that may refuse a request, beyond those that may run it.
 const REFUSALS: usize = 3;
 
 /// A stream that is being passed on.
 struct Flow {
     app: Arc<App>,
-    call: Call,
+    call: Arc<Call>,
     tried: Vec<Name>,
     runs: u32,
     rung: usize,
@@ -71,7 +76,7 @@
     let mut flow = Flow {
         app: Arc::clone(app),
         rung: escalate::first(call.route.cascade.len()),
-        call,
+        call: Arc::new(call),
         tried: Vec::new(),
         runs: 0,
         last,
@@ -103,16 +108,17 @@
         loop {
             let since = self.app.clock.now();
             let answer = self.attempt().await?;
-            let Some((choice, answer)) = answer else {
+            let Some((mut choice, answer)) = answer else {
                 continue;
             };
+            choice.begun();
             let (parts, body, connection) = answer.split();
             if let Some((running, waiting)) = attempt::load(&self.app.names, &parts.headers) {
                 let instance = &choice.backend.instance;
                 self.app.registry.report(instance, running, waiting);
             }
             if parts.status.is_success() {
-                if self.escalates(&choice, &parts) {
+                if self.escalates(&parts) {
                     self.tried.clear();
                     continue;
                 }
@@ -133,24 +139,37 @@
         }
     }
 
-    /// Tells whether a larger model is to answer, and takes note of it.
-    fn escalates(&mut self, choice: &Choice, parts: &Parts) -> bool {
+    /// Tells whether a larger model is to answer, and reserves its place.
+    fn escalates(&mut self, parts: &Parts) -> bool {
         if !self.call.any_model || self.events > 0 || self.runs >= self.call.route.attempts {
             return false;
         }
         let confidence = attempt::confidence(&self.app.names, &parts.headers);
-        let models = self.call.route.cascade.len();
-        let stopping = self.app.stopping.load(Ordering::Acquire);
-        // A large model's answer might outlast a planned stop.
-        let load = if stopping { f64::INFINITY } else { choice.load };
-        let next = escalate::next(self.rung, models, confidence, load);
-        let goes = next.filter(|_| self.app.spend_spare(&self.call.service.name));
+        let larger = self.larger(confidence);
+        let next = larger.as_ref().map(|(rung, _)| *rung);
         self.app
-            .note_confidence(&self.call, self.rung, confidence, goes);
-        if let Some(rung) = goes {
-            self.rung = rung;
+            .note_confidence(&self.call, self.rung, confidence, next);
+        let Some((rung, choice)) = larger else {
+            return false;
+        };
+        self.rung = rung;
+        self.reserved = Some(choice);
+        true
+    }
+
+    /// Chooses where a larger model answers, if this confidence calls for it.
+    fn larger(&self, confidence: Option<f64>) -> Option<(usize, Choice)> {
+        let rung = escalate::larger(self.rung, self.call.route.cascade.len())?;
+        // A large model's answer might outlast a planned stop.
+        if self.app.stopping.load(Ordering::Acquire) || !escalate::drops(confidence, 0.0) {
+            return None;
         }
-        goes.is_some()
+        let choice = self.choose(rung, &[]).ok()?;
+        let passed = self.app.clock.now().since(self.call.since) + choice.first();
+        let used = passed.as_secs_f64() / self.call.route.target.as_secs_f64().max(0.001);
+        let goes = escalate::drops(confidence, used)
+            && self.app.spend_spare(&self.call.service.name);
+        goes.then_some((rung, choice))
     }
 
     fn failed(&self, mut choice: Choice) {
@@ -179,7 +198,10 @@
         }
         let choice = match self.reserved.take() {
             Some(choice) => choice,
-            None => self.choose()?,
+            None => {
+                let chosen = self.choose(self.rung, &self.tried);
+                chosen.map_err(|why| self.no_choice(why))?
+            }
         };
         let instance = Arc::clone(&choice.backend.instance);
         self.tried.push(instance);
@@ -204,53 +226,71 @@
             Outcome::Unknown(_) => {
                 self.runs += 1;
                 self.failed(choice);
-                self.may_go_on(Cause::Failed)?;
+                if self.reserved.is_none() {
+                    self.may_go_on(Cause::Failed)?;
+                }
                 Ok(None)
             }
         }
     }
 
-    fn choose(&self) -> Result<Choice, Refusal> {
-        let shared = &self.call.shared;
-        let tokens = shared.iter().map(|p| p.tokens).sum();
+    /// Chooses a backend server for a model of the cascade.
+    fn choose(&self, rung: usize, tried: &[Name]) -> Result<Choice, NoChoice> {
         let wanted = Wanted {
             service: &self.call.service,
             session: self.call.session,
-            prefix: shared.last().map(|part| (part.id, tokens)),
-            tried: &self.tried,
+            model: self.model_at(rung).or(self.call.model.as_deref()),
+            prompt: self.call.prompt,
+            tried,
         };
         let held = self.app.holder.held();
-        self.app.registry.choose(&held, &wanted).map_err(|why| {
-            let detail = match why {
-                NoChoice::None => "no other backend server may run it",
-                NoChoice::Busy => "all backend servers are busy or failing",
-            };
-            self.give_up(StatusCode::BAD_GATEWAY, detail)
-        })
+        self.app.registry.choose(&held, &wanted)
     }
 
-    async fn send(&self, choice: &Choice, left: Duration) -> Outcome {
+    fn no_choice(&self, why: NoChoice) -> Refusal {
+        let detail = match why {
+            NoChoice::None => "no other backend server may run it",
+            NoChoice::Busy => "all backend servers are busy or failing",
+        };
+        self.give_up(StatusCode::BAD_GATEWAY, detail)
+    }
+
+    /// Sends the request and waits for the head of an answer. What stays silent
+    /// for too long is given up if the request may go on elsewhere.
+    async fn send(&mut self, choice: &Choice, left: Duration) -> Outcome {
+        let app = Arc::clone(&self.app);
+        let call = Arc::clone(&self.call);
+        let model = self.model().map(ToOwned::to_owned);
         let turn = Turn {
             left,
-            model: self.model(),
+            model: model.as_deref(),
             last: self.last,
         };
-        let make = || attempt::request(&self.app.names, &self.call, choice, turn);
-        let limit = if self.runs + 1 < self.call.route.attempts {
-            FIRST.max(self.call.route.target * 2).min(left)
-        } else {
-            left
+        let make = || attempt::request(&app.names, &call, choice, turn);
+        let mut sending = std::pin::pin!(app.pool.send(choice.backend.address, make));
+        let first = FIRST
+            + self.call.route.target.mul_f64(FIRST_TARGET)
+            + choice.first().mul_f64(FIRST_EXPECTED);
+        let sent = match tokio::time::timeout(first.min(left), sending.as_mut()).await {
+            Ok(sent) => Some(sent),
+            Err(_elapsed) if self.reserve(self.runs + 1) => None,
+            Err(_elapsed) => {
+                let rest = left.saturating_sub(first);
+                tokio::time::timeout(rest, sending).await.ok()
+            }
         };
-        let sending = self.app.pool.send(choice.backend.address, make);
-        match tokio::time::timeout(limit, sending).await {
-            Ok(sent) => attempt::judge(&self.app.names, &self.call, sent),
-            Err(_elapsed) => Outcome::Unknown("no answer in time"),
-        }
+        sent.map_or(Outcome::Unknown("no answer in time"), |sent| {
+            attempt::judge(&app.names, &call, sent)
+        })
     }
 
     /// Returns the model to ask, where the entry chooses it.
     fn model(&self) -> Option<&str> {
-        let model = self.call.route.cascade.get(self.rung);
+        self.model_at(self.rung)
+    }
+
+    fn model_at(&self, rung: usize) -> Option<&str> {
+        let model = self.call.route.cascade.get(rung);
         model.filter(|_| self.call.any_model).map(|m| &**m)
     }
 
@@ -307,7 +347,7 @@
             let next = match tokio::time::timeout(stuck, source.next()).await {
                 Ok(next) => next,
                 Err(_elapsed) if left.is_zero() => return Err("no time is left".into()),
-                Err(_elapsed) if self.reserve() => Next::Broken("the backend server fell silent"),
+                Err(_elapsed) if self.reserve(self.runs) => Next::Broken("the backend server fell silent"),
                 // Silence alone ends no answer.
                 Err(_elapsed) => continue,
             };
@@ -354,15 +394,16 @@
             .note_end(&self.call, "complete", self.runs, self.last);
     }
 
-    /// Finds where a silent stream may go on, before what it has is given up.
-    fn reserve(&mut self) -> bool {
+    /// Finds where a silent stream may go on after some runs, before what it has
+    /// is given up.
+    fn reserve(&mut self, runs: u32) -> bool {
         let may = self.call.left(self.app.clock.now()) >= LEAST
-            && self.runs < self.call.route.attempts
+            && runs < self.call.route.attempts
             && self.call.route.class.repeats();
         if !may {
             return false;
         }
-        let choice = self.choose().ok();
+        let choice = self.choose(self.rung, &self.tried).ok();
         self.reserved = choice.filter(|_| self.app.spend(&self.call.service.name, Cause::Failed));
         self.reserved.is_some()
     }
--- a/src/cardamomtally/site/keeper.rs
+++ b/src/cardamomtally/site/keeper.rs
@@ -9,7 +9,8 @@
     backend::{Inventory, settle},
     document::{Document, Fault},
     judge::Judge,
-    poll::{Poll, PollReply},
+    entries::Entries,
+    poll::{self, Poll, PollReply},
     rollout::Rollout,
     state::{Command, Fleet, Machine, Reply, Store, Submission},
 };
@@ -30,6 +31,7 @@
 };
 use slog::{Logger, info, warn};
 use std::{
+    net::SocketAddr,
     path::PathBuf,
     sync::{Mutex, MutexGuard, PoisonError},
 };
@@ -37,8 +39,6 @@
 
 /// Time between two turns of the leader's tasks.
 const TURN: Duration = Duration::from_millis(200);
-/// Time after which an entry that does not poll is not counted any more.
-const ENTRY_SILENCE: Duration = Duration::from_secs(5);
 /// Log entries between two snapshots: documents can be large.
 const SNAPSHOT_ENTRIES: u64 = 96;
 /// Events kept for the time line.
@@ -138,7 +138,7 @@
 #[derive(Debug, Default)]
 struct Shared {
     judge: Judge,
-    entries: FastMap<Name, Mono>,
+    entries: Entries,
 }
 
 impl Keeper {
@@ -221,7 +221,7 @@
         self.log.barrier(GroupId::CONFIG).await?;
         let leader = self.log.leader(GroupId::CONFIG);
         let now = self.clock.now();
-        let entries = self.note_entry(now, &poll, leader.here);
+        let (entries, peers) = self.note_entry(now, &poll, leader.here);
         let members = self.members();
         Ok(self.store.read(|state| {
             let (document, content) = match &state.document {
@@ -240,22 +240,29 @@
                 leader: leader.name,
                 members,
                 entries,
+                peers,
             }
         }))
     }
 
-    fn note_entry(&self, now: Mono, poll: &Poll, leads: bool) -> u32 {
+    /// Notes an entry that polls. Returns how many do, and the others if the entry
+    /// does not know them; only the leader can say.
+    fn note_entry(
+        &self,
+        now: Mono,
+        poll: &Poll,
+        leads: bool,
+    ) -> (u32, Option<Vec<SocketAddr>>) {
         if !leads {
-            return 0;
+            return (0, None);
         }
         let rollouts = self.store.read(|state| state.fleet.rollouts.clone());
         let mut shared = self.shared();
         shared.judge.add(&rollouts, &poll.outcomes);
-        shared.entries.insert(Arc::clone(&poll.name), now);
-        shared
-            .entries
-            .retain(|_, at| now.since(*at) < ENTRY_SILENCE);
-        shared.entries.len() as u32
+        shared.entries.note(&poll.name, poll.exchange, now);
+        let peers = shared.entries.others(&poll.name);
+        let news = (poll::digest(&peers) != poll.peers).then_some(peers);
+        (shared.entries.count(), news)
     }
 
     fn members(&self) -> Vec<Name> {
--- a/src/cardamomtally/site/mod.rs
+++ b/src/cardamomtally/site/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod backend;
 pub mod document;
+pub mod entries;
 pub mod judge;
 pub mod keeper;
 pub mod poll;
--- a/src/cardamomtally/site/poll.rs
+++ b/src/cardamomtally/site/poll.rs
@@ -1,8 +1,9 @@
 //! What entries ask a keeper, and what it answers.
 
 use super::{document::Document, state::Fleet};
-use crate::prelude::*;
+use crate::{prelude::*, routing::rendezvous};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Outcomes of one side of a service's roll-out at one entry.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -39,6 +40,12 @@
     /// Log index of the fleet held.
     #[serde(rename = "f")]
     pub fleet: Index,
+    /// Where it takes what other entries tell, if it does.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub exchange: Option<SocketAddr>,
+    /// Digest of the other entries that it knows.
+    #[serde(rename = "p", default)]
+    pub peers: u64,
     /// Outcomes since the last poll that the leader took.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub outcomes: Vec<Outcomes>,
@@ -68,4 +75,14 @@
     /// Entries that poll; 0 if the member does not know.
     #[serde(rename = "e", default)]
     pub entries: u32,
+    /// Where the other entries take what this one tells, if the digest differs.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<Vec<SocketAddr>>,
+}
+
+/// Returns the digest of a list of other entries; 0 for none.
+#[must_use]
+pub fn digest(peers: &[SocketAddr]) -> u64 {
+    let mix = |sum: u64, peer: &SocketAddr| sum.rotate_left(1) ^ rendezvous::seed(&peer.to_string());
+    peers.iter().fold(0, mix)
 }
