Place prompts by the work that entries tell each other; mend the count of tries

Logs show very long prompts that meet others at one backend server, which no load report tells (load 0.02 to 0.11 meanwhile). Silence that such prompts explain is no failure of a version or a backend server; roll-outs are judged by lateness against what was expected.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -3,7 +3,7 @@
 use super::{
     body::{Body, guarded},
     call::{self, Call},
-    holder::{Held, Holder},
+    holder::Holder,
     names::Names,
     outcomes::Counts,
     peers::Peers,
@@ -11,7 +11,7 @@
     pool::Pool,
     refusal::Refusal,
     registry::{Choice, Registry},
-    stream,
+    stream::{self, Pace},
 };
 use crate::{
     prelude::*,
@@ -42,6 +42,8 @@
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
 /// Time after which a caller of an entry without a lease comes back.
 const NO_LEASE_RETRY: Duration = Duration::from_secs(1);
+/// Lateness that one answer counts for at most, in percent.
+const MOST_LATE: f64 = 800.0;
 /// Part of the retries saved up that is kept for failures.
 const RESERVE: f64 = 0.5;
 /// Retries of a service that all entries together may save up.
@@ -124,8 +126,13 @@
     /// Counts an answer for the judgement of versions.
     pub fn count(&self, call: &Call, choice: &Choice, first: Option<Duration>) {
         let backend = &choice.backend;
-        self.counts
-            .add(&call.route.name, &backend.service, &backend.version, first);
+        let lateness = first.map(|first| lateness(first, choice.first()));
+        self.counts.add(
+            &call.route.name,
+            &backend.service,
+            &backend.version,
+            lateness,
+        );
     }
 
     /// Logs what came of one dispatch.
@@ -181,12 +188,20 @@
     }
 
     /// Logs the end of a stream, or of a part of it.
-    pub fn note_end(&self, call: &Call, why: &str, runs: u32, last: Option<u64>) {
+    pub fn note_end(&self, call: &Call, why: &str, runs: u32, last: Option<u64>, pace: &Pace) {
         info!(self.log, "stream: {}", why; "request" => call.id_text(), "runs" => runs,
-            "last" => last, "ms" => self.clock.now().since(call.since).as_millis() as u64);
+            "last" => last, "first_ms" => pace.first.as_millis() as u64,
+            "pause_ms" => pace.pause.as_millis() as u64, "ms" => self.clock.now().since(call.since).as_millis() as u64);
     }
 }
 
+/// Returns the time to a first byte in percent of what was expected.
+fn lateness(first: Duration, expected: Duration) -> u32 {
+    let expected = expected.as_secs_f64().max(0.001);
+    let ratio = first.as_secs_f64() / expected;
+    (ratio * 100.0).min(MOST_LATE) as u32
+}
+
 /// Answers a request.
 pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<Body> {
     let running = Running::new(&app);
@@ -243,16 +258,16 @@
     let last = number(&parts.headers, &app.names.last_event);
     Ok(match call.route.class {
         Class::Stream | Class::Resumable => stream::serve(app, call, last).await,
-        Class::Repeatable => plain::serve(app, &held, call).await,
-        Class::Once => run_alone(app, held, call).await,
+        Class::Repeatable => plain::serve(app, call).await,
+        Class::Once => run_alone(app, call).await,
     })
 }
 
 /// Runs a request that goes on when its caller leaves: a backend server that
 /// runs it must not be stopped midway.
-async fn run_alone(app: &Arc<App>, held: Arc<Held>, call: Call) -> Response<Body> {
+async fn run_alone(app: &Arc<App>, call: Call) -> Response<Body> {
     let own = Arc::clone(app);
-    let task = tokio::spawn(async move { plain::serve(&own, &held, call).await });
+    let task = tokio::spawn(async move { plain::serve(&own, call).await });
     task.await.unwrap_or_else(|_panicked| {
         let detail = "the entry failed";
         Refusal::unknown(StatusCode::BAD_GATEWAY, detail).response()
--- a/src/cardamomtally/direct/attempt.rs
+++ b/src/cardamomtally/direct/attempt.rs
@@ -22,6 +22,8 @@
     Rejected(&'static str),
     /// It may have run.
     Unknown(&'static str),
+    /// Nothing came in time; it may have run.
+    Silent,
 }
 
 impl Outcome {
@@ -33,6 +35,7 @@
             Self::Unsent(why) => format!("not sent: {why}"),
             Self::Rejected(why) => format!("rejected: {why}"),
             Self::Unknown(why) => format!("unknown: {why}"),
+            Self::Silent => "unknown: no answer in time".to_owned(),
         }
     }
 }
--- a/src/cardamomtally/direct/backlog.rs
+++ b/src/cardamomtally/direct/backlog.rs
@@ -69,8 +69,7 @@
 
     /// Takes the sums that another entry tells.
     pub fn take(&mut self, entry: &Name, sums: Sums, now: Mono) {
-        self.told
-            .insert(Arc::clone(entry), Told { at: now, sums });
+        self.told.insert(Arc::clone(entry), Told { at: now, sums });
         self.add_up();
     }
 
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -19,7 +19,7 @@
     net::{nng::Client, transport::Transport},
     prelude::*,
 };
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::{
     fmt,
     net::SocketAddr,
@@ -157,7 +157,7 @@
     tokio::spawn(follow(Arc::clone(&app), reload));
     tokio::spawn(sweep(Arc::clone(&app)));
     if let Some(address) = settings.exchange {
-        exchange(&app, address).await?;
+        exchange(&app, address).await;
     }
     let ready = Arc::clone(&settings.ready);
     tokio::spawn(listener::run_health(
@@ -176,15 +176,20 @@
 }
 
 /// Begins to tell other entries of prompt work, and to take what they tell.
-async fn exchange(app: &Arc<App>, address: SocketAddr) -> eyre::Result<()> {
-    let bound = UdpSocket::bind(address).await;
-    let socket = bound.wrap_err_with(|| format!("failed to take datagrams at {address}"))?;
-    let socket = Arc::new(socket);
+/// An entry that cannot still serves, only with less known.
+async fn exchange(app: &Arc<App>, address: SocketAddr) {
+    let socket = match UdpSocket::bind(address).await {
+        Ok(socket) => Arc::new(socket),
+        Err(error) => {
+            warn!(app.log, "peers: nothing is told or taken"; "address" => %address,
+                "error" => %error);
+            return;
+        }
+    };
     let (own, taken) = (Arc::clone(app), Arc::clone(&socket));
     tokio::spawn(async move { own.peers.listen(&taken, &own.registry).await });
     let own = Arc::clone(app);
     tokio::spawn(async move { own.peers.tell(&socket, &own.registry).await });
-    Ok(())
 }
 
 async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
--- a/src/cardamomtally/direct/escalate.rs
+++ b/src/cardamomtally/direct/escalate.rs
@@ -11,7 +11,7 @@
 /// Bound where the larger model's answer would just be late.
 const LATE: f64 = 15.0;
 /// Part of the route's target that may be used before the bound falls.
-const EARLY: f64 = 0.5;
+const EARLY: f64 = 0.85;
 /// Part of the target from which on no answer is dropped.
 const HOPELESS: f64 = 3.0;
 
--- a/src/cardamomtally/direct/mod.rs
+++ b/src/cardamomtally/direct/mod.rs
@@ -28,3 +28,4 @@
 pub mod registry;
 pub mod speed;
 pub mod stream;
+pub mod tries;
--- a/src/cardamomtally/direct/outcomes.rs
+++ b/src/cardamomtally/direct/outcomes.rs
@@ -13,8 +13,9 @@
 }
 
 impl Counts {
-    /// Counts an answer; `first` is the time to its first byte, if it is good.
-    pub fn add(&self, route: &Name, service: &Name, version: &Name, first: Option<Duration>) {
+    /// Counts an answer; `first` is the time to its first byte in percent of
+    /// what was expected, if it is good.
+    pub fn add(&self, route: &Name, service: &Name, version: &Name, first: Option<u32>) {
         let kind = (Arc::clone(route), Arc::clone(service), Arc::clone(version));
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
         let count = counts.entry(kind).or_insert_with(|| Outcomes {
@@ -26,7 +27,7 @@
         match first {
             Some(first) => {
                 count.good += 1;
-                count.first += first.as_millis() as u64;
+                count.first += u64::from(first);
             }
             None => count.bad += 1,
         }
--- a/src/cardamomtally/direct/peers.rs
+++ b/src/cardamomtally/direct/peers.rs
@@ -5,15 +5,15 @@
 //! sum that comes late is worth nothing, so nothing is sent again, and no
 //! connection to every entry is kept.
 
-use super::{
-    backlog::Sums,
-    registry::Registry,
-};
+use super::{backlog::Sums, registry::Registry};
 use crate::{net::codec, prelude::*};
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, debug, warn};
-use std::{net::SocketAddr, sync::atomic::{AtomicBool, Ordering}};
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, Ordering},
+};
 use tokio::{net::UdpSocket, sync::Notify};
 
 /// Least time between two messages, for each entry that is told.
@@ -109,22 +109,22 @@
             if sums == last && !repeats {
                 continue;
             }
-            let addresses = self.addresses.load_full();
-            self.send(socket, &addresses, sums.clone()).await;
+            self.send(socket, sums.clone()).await;
             last = sums;
-            let gap = GAP * addresses.len() as u32;
+            let gap = GAP * self.known().len() as u32;
             tokio::time::sleep(gap.max(LEAST_GAP)).await;
         }
     }
 
-    async fn send(&self, socket: &UdpSocket, addresses: &[SocketAddr], sums: Sums) {
+    /// Tells all other entries once.
+    pub async fn send(&self, socket: &UdpSocket, sums: Sums) {
         let message = Message {
             entry: Arc::clone(&self.entry),
             sums,
         };
         let bytes = codec::encode(&message);
-        for address in addresses {
-            if let Err(error) = socket.send_to(&bytes, address).await {
+        for address in self.known().iter() {
+            if let Err(error) = socket.send_to(&bytes, *address).await {
                 debug!(self.log, "peers: not told"; "to" => %address, "error" => %error);
             }
         }
--- a/src/cardamomtally/direct/placing.rs
+++ b/src/cardamomtally/direct/placing.rs
@@ -17,6 +17,10 @@
 /// Cost of each shared token that is read again, beside the time that it takes.
 const AGAIN: f64 = 0.01;
 
+/// Part of a prompt's reading time that it costs each request that runs there:
+/// none of them brings an event meanwhile.
+const HARM: f64 = 0.05;
+
 /// A prompt.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Prompt {
@@ -31,7 +35,9 @@
 /// What is known of a backend server for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct View {
-    /// Requests by slot.
+    /// Requests that it runs or holds.
+    pub busy: f64,
+    /// The same by slot.
     pub load: f64,
     /// Prompt work that waits there, in milliseconds.
     pub backlog: f64,
@@ -63,7 +69,11 @@
     let work = speed.work(tokens);
     let distance = if view.away { DISTANCE } else { 0.0 };
     Estimate {
-        cost: view.backlog + work + again * AGAIN + view.load * LOAD + distance,
+        cost: view.backlog
+            + work * (1.0 + view.busy * HARM)
+            + again * AGAIN
+            + view.load * LOAD
+            + distance,
         work,
         first: view.backlog + speed.fixed + work,
         tokens,
--- a/src/cardamomtally/direct/plain.rs
+++ b/src/cardamomtally/direct/plain.rs
@@ -5,22 +5,24 @@
     attempt::{self, Outcome, Turn},
     body::{Body, whole},
     call::{self, Call},
-    holder::Held,
     pool::Answer,
     refusal::Refusal,
-    registry::{Choice, NoChoice, Wanted},
+    registry::{Choice, Wanted},
+    tries::{Tries, TryLimits},
 };
 use crate::{prelude::*, routing::budget::Cause, site::document::Class};
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::Response;
 use http_body_util::{BodyExt as _, Limited};
 
 /// Longest answer that is forwarded whole.
 const ANSWER_BYTES: usize = 8 << 20;
-/// Time below which nothing is sent any more.
-const LEAST: Duration = Duration::from_millis(5);
-/// Backend servers that may refuse a request, beyond those that may run it.
-const REFUSALS: u32 = 2;
+/// How often a plain request may be sent.
+const LIMITS: TryLimits = TryLimits {
+    least: Duration::from_millis(5),
+    refusals: 2,
+    back: Duration::from_millis(200),
+};
 /// Part of the time left after which a repeatable request is tried elsewhere.
 const HEDGE: f64 = 0.45;
 
@@ -32,18 +34,19 @@
 }
 
 /// What has come of a request so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Progress {
-    tried: Vec<Name>,
-    /// Backend servers that may have run it.
-    runs: u32,
+    tries: Tries,
     failure: Option<Done>,
 }
 
 /// Serves a request.
-pub async fn serve(app: &Arc<App>, held: &Held, call: Call) -> Response<Body> {
-    let mut progress = Progress::default();
-    let outcome = attempts(app, held, &call, &mut progress).await;
+pub async fn serve(app: &Arc<App>, call: Call) -> Response<Body> {
+    let mut progress = Progress {
+        tries: Tries::new(LIMITS),
+        failure: None,
+    };
+    let outcome = attempts(app, &call, &mut progress).await;
     let refusal = match outcome {
         Ok(done) => return forward(app, done),
         Err(refusal) => refusal,
@@ -51,56 +54,57 @@
     if let Some(done) = progress.failure {
         return forward(app, done);
     }
-    app.note_refusal(&call, &refusal, progress.tried.len());
+    app.note_refusal(&call, &refusal, progress.tries.tried.len());
     refusal.response()
 }
 
-async fn attempts(
-    app: &Arc<App>,
-    held: &Held,
-    call: &Call,
-    progress: &mut Progress,
-) -> Result<Done, Refusal> {
+async fn attempts(app: &Arc<App>, call: &Call, progress: &mut Progress) -> Result<Done, Refusal> {
     loop {
         let now = app.clock.now();
-        let left = call.left(now);
-        if left < LEAST {
-            return Err(progress.give_up(StatusCode::GATEWAY_TIMEOUT, "no time is left"));
-        }
+        let left = progress.tries.left(app, call)?;
         let wanted = Wanted {
             service: &call.service,
             session: call.session,
             model: call.model.as_deref(),
             prompt: call.prompt,
-            tried: &progress.tried,
+            tried: &progress.tries.tried,
         };
-        let choice = app.registry.choose(held, &wanted);
-        let mut choice = choice.map_err(|why| progress.no_choice(why))?;
-        progress.tried.push(Arc::clone(&choice.backend.instance));
+        let choice = app.registry.choose(&app.holder.held(), &wanted);
+        let mut choice = choice.map_err(|why| progress.tries.no_choice(why))?;
+        progress
+            .tries
+            .tried
+            .push(Arc::clone(&choice.backend.instance));
         let limit = limit(call, progress, left);
         let outcome = one(app, call, &mut choice, left, limit).await;
         app.note_attempt(call, &choice, None, &outcome.label(), now);
         let cause = match outcome {
             Tried::Done(done) if !done.parts.status.is_server_error() => return Ok(done),
             Tried::Done(done) => {
-                progress.runs += 1;
+                progress.tries.runs += 1;
                 progress.failure = Some(done);
                 Cause::Failed
             }
-            Tried::Unsent(_) => Cause::NotSent,
-            Tried::Rejected(_) => Cause::Rejected,
+            Tried::Unsent(_) => {
+                progress.tries.refused += 1;
+                Cause::NotSent
+            }
+            Tried::Rejected(_) => {
+                progress.tries.refused += 1;
+                Cause::Rejected
+            }
             Tried::Unknown(_) => {
-                progress.runs += 1;
+                progress.tries.runs += 1;
                 Cause::Failed
             }
         };
-        progress.go_on(app, call, cause)?;
+        progress.tries.go_on(app, call, cause)?;
     }
 }
 
 /// Returns how long one attempt may take.
 fn limit(call: &Call, progress: &Progress, left: Duration) -> Duration {
-    let last = progress.runs + 1 >= call.route.attempts;
+    let last = progress.tries.runs + 1 >= call.route.attempts;
     if call.route.class != Class::Repeatable || last {
         return left;
     }
@@ -149,6 +153,7 @@
             Outcome::Unsent(why) => Tried::Unsent(why),
             Outcome::Rejected(why) => Tried::Rejected(why),
             Outcome::Unknown(why) => Tried::Unknown(why),
+            Outcome::Silent => Tried::Unknown("no answer in time"),
         }
     };
     let tried = match tokio::time::timeout(limit, work).await {
@@ -190,42 +195,6 @@
     })
 }
 
-impl Progress {
-    fn give_up(&self, status: StatusCode, detail: &'static str) -> Refusal {
-        if self.runs == 0 {
-            return Refusal::unavailable(detail, Duration::from_millis(200));
-        }
-        Refusal::unknown(status, detail)
-    }
-
-    fn no_choice(&self, why: NoChoice) -> Refusal {
-        let detail = match why {
-            NoChoice::None => "no other backend server may run it",
-            NoChoice::Busy => "all backend servers are busy or failing",
-        };
-        self.give_up(StatusCode::BAD_GATEWAY, detail)
-    }
-
-    /// Allows another attempt, or ends the request.
-    fn go_on(&self, app: &App, call: &Call, cause: Cause) -> Result<(), Refusal> {
-        if call.left(app.clock.now()) < LEAST {
-            return Err(self.give_up(StatusCode::GATEWAY_TIMEOUT, "no time is left"));
-        }
-        let may_repeat = self.runs == 0 || call.route.class.repeats();
-        if !may_repeat {
-            return Err(self.give_up(StatusCode::BAD_GATEWAY, "the backend server failed"));
-        }
-        let most = call.route.attempts.max(1) + REFUSALS;
-        if self.tried.len() as u32 >= most || self.runs >= call.route.attempts {
-            return Err(self.give_up(StatusCode::BAD_GATEWAY, "no attempt is left"));
-        }
-        if !app.spend(&call.service.name, cause) {
-            return Err(self.give_up(StatusCode::BAD_GATEWAY, "the retry budget is spent"));
-        }
-        Ok(())
-    }
-}
-
 fn forward(app: &App, done: Done) -> Response<Body> {
     let mut response = Response::new(whole(done.body));
     *response.status_mut() = done.parts.status;
--- a/src/cardamomtally/direct/registry.rs
+++ b/src/cardamomtally/direct/registry.rs
@@ -42,6 +42,12 @@
 const KEPT: Duration = Duration::from_secs(7);
 /// Prompt work whose begin and end other entries are told at once.
 const LARGE_MS: f64 = 20.0;
+/// How many times its backlog a backend server may be silent.
+const EXCUSE: f64 = 2.0;
+/// Silence that is excused beside it.
+const EXCUSE_MS: f64 = 500.0;
+/// Backlog that excuses nothing.
+const EXCUSE_LEAST_MS: f64 = 150.0;
 /// Backlog below which a first event shows how fast prompts are read.
 const CALM_MS: f64 = 10.0;
 
@@ -257,9 +263,11 @@
             if !node.breaker.allows(now) || (cold && now < node.cold_next) {
                 continue;
             }
-            let load = node.busy(now, held.entries) / f64::from(backend.slots.max(1));
+            let busy = node.busy(now, held.entries);
+            let load = busy / f64::from(backend.slots.max(1));
             let is_home = home == Some(node.key) && load < FULL;
             let view = View {
+                busy,
                 load,
                 backlog: state.backlog.at(node.key),
                 away: backend.centre != self.centre,
@@ -371,6 +379,15 @@
         Duration::from_secs_f64(self.estimate.first.max(0.0) / 1e3)
     }
 
+    /// Tells whether prompts that are being read explain that nothing has come for
+    /// some time.
+    #[must_use]
+    pub fn is_delayed(&self, silence: Duration) -> bool {
+        let backlog = self.registry.lock().backlog.at(self.key);
+        let excused = backlog * EXCUSE + EXCUSE_MS;
+        backlog >= EXCUSE_LEAST_MS && silence.as_secs_f64() * 1e3 < excused
+    }
+
     /// Notes that the answer begins: its prompt has been read.
     pub fn begun(&mut self) {
         if !std::mem::take(&mut self.reading) {
--- a/src/cardamomtally/direct/stream.rs
+++ b/src/cardamomtally/direct/stream.rs
@@ -16,17 +16,22 @@
     pool::{Answer, Connection},
     refusal::Refusal,
     registry::{Choice, NoChoice, Wanted},
+    tries::{Tries, TryLimits},
 };
 use crate::{prelude::*, routing::budget::Cause};
 use bytes::Bytes;
 use futures::stream;
-use http::{Response, StatusCode, response::Parts};
+use http::{Response, response::Parts};
 use http_body_util::{BodyExt as _, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
 use std::sync::atomic::Ordering;
 
-/// Time below which nothing is sent any more.
-const LEAST: Duration = Duration::from_millis(20);
+/// How often a stream may be sent.
+const LIMITS: TryLimits = TryLimits {
+    least: Duration::from_millis(20),
+    refusals: 3,
+    back: Duration::from_millis(300),
+};
 /// Part of the longest good pause after which a stream is taken for stuck.
 const STUCK: f64 = 0.8;
 /// Silence before the first event that lets a stream go elsewhere, beside the
@@ -36,23 +41,42 @@
 const FIRST_TARGET: f64 = 0.4;
 /// How many times the time that was expected adds to it.
 const FIRST_EXPECTED: f64 = 3.0;
-/// Backend servers that may refuse a request, beyond those that may run it.
-const REFUSALS: usize = 3;
 
 /// A stream that is being passed on.
 struct Flow {
     app: Arc<App>,
     call: Arc<Call>,
-    tried: Vec<Name>,
-    runs: u32,
+    tries: Tries,
     rung: usize,
     last: Option<u64>,
     events: u32,
+    pace: Pace,
     source: Option<Source>,
     /// Where to go on, if that was chosen before.
     reserved: Option<Choice>,
 }
 
+/// When events were passed on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    /// Time to the first event.
+    pub first: Duration,
+    /// Longest pause between two.
+    pub pause: Duration,
+    latest: Mono,
+}
+
+impl Pace {
+    fn note(&mut self, since: Mono, now: Mono) {
+        if self.latest == Mono::default() {
+            self.first = now.since(since);
+        } else {
+            self.pause = self.pause.max(now.since(self.latest));
+        }
+        self.latest = now;
+    }
+}
+
 /// Where events come from.
 struct Source {
     choice: Choice,
@@ -69,6 +93,8 @@
     Events(Events),
     End,
     Broken(&'static str),
+    /// Nothing for longer than a good pause.
+    Silent(Duration),
 }
 
 /// Serves a request.
@@ -77,10 +103,10 @@
         app: Arc::clone(app),
         rung: escalate::first(call.route.cascade.len()),
         call: Arc::new(call),
-        tried: Vec::new(),
-        runs: 0,
+        tries: Tries::new(LIMITS),
         last,
         events: 0,
+        pace: Pace::default(),
         source: None,
         reserved: None,
     };
@@ -88,7 +114,7 @@
         Ok(Opened::Stream(parts)) => flow.respond(&parts),
         Ok(Opened::Whole(response)) => response,
         Err(refusal) => {
-            app.note_refusal(&flow.call, &refusal, flow.tried.len());
+            app.note_refusal(&flow.call, &refusal, flow.tries.tried.len());
             refusal.response()
         }
     }
@@ -119,7 +145,7 @@
             }
             if parts.status.is_success() {
                 if self.escalates(&parts) {
-                    self.tried.clear();
+                    self.tries.tried.clear();
                     continue;
                 }
                 self.source = Some(Source {
@@ -133,7 +159,7 @@
                 return Ok(Opened::Stream(parts));
             }
             self.failed(choice);
-            if self.may_go_on(Cause::Failed).is_err() {
+            if self.go_on(Cause::Failed).is_err() {
                 return Ok(Opened::Whole(self.pass_failure(&parts, body).await));
             }
         }
@@ -141,7 +167,7 @@
 
     /// Tells whether a larger model is to answer, and reserves its place.
     fn escalates(&mut self, parts: &Parts) -> bool {
-        if !self.call.any_model || self.events > 0 || self.runs >= self.call.route.attempts {
+        if !self.call.any_model || self.events > 0 || self.tries.runs >= self.call.route.attempts {
             return false;
         }
         let confidence = attempt::confidence(&self.app.names, &parts.headers);
@@ -167,11 +193,18 @@
         let choice = self.choose(rung, &[]).ok()?;
         let passed = self.app.clock.now().since(self.call.since) + choice.first();
         let used = passed.as_secs_f64() / self.call.route.target.as_secs_f64().max(0.001);
-        let goes = escalate::drops(confidence, used)
-            && self.app.spend_spare(&self.call.service.name);
+        let goes =
+            escalate::drops(confidence, used) && self.app.spend_spare(&self.call.service.name);
         goes.then_some((rung, choice))
     }
 
+    /// Takes note of silence, unless prompts that are read explain it.
+    fn fell_silent(&self, choice: Choice, silence: Duration) {
+        if !choice.is_delayed(silence) {
+            self.failed(choice);
+        }
+    }
+
     fn failed(&self, mut choice: Choice) {
         choice.bad();
         self.app.count(&self.call, &choice, None);
@@ -192,48 +225,56 @@
     /// Sends the request once. Returns nothing if it may be sent again.
     async fn attempt(&mut self) -> Result<Option<(Choice, Answer)>, Refusal> {
         let now = self.app.clock.now();
-        let left = self.call.left(now);
-        if left < LEAST {
-            return Err(self.give_up(StatusCode::GATEWAY_TIMEOUT, "no time is left"));
-        }
-        let choice = match self.reserved.take() {
-            Some(choice) => choice,
-            None => {
-                let chosen = self.choose(self.rung, &self.tried);
-                chosen.map_err(|why| self.no_choice(why))?
-            }
+        let left = self.tries.left(&self.app, &self.call)?;
+        let choice = if let Some(choice) = self.reserved.take() {
+            choice
+        } else {
+            let chosen = self.choose(self.rung, &self.tries.tried);
+            chosen.map_err(|why| self.tries.no_choice(why))?
         };
         let instance = Arc::clone(&choice.backend.instance);
-        self.tried.push(instance);
+        self.tries.tried.push(instance);
         let outcome = self.send(&choice, left).await;
         self.app
             .note_attempt(&self.call, &choice, self.model(), &outcome.label(), now);
         match outcome {
             Outcome::Answered(answer) => {
-                self.runs += 1;
+                self.tries.runs += 1;
                 Ok(Some((choice, *answer)))
             }
             Outcome::Unsent(_) => {
                 let mut choice = choice;
                 choice.gone();
-                self.may_go_on(Cause::NotSent)?;
+                self.tries.refused += 1;
+                self.go_on(Cause::NotSent)?;
                 Ok(None)
             }
             Outcome::Rejected(_) => {
-                self.may_go_on(Cause::Rejected)?;
+                self.tries.refused += 1;
+                self.go_on(Cause::Rejected)?;
                 Ok(None)
             }
             Outcome::Unknown(_) => {
-                self.runs += 1;
+                self.tries.runs += 1;
                 self.failed(choice);
+                self.go_on(Cause::Failed)?;
+                Ok(None)
+            }
+            Outcome::Silent => {
+                self.tries.runs += 1;
+                self.fell_silent(choice, self.app.clock.now().since(now));
                 if self.reserved.is_none() {
-                    self.may_go_on(Cause::Failed)?;
+                    self.go_on(Cause::Failed)?;
                 }
                 Ok(None)
             }
         }
     }
 
+    fn go_on(&self, cause: Cause) -> Result<(), Refusal> {
+        self.tries.go_on(&self.app, &self.call, cause)
+    }
+
     /// Chooses a backend server for a model of the cascade.
     fn choose(&self, rung: usize, tried: &[Name]) -> Result<Choice, NoChoice> {
         let wanted = Wanted {
@@ -247,14 +288,6 @@
         self.app.registry.choose(&held, &wanted)
     }
 
-    fn no_choice(&self, why: NoChoice) -> Refusal {
-        let detail = match why {
-            NoChoice::None => "no other backend server may run it",
-            NoChoice::Busy => "all backend servers are busy or failing",
-        };
-        self.give_up(StatusCode::BAD_GATEWAY, detail)
-    }
-
     /// Sends the request and waits for the head of an answer. What stays silent
     /// for too long is given up if the request may go on elsewhere.
     async fn send(&mut self, choice: &Choice, left: Duration) -> Outcome {
@@ -273,13 +306,13 @@
             + choice.first().mul_f64(FIRST_EXPECTED);
         let sent = match tokio::time::timeout(first.min(left), sending.as_mut()).await {
             Ok(sent) => Some(sent),
-            Err(_elapsed) if self.reserve(self.runs + 1) => None,
+            Err(_elapsed) if self.reserve(self.tries.runs + 1, left) => None,
             Err(_elapsed) => {
                 let rest = left.saturating_sub(first);
                 tokio::time::timeout(rest, sending).await.ok()
             }
         };
-        sent.map_or(Outcome::Unknown("no answer in time"), |sent| {
+        sent.map_or(Outcome::Silent, |sent| {
             attempt::judge(&app.names, &call, sent)
         })
     }
@@ -294,30 +327,6 @@
         model.filter(|_| self.call.any_model).map(|m| &**m)
     }
 
-    fn give_up(&self, status: StatusCode, detail: &'static str) -> Refusal {
-        if self.runs == 0 {
-            return Refusal::unavailable(detail, Duration::from_millis(300));
-        }
-        Refusal::unknown(status, detail)
-    }
-
-    fn may_go_on(&self, cause: Cause) -> Result<(), Refusal> {
-        if self.call.left(self.app.clock.now()) < LEAST {
-            return Err(self.give_up(StatusCode::GATEWAY_TIMEOUT, "no time is left"));
-        }
-        if self.runs > 0 && !self.call.route.class.repeats() {
-            return Err(self.give_up(StatusCode::BAD_GATEWAY, "the backend server failed"));
-        }
-        let refused = self.tried.len() - self.runs as usize;
-        if self.runs >= self.call.route.attempts || refused > REFUSALS {
-            return Err(self.give_up(StatusCode::BAD_GATEWAY, "no attempt is left"));
-        }
-        if !self.app.spend(&self.call.service.name, cause) {
-            return Err(self.give_up(StatusCode::BAD_GATEWAY, "the retry budget is spent"));
-        }
-        Ok(())
-    }
-
     /// Answers with the first backend server's head and the events to come.
     fn respond(self, parts: &Parts) -> Response<Body> {
         let status = parts.status;
@@ -327,7 +336,10 @@
             match flow.next().await {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(flow))),
                 Ok(None) => None,
-                Err(error) => Some((Err(error), None)),
+                Err(error) => {
+                    flow.note_end(&format!("broken off: {error}"));
+                    Some((Err(error), None))
+                }
             }
         });
         let mut response = Response::new(StreamBody::new(events).boxed_unsync());
@@ -347,7 +359,7 @@
             let next = match tokio::time::timeout(stuck, source.next()).await {
                 Ok(next) => next,
                 Err(_elapsed) if left.is_zero() => return Err("no time is left".into()),
-                Err(_elapsed) if self.reserve(self.runs) => Next::Broken("the backend server fell silent"),
+                Err(_elapsed) if self.leaves(stuck) => Next::Silent(stuck),
                 // Silence alone ends no answer.
                 Err(_elapsed) => continue,
             };
@@ -361,7 +373,18 @@
                     self.finish();
                     return Ok(None);
                 }
-                Next::Broken(why) => self.resume(why).await?,
+                Next::Broken(why) => {
+                    if let Some(source) = self.source.take() {
+                        self.failed(source.choice);
+                    }
+                    self.resume(why).await?;
+                }
+                Next::Silent(silence) => {
+                    if let Some(source) = self.source.take() {
+                        self.fell_silent(source.choice, silence);
+                    }
+                    self.resume("the backend server fell silent").await?;
+                }
             }
         }
     }
@@ -378,9 +401,15 @@
         }
         self.last = events.last.or(self.last);
         self.events += 1;
+        self.pace.note(self.call.since, self.app.clock.now());
         Ok(Some(events.bytes))
     }
 
+    fn note_end(&self, why: &str) {
+        self.app
+            .note_end(&self.call, why, self.tries.runs, self.last, &self.pace);
+    }
+
     fn finish(&mut self) {
         let Some(mut source) = self.source.take() else {
             return;
@@ -390,32 +419,41 @@
             .count(&self.call, &source.choice, Some(source.first));
         let address = source.choice.backend.address;
         self.app.pool.keep(address, source.connection, source.keep);
-        self.app
-            .note_end(&self.call, "complete", self.runs, self.last);
+        self.note_end("complete");
+    }
+
+    /// Tells whether a stream that has been silent goes on elsewhere. Where long
+    /// prompts explain the silence, it does only if that is still a good pause.
+    fn leaves(&mut self, silence: Duration) -> bool {
+        let delayed = |source: &Source| source.choice.is_delayed(silence);
+        let within = if self.source.as_ref().is_some_and(delayed) {
+            self.call.route.pause.saturating_sub(silence)
+        } else {
+            Duration::MAX
+        };
+        self.reserve(self.tries.runs, within)
     }
 
     /// Finds where a silent stream may go on after some runs, before what it has
-    /// is given up.
-    fn reserve(&mut self, runs: u32) -> bool {
-        let may = self.call.left(self.app.clock.now()) >= LEAST
+    /// is given up; its first event must be due within a time.
+    fn reserve(&mut self, runs: u32, within: Duration) -> bool {
+        let may = self.tries.left(&self.app, &self.call).is_ok()
             && runs < self.call.route.attempts
             && self.call.route.class.repeats();
         if !may {
             return false;
         }
-        let choice = self.choose(self.rung, &self.tried).ok();
+        let choice = self.choose(self.rung, &self.tries.tried).ok();
+        let choice = choice.filter(|choice| choice.first() <= within);
         self.reserved = choice.filter(|_| self.app.spend(&self.call.service.name, Cause::Failed));
         self.reserved.is_some()
     }
 
     /// Goes on at another backend server.
     async fn resume(&mut self, why: &'static str) -> Result<(), BodyError> {
-        if let Some(source) = self.source.take() {
-            self.failed(source.choice);
-        }
-        self.app.note_end(&self.call, why, self.runs, self.last);
+        self.note_end(why);
         if self.reserved.is_none() {
-            self.may_go_on(Cause::Failed).map_err(|r| r.detail)?;
+            self.go_on(Cause::Failed).map_err(|r| r.detail)?;
         }
         match self.open().await {
             Ok(Opened::Stream(_)) => Ok(()),
--- a/src/cardamomtally/site/judge.rs
+++ b/src/cardamomtally/site/judge.rs
@@ -8,7 +8,8 @@
 //!
 //! The new version is compared with the old one on each route. Its failures count
 //! as bad, and so do its good answers when their first bytes come several times
-//! later than the old version's. It is rolled back when that is more than luck
+//! later than the old version's, each against what its entry expected: prompts
+//! differ too much in length for their times to be compared. It is rolled back when that is more than luck
 //! gives, and also when the time runs out without enough answers.
 
 use super::{
@@ -32,8 +33,8 @@
 const RATE: f64 = 0.08;
 /// How many times later a slow version's first bytes come.
 const SLOW: f64 = 3.0;
-/// Latency that is never called slow, in milliseconds.
-const SLOW_MS: f64 = 250.0;
+/// Lateness that is never called slow, in percent of what was expected.
+const SLOW_LEAST: f64 = 250.0;
 
 /// Answers of one version on one route.
 #[derive(Clone, Copy, Debug, Default)]
@@ -176,5 +177,5 @@
 
 fn lags(new: &Tally, old: &Tally) -> bool {
     let known = new.good >= LEAST_BAD && old.good >= LEAST_GOOD;
-    known && new.mean() > SLOW_MS.max(old.mean() * SLOW)
+    known && new.mean() > SLOW_LEAST.max(old.mean() * SLOW)
 }
--- a/src/cardamomtally/site/keeper.rs
+++ b/src/cardamomtally/site/keeper.rs
@@ -8,8 +8,8 @@
 use super::{
     backend::{Inventory, settle},
     document::{Document, Fault},
-    judge::Judge,
     entries::Entries,
+    judge::Judge,
     poll::{self, Poll, PollReply},
     rollout::Rollout,
     state::{Command, Fleet, Machine, Reply, Store, Submission},
@@ -247,12 +247,7 @@
 
     /// Notes an entry that polls. Returns how many do, and the others if the entry
     /// does not know them; only the leader can say.
-    fn note_entry(
-        &self,
-        now: Mono,
-        poll: &Poll,
-        leads: bool,
-    ) -> (u32, Option<Vec<SocketAddr>>) {
+    fn note_entry(&self, now: Mono, poll: &Poll, leads: bool) -> (u32, Option<Vec<SocketAddr>>) {
         if !leads {
             return (0, None);
         }
--- a/src/cardamomtally/site/poll.rs
+++ b/src/cardamomtally/site/poll.rs
@@ -23,7 +23,8 @@
     /// Failures.
     #[serde(rename = "b")]
     pub bad: u32,
-    /// Sum of times to the first byte of good answers, in milliseconds.
+    /// Sum over good answers of the time to the first byte, in percent of what
+    /// was expected.
     #[serde(rename = "t")]
     pub first: u64,
 }
@@ -83,6 +84,7 @@
 /// Returns the digest of a list of other entries; 0 for none.
 #[must_use]
 pub fn digest(peers: &[SocketAddr]) -> u64 {
-    let mix = |sum: u64, peer: &SocketAddr| sum.rotate_left(1) ^ rendezvous::seed(&peer.to_string());
+    let mix =
+        |sum: u64, peer: &SocketAddr| sum.rotate_left(1) ^ rendezvous::seed(&peer.to_string());
     peers.iter().fold(0, mix)
 }
--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -7,4 +7,6 @@
 mod held;
 mod once;
 mod parts;
+mod peers;
+mod placing;
 mod streams;
--- /dev/null
+++ b/tests/testsuite/direct/peers.rs
@@ -0,0 +1,107 @@
+//! Entries that tell each other of their prompt work.
+
+use super::choice::{fleet, held, service};
+use crate::support::wait::PATIENCE;
+use cardamomtally::{
+    core::clock::SystemClock,
+    direct::{
+        backlog::Sums,
+        peers::Peers,
+        placing::Prompt,
+        registry::{Registry, Wanted},
+    },
+    prelude::*,
+    routing::rendezvous,
+    util::log,
+};
+use std::net::SocketAddr;
+use tokio::net::UdpSocket;
+
+/// An entry's registry, and where it takes what others tell.
+struct Entry {
+    registry: Arc<Registry>,
+    peers: Arc<Peers>,
+    address: SocketAddr,
+}
+
+async fn start(name: &str) -> Entry {
+    let peers = Arc::new(Peers::new(name.into(), log::discard()));
+    let registry = Registry::new(Arc::new(SystemClock::default()), "north".into());
+    let registry = Arc::new(registry.with_peers(Arc::clone(&peers)));
+    let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    let address = socket.local_addr().unwrap();
+    let (taken, told) = (Arc::clone(&socket), socket);
+    let (own, seen) = (Arc::clone(&peers), Arc::clone(&registry));
+    tokio::spawn(async move { own.listen(&taken, &seen).await });
+    let (own, seen) = (Arc::clone(&peers), Arc::clone(&registry));
+    tokio::spawn(async move { own.tell(&told, &seen).await });
+    Entry {
+        registry,
+        peers,
+        address,
+    }
+}
+
+fn long() -> Prompt {
+    Prompt {
+        prefix: None,
+        shared: 0,
+        own: 40_000,
+    }
+}
+
+/// Waits until what waits at the only backend server meets a condition.
+async fn until_backlog(registry: &Arc<Registry>, met: impl Fn(f64) -> bool) {
+    let held = held(fleet(&["i-1"]));
+    let service = service();
+    let wanted = Wanted {
+        service: &service,
+        session: 1,
+        model: Some("large"),
+        prompt: Prompt::default(),
+        tried: &[],
+    };
+    let look = async {
+        while !met(registry.choose(&held, &wanted).unwrap().backlog) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, look).await.unwrap();
+}
+
+#[tokio::test]
+async fn other_entry_sees_a_long_prompt_until_it_has_been_read() {
+    let (first, second) = (start("entry-1").await, start("entry-2").await);
+    first.peers.set(vec![second.address]);
+    let held = held(fleet(&["i-1"]));
+    let service = service();
+    let wanted = Wanted {
+        service: &service,
+        session: 1,
+        model: Some("large"),
+        prompt: long(),
+        tried: &[],
+    };
+
+    let mut choice = first.registry.choose(&held, &wanted).unwrap();
+    until_backlog(&second.registry, |backlog| backlog > 300.0).await;
+    choice.begun();
+    until_backlog(&second.registry, |backlog| backlog < 1.0).await;
+}
+
+#[tokio::test]
+async fn nonsense_from_the_network_changes_nothing() {
+    let entry = start("entry-1").await;
+    let other = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+
+    other
+        .send_to(b"\xff\x00nonsense", entry.address)
+        .await
+        .unwrap();
+    let peers = Peers::new("entry-9".into(), log::discard());
+    peers.set(vec![entry.address]);
+    let sums: Sums = vec![(rendezvous::seed("i-1"), 700)];
+    peers.send(&other, sums).await;
+
+    until_backlog(&entry.registry, |backlog| backlog == 700.0).await;
+}
--- /dev/null
+++ b/tests/testsuite/direct/placing.rs
@@ -0,0 +1,256 @@
+//! Where prompts go: what a place costs, what waits, how fast prompts are read.
+
+use cardamomtally::{
+    direct::{
+        backlog::Backlog,
+        placing::{self, Estimate, Prompt, View},
+        speed::{Speed, Speeds},
+    },
+    prelude::*,
+};
+use proptest::prelude::*;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+
+const SPEED: Speed = Speed {
+    fixed: 40.0,
+    token: 0.04,
+};
+
+fn view() -> View {
+    View {
+        busy: 0.0,
+        load: 0.0,
+        backlog: 0.0,
+        away: false,
+        keeps: false,
+    }
+}
+
+fn prompt(shared: u32, own: u32) -> Prompt {
+    Prompt {
+        prefix: Some(7),
+        shared,
+        own,
+    }
+}
+
+fn cost(prompt: &Prompt, view: &View) -> f64 {
+    placing::estimate(prompt, SPEED, view).cost
+}
+
+#[test]
+fn first_event_waits_for_the_backlog_and_the_prompt() {
+    let waiting = View {
+        backlog: 300.0,
+        ..view()
+    };
+
+    let estimate = placing::estimate(&prompt(1_000, 500), SPEED, &waiting);
+
+    let expected = Estimate {
+        work: 60.0,
+        first: 400.0,
+        tokens: 1_500.0,
+        ..estimate
+    };
+    assert_eq!(estimate, expected);
+}
+
+#[test]
+fn kept_tokens_are_worth_a_wait_but_not_a_long_one() {
+    let home = |backlog| View {
+        keeps: true,
+        backlog,
+        ..view()
+    };
+    let prompt = prompt(5_000, 500);
+
+    assert!(cost(&prompt, &home(200.0)) < cost(&prompt, &view()));
+    assert!(cost(&prompt, &home(1_000.0)) > cost(&prompt, &view()));
+}
+
+#[test]
+fn long_prompt_goes_where_it_holds_up_least() {
+    let (still, busy) = (
+        View {
+            backlog: 100.0,
+            ..view()
+        },
+        View {
+            busy: 12.0,
+            ..view()
+        },
+    );
+
+    assert!(cost(&prompt(0, 40_000), &still) < cost(&prompt(0, 40_000), &busy));
+    assert!(cost(&prompt(0, 400), &still) > cost(&prompt(0, 400), &busy));
+}
+
+#[test]
+fn speed_is_learned_from_prompts_that_nothing_delayed() {
+    let mut speeds = Speeds::default();
+    let model = Name::from("large");
+
+    for _ in 0..60 {
+        speeds.learn(&model, 100.0, 50.0);
+        speeds.learn(&model, 10_000.0, 450.0);
+    }
+
+    let speed = speeds.of(Some("large"));
+    assert!((speed.fixed - 50.0).abs() < 2.0, "{speed:?}");
+    assert!((speed.token - 0.04).abs() < 0.004, "{speed:?}");
+    assert!((speeds.of(Some("other")).token - Speed::default().token).abs() < 1e-9);
+}
+
+#[test]
+fn one_late_answer_does_not_spoil_a_speed() {
+    let mut speed = SPEED;
+
+    speed.learn(10_000.0, 4_400.0);
+    speed.learn(10_000.0, 440.0);
+
+    assert!(speed.token < SPEED.token * 2.0, "{speed:?}");
+}
+
+#[test]
+fn what_another_entry_tells_replaces_what_it_told_before() {
+    let mut backlog = Backlog::default();
+    let other = Name::from("entry-2");
+
+    backlog.take(&other, vec![(1, 500), (2, 80)], Mono(0));
+    backlog.take(&other, vec![(2, 30)], Mono(1_000));
+    backlog.add(2, 12.0);
+
+    assert_eq!((backlog.at(1), backlog.at(2)), (0.0, 42.0));
+}
+
+#[test]
+fn silent_entry_is_forgotten() {
+    let mut backlog = Backlog::default();
+    backlog.take(&Name::from("entry-2"), vec![(1, 500)], Mono(0));
+    backlog.take(&Name::from("entry-3"), vec![(1, 70)], Mono(900_000));
+
+    backlog.expire(Mono(1_000_000));
+
+    assert_eq!(backlog.at(1), 70.0);
+}
+
+#[test]
+fn largest_sums_are_told_first_and_small_ones_never() {
+    let mut backlog = Backlog::default();
+    for (server, work) in [(1, 20.0), (2, 900.0), (3, 1.0), (4, 300.0)] {
+        backlog.add(server, work);
+    }
+
+    assert_eq!(backlog.own(2), [(2, 900), (4, 300)]);
+    assert_eq!(backlog.own(9).len(), 3);
+}
+
+proptest! {
+    #[test]
+    fn work_that_has_ended_leaves_nothing(works in prop::collection::vec((0_u64..4, 0.1..3_000.0_f64), 0..40)) {
+        let mut backlog = Backlog::default();
+
+        for (server, work) in &works {
+            backlog.add(*server, *work);
+        }
+        for (server, work) in works.iter().rev() {
+            backlog.remove(*server, *work);
+        }
+
+        prop_assert!((0..4).all(|server| backlog.at(server) < 0.5));
+    }
+
+    #[test]
+    fn more_work_ahead_never_makes_a_place_cheaper(backlog in 0.0..5_000.0_f64, more in 0.0..5_000.0_f64, own in 0_u32..50_000) {
+        let at = |backlog| cost(&prompt(0, own), &View { backlog, ..view() });
+
+        prop_assert!(at(backlog + more) >= at(backlog));
+    }
+}
+
+/// Backend servers that read one prompt after the other, and entries that place
+/// prompts there.
+struct Play {
+    free_at: Vec<f64>,
+    waiting: Vec<Vec<(f64, f64)>>,
+}
+
+impl Play {
+    const SERVERS: usize = 18;
+
+    fn new() -> Self {
+        Self {
+            free_at: vec![0.0; Self::SERVERS],
+            waiting: vec![Vec::new(); Self::SERVERS],
+        }
+    }
+
+    /// Places a prompt at a time and returns the time to its first event. `told`
+    /// is how old the picture of other entries' work is.
+    fn place(&mut self, now: f64, tokens: u32, told: Option<f64>) -> f64 {
+        let prompt = prompt(0, tokens);
+        let costs = (0..Self::SERVERS).map(|server| {
+            let known = told.map_or(0.0, |age| self.backlog(server, now - age));
+            let load = self.running(server, now) / 64.0;
+            let view = View {
+                load,
+                backlog: known,
+                ..view()
+            };
+            cost(&prompt, &view)
+        });
+        let costs: Vec<f64> = costs.collect();
+        let best = (0..Self::SERVERS).min_by(|a, b| costs[*a].total_cmp(&costs[*b]));
+        let server = best.unwrap();
+        let end = self.free_at[server].max(now) + SPEED.work(f64::from(tokens));
+        self.free_at[server] = end;
+        self.waiting[server].push((now, end));
+        end + SPEED.fixed - now
+    }
+
+    fn backlog(&self, server: usize, at: f64) -> f64 {
+        let seen = self.waiting[server].iter();
+        let left = seen.filter(|(begun, end)| *begun <= at && *end > at);
+        left.map(|(begun, end)| end - begun.max(at))
+            .fold(0.0, f64::max)
+    }
+
+    /// Each entry reports running requests when an answer begins.
+    fn running(&self, server: usize, now: f64) -> f64 {
+        let seen = self.waiting[server].iter();
+        seen.filter(|(begun, end)| *begun <= now && *end > now - 3_000.0)
+            .count() as f64
+    }
+}
+
+/// Plays a minute in which one prompt in forty is very long. Returns the share of
+/// short prompts whose first event comes after a second.
+fn late_share(told: Option<f64>) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(5);
+    let (mut play, mut now) = (Play::new(), 0.0);
+    let (mut late, mut short) = (0, 0);
+    while now < 60_000.0 {
+        now += -f64::ln(rng.random_range(1e-9..1.0)) * 12.0;
+        let long = rng.random_bool(0.025);
+        let tokens = if long {
+            40_000
+        } else {
+            rng.random_range(200..3_000)
+        };
+        let first = play.place(now, tokens, told);
+        if !long {
+            short += 1;
+            late += usize::from(first > 1_000.0);
+        }
+    }
+    late as f64 / short as f64
+}
+
+#[test]
+fn short_prompts_are_in_time_beside_very_long_ones() {
+    let (blind, told) = (late_share(None), late_share(Some(30.0)));
+
+    assert!(told < 0.01, "{told} of the short prompts are late");
+    assert!(blind > told * 3.0, "blind {blind}, told {told}");
+}
--- /dev/null
+++ b/tests/testsuite/site/entries.rs
@@ -0,0 +1,80 @@
+//! Entries that poll a leader, and the others that each is told.
+
+use cardamomtally::{
+    prelude::*,
+    site::{entries::Entries, poll},
+};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+fn name(number: u16) -> Name {
+    format!("entry-{number:03}").into()
+}
+
+fn polling(count: u16) -> Entries {
+    let mut entries = Entries::default();
+    for number in 0..count {
+        entries.note(&name(number), Some(address(number)), Mono(0));
+    }
+    entries
+}
+
+#[test]
+fn entry_is_told_all_others() {
+    let entries = polling(3);
+
+    assert_eq!(entries.count(), 3);
+    assert_eq!(entries.others(&name(1)), [address(2), address(0)]);
+}
+
+#[test]
+fn silent_entry_is_not_counted_any_more() {
+    let mut entries = polling(2);
+    let later = Mono(0) + Duration::from_secs(6);
+
+    entries.note(&name(1), Some(address(1)), later);
+
+    assert_eq!(entries.count(), 1);
+    assert_eq!(entries.others(&name(1)), []);
+}
+
+#[test]
+fn entry_that_takes_no_messages_is_counted_and_not_told() {
+    let mut entries = polling(1);
+    entries.note(&name(7), None, Mono(0));
+
+    assert_eq!(entries.count(), 2);
+    assert_eq!(entries.others(&name(0)), []);
+}
+
+proptest! {
+    #[test]
+    fn each_entry_of_many_tells_some_and_is_told_by_as_many(count in 2_u16..200) {
+        let entries = polling(count);
+
+        let mut told = vec![0; usize::from(count)];
+        let most = usize::from(count - 1).min(64);
+        for number in 0..count {
+            let others = entries.others(&name(number));
+            prop_assert_eq!(others.len(), most);
+            for other in others {
+                told[usize::from(other.port())] += 1;
+            }
+        }
+
+        prop_assert!(told.iter().all(|times| *times == most), "{told:?}");
+    }
+
+    #[test]
+    fn digest_shows_every_change(ports in prop::collection::btree_set(1_u16.., 0..20), other in 1_u16..) {
+        let list: Vec<_> = ports.iter().map(|port| address(*port)).collect();
+        let mut changed = list.clone();
+        changed.push(address(other));
+
+        prop_assert_ne!(poll::digest(&list), poll::digest(&changed));
+    }
+}
--- a/tests/testsuite/site/judge.rs
+++ b/tests/testsuite/site/judge.rs
@@ -135,6 +135,26 @@
     assert_eq!(trial.rollout().stage, Stage::RolledBack);
 }
 
+#[test]
+fn one_very_late_answer_is_no_reason() {
+    let mut trial = Trial::new();
+    let late = std::cell::Cell::new(true);
+    let mostly_good = |rollout: &Rollout| {
+        let mut found = vec![outcomes("v1", 10, 0, 110)];
+        if rollout.permille > 0 {
+            found.push(outcomes("v2", 4, 0, 100));
+        }
+        if rollout.permille > 0 && late.replace(false) {
+            found.push(outcomes("v2", 1, 0, 800));
+        }
+        found
+    };
+
+    trial.run(DURATION_MS, mostly_good);
+
+    assert_eq!(trial.rollout().stage, Stage::Completed);
+}
+
 #[test]
 fn failures_that_the_old_version_has_too_are_no_reason() {
     let mut trial = Trial::new();
