--- a/src/cardamomtally/control/machine.rs
+++ b/src/cardamomtally/control/machine.rs
@@ -7,10 +7,10 @@
 
 use super::state::{Command, Reply, State};
 use crate::{
-    core::{config::ConfigRef, digest::Digest, id::Index, log::Machine as LogMachine},
+    core::{config::ConfigRef, digest::Digest, id::Index},
     net::{codec, delta},
+    replica::applied,
 };
-use eyre::WrapErr as _;
 use std::{
     collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -114,36 +114,24 @@
     }
 }
 
-/// Applies the configuration log.
-#[derive(Debug)]
-pub struct Machine {
-    store: Arc<Store>,
-}
+impl applied::Store for Store {
+    type State = State;
 
-impl Machine {
-    /// Builds the machine of a store.
-    #[must_use]
-    pub const fn new(store: Arc<Store>) -> Self {
-        Self { store }
+    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        act(&mut self.lock().state)
     }
 }
 
-impl LogMachine for Machine {
-    fn apply(&mut self, index: Index, command: &[u8]) -> Vec<u8> {
-        let reply = match codec::decode::<Command>(command) {
-            Ok(command) => self.store.lock().state.apply(index, command),
-            Err(_undecodable) => Reply::Done,
-        };
-        codec::encode(&reply)
-    }
+impl applied::Applied for State {
+    type Command = Command;
+    type Reply = Reply;
 
-    fn snapshot(&self) -> Vec<u8> {
-        codec::encode(&self.store.lock().state)
-    }
+    const UNREADABLE: Reply = Reply::Done;
 
-    fn restore(&mut self, bytes: &[u8]) -> eyre::Result<()> {
-        let state = codec::decode(bytes).wrap_err("the configuration snapshot does not decode")?;
-        self.store.lock().state = state;
-        Ok(())
+    fn apply(&mut self, index: Index, command: Command) -> Reply {
+        Self::apply(self, index, command)
     }
 }
+
+/// Applies the configuration log.
+pub type Machine = applied::Machine<Store>;
--- a/src/cardamomtally/replica/mod.rs
+++ b/src/cardamomtally/replica/mod.rs
@@ -12,6 +12,7 @@
 //! [`memory::MemLog`] is a log of one process without a disk, for tests of what
 //! stands on the log.
 
+pub mod applied;
 pub mod entry;
 pub mod host;
 pub mod memory;
--- a/src/cardamomtally/site/state.rs
+++ b/src/cardamomtally/site/state.rs
@@ -9,7 +9,7 @@
     document::Document,
     rollout::{Rollout, Stage, Step},
 };
-use crate::{core::log::Machine as LogMachine, net::codec, prelude::*};
+use crate::{prelude::*, replica::applied};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -206,36 +206,24 @@
     }
 }
 
-/// Applies a site's log.
-#[derive(Debug)]
-pub struct Machine {
-    store: Arc<Store>,
-}
+impl applied::Store for Store {
+    type State = State;
 
-impl Machine {
-    /// Builds the machine of a store.
-    #[must_use]
-    pub const fn new(store: Arc<Store>) -> Self {
-        Self { store }
+    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        act(&mut self.lock())
     }
 }
 
-impl LogMachine for Machine {
-    fn apply(&mut self, index: Index, command: &[u8]) -> Vec<u8> {
-        let reply = match codec::decode::<Command>(command) {
-            Ok(command) => self.store.lock().apply(index, command),
-            Err(_undecodable) => Reply::Unreadable,
-        };
-        codec::encode(&reply)
-    }
+impl applied::Applied for State {
+    type Command = Command;
+    type Reply = Reply;
 
-    fn snapshot(&self) -> Vec<u8> {
-        codec::encode(&*self.store.lock())
-    }
+    const UNREADABLE: Reply = Reply::Unreadable;
 
-    fn restore(&mut self, bytes: &[u8]) -> eyre::Result<()> {
-        let state = codec::decode(bytes).wrap_err("the site's snapshot does not decode")?;
-        *self.store.lock() = state;
-        Ok(())
+    fn apply(&mut self, index: Index, command: Command) -> Reply {
+        Self::apply(self, index, command)
     }
 }
+
+/// Applies a site's log.
+pub type Machine = applied::Machine<Store>;
--- a/tests/testsuite/direct/streams.rs
+++ b/tests/testsuite/direct/streams.rs
@@ -16,6 +16,20 @@
     })
 }
 
+/// A server whose stream of two events has a pause between them.
+fn pausing(pause_ms: u64) -> Server {
+    Server::start("i-1", move |seen, _| {
+        let pause = Act::Wait(Duration::from_millis(pause_ms));
+        vec![
+            stream_head(seen, ""),
+            events(1..=1),
+            pause,
+            events(2..=2),
+            stream_end(),
+        ]
+    })
+}
+
 fn text_of(count: u64) -> String {
     (1..=count).map(event).collect()
 }
@@ -113,16 +127,7 @@
 
 #[test]
 fn silence_ends_no_stream_where_nothing_else_may_go_on() {
-    let server = Server::start("i-1", |seen, _| {
-        let pause = Act::Wait(Duration::from_millis(900));
-        vec![
-            stream_head(seen, ""),
-            events(1..=1),
-            pause,
-            events(2..=2),
-            stream_end(),
-        ]
-    });
+    let server = pausing(900);
     let entry = Entry::start(Class::Resumable, &[&server]);
 
     let got = entry.ask(&request("a-1", "", ""));
@@ -179,16 +184,7 @@
 
 #[test]
 fn long_prompts_that_are_read_excuse_silence() {
-    let slow = Server::start("i-1", |seen, _| {
-        let pause = Act::Wait(Duration::from_millis(600));
-        vec![
-            stream_head(seen, ""),
-            events(1..=1),
-            pause,
-            events(2..=2),
-            stream_end(),
-        ]
-    });
+    let slow = pausing(600);
     let other = Server::start("i-2", |_, _| vec![Act::AwaitClose]);
     let entry = Entry::start(Class::Resumable, &[&slow]);
     let held = entry.app.holder.held();
