Test large documents over slow links; the tests fail

Entries whose links carry 460 kB/s never get a document of 2,800 routes, and go on with the older one past the time in which the newer must be in force.

--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -10,4 +10,5 @@
 mod parts;
 mod peers;
 mod placement;
+mod slow_links;
 mod streams;
