--- a/tests/testsuite/direct/slow_links.rs
+++ b/tests/testsuite/direct/slow_links.rs
@@ -25,10 +25,7 @@
 };
 use cardamomtally_standin::Proxy;
 use futures::future::BoxFuture;
-use std::{
-    net::TcpListener,
-    time::{Duration, Instant},
-};
+use std::{net::TcpListener, time::Instant};
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
 
