Fetch documents in parts, so that a large one gets through a slow link

Callers saw requests handled by a document that had been replaced 2.8 and 3.9 s before, and then 503 from every VM with a slow link, until the document would have become small again.

Cause: the reply to a poll carried the whole document and had to arrive within the poll's timeout of 0.5 s. What arrived later was thrown away with its connection, and the next poll asked for all of it again: at 10 Mbit/s a document of 2,800 routes never arrived, and the attempts filled the links of entries and members. The class of fault: a transfer whose size has no bound under a timeout that does not depend on it, without progress from one attempt to the next.

Change: the reply to a poll is small. It names the log index of the document in force; an entry that lacks it fetches it in parts of 16 KiB, compressed once at the member, from any member, and keeps the parts it has. Polls go on between the parts. Once an entry knows that a newer document is in force, the lease of the one it has ends 1.6 s (0.8 of the platform's bound) after its last confirmation instead of 4 s, so that a slow transfer ends in refusals and not in the use of the older document.

Evidence: in the records of the incident each VM with a slow link receives 0.7 to 1.0 MB every second for 30 s and never puts a document in force.

--- a/src/cardamomtally/control/run.rs
+++ b/src/cardamomtally/control/run.rs
@@ -223,7 +223,7 @@
             member.health.add_reports(&reports);
             call.answer(&Response::Taken);
         }
-        Request::Site(_) => call.answer(&Response::Unavailable {
+        Request::Site(_) | Request::SitePart(_) => call.answer(&Response::Unavailable {
             reason: "this member keeps tickets, not a site's document".to_owned(),
             refused: true,
         }),
--- a/src/cardamomtally/direct/poller.rs
+++ b/src/cardamomtally/direct/poller.rs
@@ -6,8 +6,13 @@
 //! suspended.
 //! A reply with a lower log index than the current configuration is ignored, so
 //! the configuration never goes back to an older state.
+//!
+//! The answer to a poll is small. A document that does not fit into it is
+//! fetched in parts between the polls, see [`crate::site::transfer`]. Meanwhile
+//! the entry knows that a newer document is in force, and its lease ends sooner
+//! than that of an entry which knows of none.
 
-use super::{outcomes::OutcomeCounts, peers::Peers};
+use super::{outcomes::OutcomeCounts, peers::Peers, selection::MemberSelection};
 use crate::{
     net::{
         codec,
@@ -16,12 +21,15 @@
     },
     prelude::*,
     site::{
+        document::Document,
         poll::{self, Poll, PollReply},
         state::Fleet,
         table::Table,
+        transfer::{Download, Part, PartRequest},
     },
 };
 use arc_swap::ArcSwap;
+use eyre::eyre;
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
 use tokio::sync::Notify;
@@ -33,6 +41,12 @@
     pub table: Option<Arc<Table>>,
     /// Log index of the document.
     pub document: Index,
+    /// Highest log index that a reply has named as that of the document in
+    /// force. It is higher than `document` while a newer document is fetched.
+    pub newest: Index,
+    /// When the latest poll was sent whose reply named this document as the one
+    /// in force.
+    pub confirmed: Mono,
     /// Backend servers, roll-outs and evacuated data centres.
     pub fleet: Arc<Fleet>,
     /// End of the lease. After it, the configuration may be outdated and
@@ -70,6 +84,9 @@
     /// Duration of the lease that an answer grants, counted from when its poll
     /// was sent.
     pub lease: Duration,
+    /// Duration of the lease once a newer document is known to be in force,
+    /// counted from the same time.
+    pub superseded_lease: Duration,
 }
 
 impl Default for PollerSettings {
@@ -82,6 +99,7 @@
             period: Duration::from_millis(350),
             timeout: Duration::from_millis(500),
             lease: Duration::from_secs(4),
+            superseded_lease: Duration::from_millis(1_600),
         }
     }
 }
@@ -100,31 +118,19 @@
     log: Logger,
 }
 
-/// Selects the member to poll next: the leader if it is known, otherwise the
-/// known members and the seeds in turn.
+/// What the polling task keeps from one poll to the next.
 #[derive(Debug, Default)]
-struct MemberSelection {
-    members: Vec<Name>,
-    leader: Option<Name>,
-    attempts: usize,
-    unreachable: bool,
+struct PollState {
+    selection: MemberSelection,
+    fetch: Option<Fetch>,
 }
 
-impl MemberSelection {
-    fn next(&mut self, seeds: &[Name]) -> Option<Name> {
-        if let Some(leader) = &self.leader {
-            return Some(Arc::clone(leader));
-        }
-        self.attempts += 1;
-        // Every other attempt goes to a seed, since all known members may have
-        // been replaced.
-        let known = if self.members.is_empty() || self.attempts.is_multiple_of(2) {
-            seeds
-        } else {
-            &self.members
-        };
-        known.get((self.attempts / 2) % known.len().max(1)).cloned()
-    }
+/// A document that is being fetched in parts.
+#[derive(Debug)]
+struct Fetch {
+    download: Download,
+    /// When the poll was sent whose reply named the document.
+    named: Mono,
 }
 
 impl ConfigPoller {
@@ -188,25 +194,26 @@
 
     /// Polls the control group until the task is aborted.
     pub async fn run(&self) {
-        let mut selection = MemberSelection::default();
+        let mut state = PollState::default();
         loop {
             let begun = self.clock.now();
             let seeds = self.seeds.load_full();
-            let answered = match selection.next(&seeds) {
-                Some(member) => self.poll(&member, &mut selection).await,
+            let answered = match state.selection.next(&seeds) {
+                Some(member) => self.poll(&member, &mut state).await,
                 None => false,
             };
-            let spent = self.clock.now().since(begun);
             let period = if answered {
                 self.settings.period
             } else {
                 self.settings.period / 4
             };
+            self.fetch_parts(begun + period, &mut state).await;
+            let spent = self.clock.now().since(begun);
             tokio::time::sleep(period.saturating_sub(spent)).await;
         }
     }
 
-    async fn poll(&self, member: &Name, selection: &mut MemberSelection) -> bool {
+    async fn poll(&self, member: &Name, state: &mut PollState) -> bool {
         let current = self.current();
         let outcomes = self.counts.take();
         let poll = Poll {
@@ -222,54 +229,130 @@
                     .unwrap_or_default(),
             ),
             outcomes: outcomes.clone(),
+            parts: true,
         };
-        let request = Request::Site(codec::encode(&poll).into());
-        let address = format!("{member}:{}", self.settings.port);
         let sent = self.clock.now();
-        let answer = self
-            .transport
-            .call(&address, request, self.settings.timeout)
-            .await;
-        let reply = match answer {
-            Ok(Response::Site(bytes)) => codec::decode::<PollReply>(&bytes).ok(),
-            Ok(_) | Err(_) => None,
+        let reply = match self.call_poll(member, &poll).await {
+            Ok(reply) => reply,
+            Err(error) => {
+                self.counts.put_back(outcomes);
+                self.mark_unreachable(member, &error, &mut state.selection);
+                return false;
+            }
         };
-        let taken = reply.as_ref().is_some_and(|r| r.leads);
-        if !taken {
+        if !reply.leads {
             self.counts.put_back(outcomes);
         }
-        let Some(reply) = reply else {
-            self.mark_unreachable(member, selection);
-            return false;
-        };
-        if selection.unreachable {
+        if state.selection.record_answer(&reply) {
             info!(self.log, "poll: control answers again"; "member" => &**member);
         }
-        selection.unreachable = false;
-        selection.leader.clone_from(&reply.leader);
-        if !reply.members.is_empty() {
-            selection.members.clone_from(&reply.members);
-        }
         if let (Some(peers), Some(addresses)) = (&self.peers, &reply.peers) {
             peers.set_addresses(addresses.clone());
         }
         self.apply(&current, sent, reply);
+        self.begin_fetch(sent, &mut state.fetch);
         true
     }
 
-    fn mark_unreachable(&self, member: &Name, selection: &mut MemberSelection) {
-        selection.leader = None;
-        if !selection.unreachable {
+    async fn call_poll(&self, member: &Name, poll: &Poll) -> eyre::Result<PollReply> {
+        let request = Request::Site(codec::encode(poll).into());
+        match self.call(member, request).await? {
+            Response::Site(bytes) => codec::decode(&bytes),
+            other => Err(refusal(other)),
+        }
+    }
+
+    async fn call(&self, member: &Name, request: Request) -> eyre::Result<Response> {
+        let address = format!("{member}:{}", self.settings.port);
+        let timeout = self.settings.timeout;
+        Ok(self.transport.call(&address, request, timeout).await?)
+    }
+
+    fn mark_unreachable(
+        &self,
+        member: &Name,
+        error: &eyre::Report,
+        selection: &mut MemberSelection,
+    ) {
+        if selection.record_failure() {
             let age = self.clock.now().since(self.current().lease_end);
             warn!(self.log, "poll: control does not answer"; "member" => &**member,
-                "lease_over_ms" => age.as_millis() as u64);
+                "reason" => format!("{error:#}"), "lease_over_ms" => age.as_millis() as u64);
+        }
+    }
+
+    /// Begins to fetch the document that a reply has named, whose poll was sent at `named`,
+    /// if the entry lacks it. A fetch that is under way is finished first, so that it makes
+    /// progress while one document follows the other.
+    fn begin_fetch(&self, named: Mono, fetch: &mut Option<Fetch>) {
+        let current = self.current();
+        if fetch.is_none() && current.newest > current.document {
+            info!(self.log, "poll: fetching a document"; "index" => current.newest.0);
+            let download = Download::new(current.newest);
+            *fetch = Some(Fetch { download, named });
+        }
+    }
+
+    /// Fetches parts of a document until it is complete or the next poll is due.
+    async fn fetch_parts(&self, due: Mono, state: &mut PollState) {
+        while let Some(fetch) = &mut state.fetch {
+            let Some(wanted) = fetch.download.next() else {
+                self.finish(fetch);
+                state.fetch = None;
+                return;
+            };
+            if self.clock.now() >= due {
+                return;
+            }
+            let source = state.selection.source(&self.settings.name);
+            let Some(member) = source else { return };
+            let part = self.call_part(&member, wanted).await;
+            let added = part.and_then(|part| fetch.download.add(part));
+            if added.is_ok() {
+                state.selection.record_part();
+            }
+            if let Err(error) = added {
+                warn!(self.log, "poll: part of a document not fetched"; "member" => &*member,
+                    "index" => wanted.document.0, "offset" => wanted.offset,
+                    "error" => format!("{error:#}"));
+                if !state.selection.next_source() {
+                    // No member has the document any more. The next reply names another.
+                    state.fetch = None;
+                }
+            }
+        }
+    }
+
+    async fn call_part(&self, member: &Name, wanted: PartRequest) -> eyre::Result<Part> {
+        let request = Request::SitePart(codec::encode(&wanted).into());
+        match self.call(member, request).await? {
+            Response::SitePart(bytes) => codec::decode(&bytes),
+            other => Err(refusal(other)),
+        }
+    }
+
+    /// Puts a completely fetched document in force. If it does not decode, it is fetched
+    /// anew after the next poll.
+    fn finish(&self, fetch: &Fetch) {
+        match fetch.download.decode() {
+            Ok(document) => {
+                let index = fetch.download.document();
+                let mut next = ConfigSnapshot::clone(&self.current());
+                if index > next.document {
+                    self.put_in_force(&mut next, index, &document, fetch.named);
+                    self.publish(next);
+                }
+            }
+            Err(error) => {
+                warn!(self.log, "poll: fetched document ignored"; "error" => format!("{error:#}"));
+            }
         }
-        selection.unreachable = true;
     }
 
     /// Applies the answer to a poll. The poll was sent at `sent`, when `current`
     /// was the configuration. An answer whose document or fleet has a lower log
-    /// index than that of `current` is ignored and does not renew the lease.
+    /// index than that of `current` is ignored and does not renew the lease. The
+    /// lease is renewed only if the entry has the document that the answer names.
     pub fn apply(&self, current: &ConfigSnapshot, sent: Mono, reply: PollReply) {
         let stale = reply.document < current.document
             || reply
@@ -280,24 +363,64 @@
             return;
         }
         let mut next = current.clone();
+        next.newest = next.newest.max(reply.document);
         if let Some(content) = reply.content {
-            info!(self.log, "poll: document in force"; "number" => content.number,
-                "index" => reply.document.0);
-            next.table = Some(Arc::new(Table::new(&content)));
-            next.document = reply.document;
+            self.put_in_force(&mut next, reply.document, &content, sent);
         }
         if let Some(fleet) = reply.fleet {
             info!(self.log, "poll: fleet in force"; "index" => fleet.index.0,
                 "backends" => fleet.backends.len());
             next.fleet = Arc::new(fleet);
         }
-        next.lease_end = next.lease_end.max(sent + self.settings.lease);
+        if next.document == reply.document {
+            next.confirmed = next.confirmed.max(sent);
+        }
         next.entries = if reply.entries > 0 {
             reply.entries
         } else {
             next.entries.max(1)
         };
+        self.publish(next);
+    }
+
+    /// Compiles a document that was in force when a poll sent at `confirmed` was
+    /// answered.
+    fn put_in_force(
+        &self,
+        next: &mut ConfigSnapshot,
+        index: Index,
+        document: &Document,
+        confirmed: Mono,
+    ) {
+        info!(self.log, "poll: document in force"; "number" => document.number,
+            "index" => index.0);
+        next.table = Some(Arc::new(Table::new(document)));
+        next.document = index;
+        next.confirmed = confirmed;
+    }
+
+    /// Sets the end of the lease and publishes the configuration.
+    fn publish(&self, mut next: ConfigSnapshot) {
+        let lease = if next.newest > next.document {
+            self.settings.lease.min(self.settings.superseded_lease)
+        } else {
+            self.settings.lease
+        };
+        next.lease_end = next.confirmed + lease;
         self.current.store(Arc::new(next));
         self.first_document.notify_waiters();
     }
 }
+
+fn refusal(response: Response) -> eyre::Report {
+    match response {
+        Response::Unavailable { reason, .. } => eyre!("the member refused: {reason}"),
+        Response::Claims(_)
+        | Response::Poll(_)
+        | Response::Proposed(_)
+        | Response::Site(_)
+        | Response::SitePart(_)
+        | Response::Status(_)
+        | Response::Taken => eyre!("the member sent an answer of another kind"),
+    }
+}
--- a/src/cardamomtally/net/mod.rs
+++ b/src/cardamomtally/net/mod.rs
@@ -5,6 +5,7 @@
 //! answers with a stream of frames ([`run`]).
 
 pub mod codec;
+pub mod compress;
 pub mod delta;
 pub mod nng;
 pub mod packed;
--- a/src/cardamomtally/net/wire.rs
+++ b/src/cardamomtally/net/wire.rs
@@ -216,6 +216,10 @@
     /// A request to a member that stores the document of a site.
     #[serde(rename = "d")]
     Site(serde_bytes::ByteBuf),
+    /// Requests a part of a site's document, with the encoding of a
+    /// [`PartRequest`](crate::site::transfer::PartRequest).
+    #[serde(rename = "t")]
+    SitePart(serde_bytes::ByteBuf),
 }
 
 /// A control member's answer.
@@ -239,6 +243,9 @@
     /// Answer of a member that stores the document of a site.
     #[serde(rename = "d")]
     Site(serde_bytes::ByteBuf),
+    /// The encoding of a [`Part`](crate::site::transfer::Part) of a site's document.
+    #[serde(rename = "t")]
+    SitePart(serde_bytes::ByteBuf),
     /// The member cannot answer. Another member may be able to.
     #[serde(rename = "n")]
     Unavailable {
--- a/src/cardamomtally/site/member.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -5,22 +5,20 @@
 //! round that began after the read had arrived. The leader also reads the platform's
 //! list of backend servers and decides the steps of roll-outs.
 
+mod polls;
+
 use super::{
     backend::{Inventory, keep_cold_times},
     canary::CanaryAnalysis,
     document::{Document, Fault},
     entries::Entries,
-    poll::{self, Poll, PollReply},
     rollout::Rollout,
     state::{Command, Fleet, Machine, Reply, Store, Submission},
+    transfer::EncodedDocuments,
 };
 use crate::{
     core::log::{Log, LogError},
-    net::{
-        codec,
-        nng::{Call, Server},
-        wire::{Request, Response},
-    },
+    net::codec,
     prelude::*,
     replica::host::{GroupSpec, Host, HostOptions, MemberStatus, Suffrage},
     settings::{
@@ -31,11 +29,9 @@
 };
 use slog::{Logger, info, warn};
 use std::{
-    net::SocketAddr,
     path::PathBuf,
     sync::{Mutex, MutexGuard, PoisonError},
 };
-use tokio::runtime::Handle;
 
 /// Interval of the leader's tasks.
 const LEADER_INTERVAL: Duration = Duration::from_millis(200);
@@ -136,6 +132,7 @@
     clock: Arc<dyn Clock>,
     logger: Logger,
     shared: Mutex<Shared>,
+    documents: EncodedDocuments,
 }
 
 /// State of the leader that polls and its tasks share. It is cleared while another
@@ -182,95 +179,10 @@
             clock,
             logger,
             shared: Mutex::default(),
+            documents: EncodedDocuments::default(),
         }))
     }
 
-    /// Starts to answer polls on an address, until the returned server is dropped.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the address cannot be bound.
-    pub fn listen(self: &Arc<Self>, address: &str) -> eyre::Result<Server> {
-        let member = Arc::clone(self);
-        let runtime = Handle::current();
-        Server::start(address, move |request, call| {
-            member.handle_request(&runtime, request, call);
-        })
-    }
-
-    /// Answers a poll on the runtime, and refuses every other request.
-    fn handle_request(self: &Arc<Self>, runtime: &Handle, request: Request, call: Call) {
-        let poll = match request {
-            Request::Site(bytes) => codec::decode::<Poll>(&bytes).ok(),
-            Request::Claims(_)
-            | Request::Health(_)
-            | Request::Poll(_)
-            | Request::Propose(..)
-            | Request::Status => None,
-        };
-        let Some(poll) = poll else {
-            call.answer(&unavailable("this member keeps a site's document", true));
-            return;
-        };
-        let member = Arc::clone(self);
-        runtime.spawn(async move {
-            let response = match member.poll(poll).await {
-                Ok(reply) => Response::Site(codec::encode(&reply).into()),
-                Err(error) => unavailable(&error.to_string(), false),
-            };
-            call.answer(&response);
-        });
-    }
-
-    /// Answers a poll, after a quorum has confirmed the state.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no quorum confirms the state.
-    pub async fn poll(&self, poll: Poll) -> Result<PollReply, LogError> {
-        self.log.barrier(GroupId::CONFIG).await?;
-        let leader = self.log.leader(GroupId::CONFIG);
-        let now = self.clock.now();
-        let (entries, peers) = self.record_entry(now, &poll, leader.is_self);
-        let members = self.members();
-        Ok(self.store.read(|state| {
-            let (document, content) = match &state.document {
-                Some((index, current)) if *index != poll.document => {
-                    (*index, Some(current.document.clone()))
-                }
-                Some((index, _)) => (*index, None),
-                None => (Index::default(), None),
-            };
-            let fleet = (state.fleet.index != poll.fleet).then(|| (*state.fleet).clone());
-            PollReply {
-                document,
-                content,
-                fleet,
-                leads: leader.is_self,
-                leader: leader.name,
-                members,
-                entries,
-                peers,
-            }
-        }))
-    }
-
-    /// Records the poll and its outcomes at the leader. Returns the number of entries
-    /// that poll, and the entry's peers if its list of them is out of date. Members other
-    /// than the leader do not know these and return 0 and none.
-    fn record_entry(&self, now: Mono, poll: &Poll, leads: bool) -> (u32, Option<Vec<SocketAddr>>) {
-        if !leads {
-            return (0, None);
-        }
-        let rollouts = self.store.read(|state| state.fleet.rollouts.clone());
-        let mut shared = self.shared();
-        shared.canaries.add(&rollouts, &poll.outcomes);
-        shared.entries.record_poll(&poll.name, poll.exchange, now);
-        let peers = shared.entries.peers_of(&poll.name);
-        let changed = (poll::digest(&peers) != poll.peers).then_some(peers);
-        (shared.entries.count(), changed)
-    }
-
     fn members(&self) -> Vec<Name> {
         let groups = self.host.status();
         let members = groups.into_iter().flat_map(|group| group.members);
@@ -455,10 +367,3 @@
         self.store.read(|state| Arc::clone(&state.fleet))
     }
 }
-
-fn unavailable(reason: &str, refused: bool) -> Response {
-    Response::Unavailable {
-        reason: reason.to_owned(),
-        refused,
-    }
-}
--- /dev/null
+++ b/src/cardamomtally/site/member/polls.rs
@@ -0,0 +1,140 @@
+//! Answers entries' polls and their requests for parts of a document.
+
+use super::SiteMember;
+use crate::{
+    core::log::LogError,
+    net::{
+        codec,
+        nng::{Call, Server},
+        wire::{Request, Response},
+    },
+    prelude::*,
+    site::{
+        poll::{self, Poll, PollReply},
+        transfer::{Part, PartRequest},
+    },
+};
+use std::net::SocketAddr;
+use tokio::runtime::Handle;
+
+impl SiteMember {
+    /// Starts to answer polls on an address, until the returned server is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn listen(self: &Arc<Self>, address: &str) -> eyre::Result<Server> {
+        let member = Arc::clone(self);
+        let runtime = Handle::current();
+        Server::start(address, move |request, call| {
+            member.handle_request(&runtime, request, call);
+        })
+    }
+
+    /// Answers polls and requests for parts on the runtime, and refuses every other
+    /// request.
+    fn handle_request(self: &Arc<Self>, runtime: &Handle, request: Request, call: Call) {
+        let member = Arc::clone(self);
+        match request {
+            Request::Site(bytes) => {
+                runtime.spawn(async move { call.answer(&member.poll_response(&bytes).await) });
+            }
+            Request::SitePart(bytes) => {
+                runtime.spawn(async move { call.answer(&member.part_response(&bytes).await) });
+            }
+            Request::Claims(_)
+            | Request::Health(_)
+            | Request::Poll(_)
+            | Request::Propose(..)
+            | Request::Status => {
+                call.answer(&unavailable("this member stores a site's document", true));
+            }
+        }
+    }
+
+    async fn poll_response(&self, bytes: &[u8]) -> Response {
+        let poll = match codec::decode(bytes) {
+            Ok(poll) => poll,
+            Err(error) => return unavailable(&format!("{error:#}"), true),
+        };
+        match self.poll(poll).await {
+            Ok(reply) => Response::Site(codec::encode(&reply).into()),
+            Err(error) => unavailable(&error.to_string(), false),
+        }
+    }
+
+    async fn part_response(&self, bytes: &[u8]) -> Response {
+        let wanted = match codec::decode(bytes) {
+            Ok(wanted) => wanted,
+            Err(error) => return unavailable(&format!("{error:#}"), true),
+        };
+        match self.part(wanted).await {
+            Some(part) => Response::SitePart(codec::encode(&part).into()),
+            None => unavailable("this member has no such part", true),
+        }
+    }
+
+    /// Returns a part of a document, if this member has the document.
+    pub async fn part(&self, wanted: PartRequest) -> Option<Part> {
+        let current = self.store.read(|state| state.document.clone());
+        let current = current.filter(|(index, _)| *index == wanted.document);
+        let encoded = match current {
+            Some((index, current)) => self.documents.get_or_encode(index, current).await?,
+            None => self.documents.get(wanted.document)?,
+        };
+        encoded.part(wanted.offset)
+    }
+
+    /// Answers a poll, after a quorum has confirmed the state.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no quorum confirms the state.
+    pub async fn poll(&self, poll: Poll) -> Result<PollReply, LogError> {
+        self.log.barrier(GroupId::CONFIG).await?;
+        let leader = self.log.leader(GroupId::CONFIG);
+        let now = self.clock.now();
+        let (entries, peers) = self.record_entry(now, &poll, leader.is_self);
+        let (current, fleet) = self
+            .store
+            .read(|state| (state.document.clone(), Arc::clone(&state.fleet)));
+        let mut reply = PollReply {
+            fleet: (fleet.index != poll.fleet).then(|| (*fleet).clone()),
+            leads: leader.is_self,
+            leader: leader.name,
+            members: self.members(),
+            entries,
+            peers,
+            ..PollReply::default()
+        };
+        if let Some((index, current)) = current {
+            reply.document = index;
+            let lacks = index != poll.document && !poll.parts;
+            reply.content = lacks.then(|| current.document.clone());
+        }
+        Ok(reply)
+    }
+
+    /// Records the poll and its outcomes at the leader. Returns the number of entries
+    /// that poll, and the entry's peers if its list of them is out of date. Members other
+    /// than the leader do not know these and return 0 and none.
+    fn record_entry(&self, now: Mono, poll: &Poll, leads: bool) -> (u32, Option<Vec<SocketAddr>>) {
+        if !leads {
+            return (0, None);
+        }
+        let rollouts = self.store.read(|state| state.fleet.rollouts.clone());
+        let mut shared = self.shared();
+        shared.canaries.add(&rollouts, &poll.outcomes);
+        shared.entries.record_poll(&poll.name, poll.exchange, now);
+        let peers = shared.entries.peers_of(&poll.name);
+        let changed = (poll::digest(&peers) != poll.peers).then_some(peers);
+        (shared.entries.count(), changed)
+    }
+}
+
+fn unavailable(reason: &str, refused: bool) -> Response {
+    Response::Unavailable {
+        reason: reason.to_owned(),
+        refused,
+    }
+}
--- a/src/cardamomtally/site/mod.rs
+++ b/src/cardamomtally/site/mod.rs
@@ -17,3 +17,4 @@
 pub mod rollout;
 pub mod state;
 pub mod table;
+pub mod transfer;
--- a/src/cardamomtally/site/poll.rs
+++ b/src/cardamomtally/site/poll.rs
@@ -51,6 +51,10 @@
     /// Outcomes since the last poll that reached the leader.
     #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
     pub outcomes: Vec<Outcomes>,
+    /// Whether the process fetches documents in parts, so that the answer need not contain
+    /// the document.
+    #[serde(rename = "t", default)]
+    pub parts: bool,
 }
 
 /// The answer to a poll. It is sent after a quorum round that began when the poll had
@@ -60,7 +64,7 @@
     /// Log index of the document in force.
     #[serde(rename = "d")]
     pub document: Index,
-    /// The document, if the process has a different one.
+    /// The document, if the process has a different one and does not fetch parts.
     #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
     pub content: Option<Document>,
     /// The fleet, if the process has a different one.
--- a/tests/testsuite/direct/config_lease.rs
+++ b/tests/testsuite/direct/config_lease.rs
@@ -226,3 +226,25 @@
     assert!(poller.current().is_valid(at(5_900)));
     assert_eq!(poller.current().document, Index(3));
 }
+
+#[test]
+fn lease_of_a_document_is_short_once_a_newer_one_is_known() {
+    let poller = poller(Arc::<ManualClock>::default());
+    poller.apply(
+        &ConfigSnapshot::default(),
+        at(1_000),
+        reply(3, document(1, Class::Once), vec![]),
+    );
+    let newer = PollReply {
+        document: Index(4),
+        ..PollReply::default()
+    };
+
+    poller.apply(&poller.current(), at(1_400), newer.clone());
+    poller.apply(&poller.current(), at(2_500), newer);
+
+    let config = poller.current();
+    assert_eq!((config.document, config.newest), (Index(3), Index(4)));
+    assert!(config.is_valid(at(2_599)));
+    assert!(!config.is_valid(at(2_600)));
+}
--- a/tests/testsuite/direct/slow_links.rs
+++ b/tests/testsuite/direct/slow_links.rs
@@ -72,6 +72,7 @@
 struct Site {
     member: Arc<SiteMember>,
     pollers: Vec<Arc<ConfigPoller>>,
+    clock: Arc<dyn Clock>,
     runtime: Runtime,
     server: Server,
     _folder: TempDir,
@@ -93,6 +94,7 @@
         let mut site = Self {
             member,
             pollers: Vec::new(),
+            clock: Arc::new(SystemClock::default()),
             runtime,
             server,
             _folder: folder,
@@ -111,7 +113,7 @@
             settings,
             Arc::new(SlowLink::new(&self.server)),
             Arc::<OutcomeCounts>::default(),
-            Arc::new(SystemClock::default()),
+            Arc::clone(&self.clock),
             log::discard(),
         ));
         let running = Arc::clone(&poller);
@@ -130,10 +132,9 @@
 
     /// Returns the numbers of the documents by which the entries would serve now.
     fn served(&self) -> Vec<Option<u64>> {
-        let clock = SystemClock::default();
         let number = |poller: &Arc<ConfigPoller>| {
             let config = poller.current();
-            let valid = config.is_valid(clock.now());
+            let valid = config.is_valid(self.clock.now());
             config.table.as_ref().filter(|_| valid).map(|t| t.number)
         };
         self.pollers.iter().map(number).collect()
--- a/tests/testsuite/site/member.rs
+++ b/tests/testsuite/site/member.rs
@@ -9,8 +9,10 @@
     site::{
         document::Class,
         member::{Refusal, SiteMember, SiteMemberSettings},
+        poll::Poll,
         rollout::Stage,
         state::Reply,
+        transfer::PartRequest,
     },
     util::log,
 };
@@ -183,6 +185,51 @@
     );
 }
 
+#[test]
+fn only_an_entry_that_fetches_no_parts_gets_the_document_with_its_poll() {
+    let group = Group::new(&[15]);
+    let member = group.start(15, true);
+    wait_submitted(&member, 5);
+    let poll = |parts| Poll {
+        name: "entry-1".into(),
+        parts,
+        ..Poll::default()
+    };
+
+    let former = block_on(member.poll(poll(false))).unwrap();
+    let current = block_on(member.poll(poll(true))).unwrap();
+
+    assert_eq!(former.content.map(|document| document.number), Some(5));
+    assert_eq!(current.content, None);
+    assert_eq!(current.document, former.document);
+}
+
+#[test]
+fn every_member_sends_the_same_parts_of_the_document() {
+    let group = Group::new(&[16, 17, 18]);
+    let members = [16, 17, 18].map(|n| group.start(n, true));
+    wait_submitted(&members[0], 5);
+    let document = block_on(members[0].poll(Poll::default())).unwrap().document;
+    let wanted = PartRequest {
+        document,
+        offset: 0,
+    };
+
+    let parts = members.each_ref().map(|member| {
+        until("the member has the document", || {
+            block_on(member.part(wanted))
+        })
+    });
+
+    assert_eq!(parts[0], parts[1]);
+    assert_eq!(parts[0], parts[2]);
+    let unknown = PartRequest {
+        document: document.next(),
+        offset: 0,
+    };
+    assert_eq!(block_on(members[0].part(unknown)), None);
+}
+
 #[test]
 fn rollout_and_evacuation_survive_a_restart_of_all() {
     let group = Group::new(&[71, 72, 73]);
--- a/tests/testsuite/site/mod.rs
+++ b/tests/testsuite/site/mod.rs
@@ -6,3 +6,4 @@
 pub mod fixtures;
 mod member;
 mod state;
+mod transfer;
