--- a/tests/testsuite/site/member.rs
+++ b/tests/testsuite/site/member.rs
@@ -1,13 +1,14 @@
 //! Control members with real replicas: they form a group from their addresses, and
 //! replicate documents, roll-outs and evacuations.
 
-use super::fixtures::document;
+use super::fixtures::{document, route};
 use crate::support::wait::{eventually, until};
 use cardamomtally::{
     core::clock::SystemClock,
+    net::codec,
     prelude::*,
     site::{
-        document::Class,
+        document::{Class, Document, Route},
         member::{Refusal, SiteMember, SiteMemberSettings},
         poll::Poll,
         rollout::Stage,
@@ -16,7 +17,7 @@
     },
     util::log,
 };
-use std::net::TcpListener;
+use std::{net::TcpListener, path::Path};
 use tempfile::TempDir;
 
 /// A group of members. Each has its own loopback address; the ports are the same.
@@ -204,6 +205,70 @@
     assert_eq!(current.document, former.document);
 }
 
+/// Returns a document with many routes, and the size of its encoding.
+fn large(number: u64) -> (Document, usize) {
+    let mut large = document(number, Class::Once);
+    large.routes.extend((0..3_000_u64).map(|n| Route {
+        prefix: format!("/{}/", Digest::of(&n.to_le_bytes())).into(),
+        ..route(Class::Once)
+    }));
+    let size = codec::encode(&large).len();
+    (large, size)
+}
+
+fn stored_bytes(folder: &Path) -> u64 {
+    let files = std::fs::read_dir(folder).unwrap().flatten();
+    let sizes = files.map(|file| match file.metadata().unwrap() {
+        found if found.is_dir() => stored_bytes(&file.path()),
+        found => found.len(),
+    });
+    sizes.sum()
+}
+
+#[test]
+fn large_documents_take_little_of_the_log() {
+    let group = Group::new(&[81, 82, 83]);
+    let members = [81, 82, 83].map(|n| group.start(n, true));
+    wait_submitted(&members[0], 1);
+    eventually("all members have been heard", || {
+        members.iter().all(|member| member.voters().len() == 3)
+    });
+    std::thread::sleep(Duration::from_secs(1));
+    let before = stored_bytes(group.folder.path());
+
+    let (document, size) = large(2);
+    let source = vec![b'x'; size];
+    until("the document is in force", || {
+        block_on(members[0].submit(document.clone(), source.clone())).ok()
+    });
+    for member in &members {
+        until("the member has it", || {
+            read(member).filter(|text| text.len() == size)
+        });
+    }
+
+    let per_member = (stored_bytes(group.folder.path()) - before) / 3;
+    assert!(per_member < size as u64 / 2, "{per_member} of {size}");
+}
+
+#[test]
+fn many_large_documents_do_not_fill_the_disk() {
+    let group = Group::new(&[86]);
+    let member = group.start(86, true);
+    wait_submitted(&member, 1);
+
+    for number in 2..60 {
+        // Content that no compression shortens.
+        let source: Vec<u8> = (0..30_000_u64)
+            .flat_map(|n| Digest::of(&(number << 32 | n).to_le_bytes()).0)
+            .collect();
+        block_on(member.submit(document(number, Class::Once), source)).unwrap();
+    }
+
+    let stored = stored_bytes(group.folder.path());
+    assert!(stored < 20 << 20, "{stored}");
+}
+
 #[test]
 fn every_member_sends_the_same_parts_of_the_document() {
     let group = Group::new(&[16, 17, 18]);
