Compress large commands and bound the log by its bytes

Cause: the leader sends a document twice (decoded, and as the operator sent it) to each of five members, about 11 MB on a link of 100 Mbit/s. Heartbeats wait behind that for 0.9 s, longer than an election timeout.

Change: the leader, or the member that forwards a command, compresses a command of 4 KiB or more, if all members (or the leader) have stated in their messages that they read it; members of the former build do not. A downgrade is not possible once a compressed command is in the log.

--- a/src/cardamomtally/replica/host/group.rs
+++ b/src/cardamomtally/replica/host/group.rs
@@ -11,8 +11,9 @@
     core::log::StateMachine,
     prelude::*,
     replica::{
-        entry::{Entry, Payload},
+        entry::{Entry, Member, Payload},
         node::{Effects, Node, NodeOptions, Outgoing, ReadDone, Role},
+        packing,
         peers::{Body, LeaderReply, LeaderRequest, Outcome},
         storage::writer::{Writer, Written},
     },
@@ -21,6 +22,10 @@
 use rand::Rng as _;
 use std::{collections::BTreeMap, sync::mpsc::SyncSender};
 
+/// Size of the entries after a snapshot from which on the next one is written, in bytes,
+/// before jitter. It bounds the disk and memory that a log of large entries takes.
+const MIN_SNAPSHOT_BYTES: u64 = 4 << 20;
+
 /// The caller that waits for an entry or a read.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 enum Origin {
@@ -68,9 +73,21 @@
     reads: FastMap<u64, Origin>,
     next_read: u64,
     snapshot_entries: u64,
+    /// Size of the entries applied since the last snapshot, in bytes.
+    applied_bytes: usize,
+    /// Size of such entries from which on a snapshot is written.
+    snapshot_bytes: usize,
     /// Replies to requests of this process.
     answers: Vec<LeaderReply>,
     outbox: Outbox,
+    readers: Readers,
+}
+
+/// Which other members read compressed commands.
+#[derive(Clone, Copy, Debug, Default)]
+struct Readers {
+    all: bool,
+    leader: bool,
 }
 
 /// Opens the storage of all groups and starts their threads.
@@ -89,8 +106,8 @@
 /// Adds a random number of up to half the interval between snapshots, so that
 /// members write snapshots at different times and a quorum of disks stays free to
 /// sync entries.
-fn jitter_interval(entries: u64) -> u64 {
-    entries + rand::rng().random_range(0..=entries / 2)
+fn jitter_interval(interval: u64) -> u64 {
+    interval + rand::rng().random_range(0..=interval / 2)
 }
 
 impl Group {
@@ -132,8 +149,11 @@
             reads: FastMap::default(),
             next_read: 0,
             snapshot_entries: jitter_interval(settings.snapshot_entries),
+            applied_bytes: 0,
+            snapshot_bytes: jitter_interval(MIN_SNAPSHOT_BYTES) as usize,
             answers: Vec::new(),
             outbox: Outbox::default(),
+            readers: Readers::default(),
         })
     }
 
@@ -141,6 +161,16 @@
         &mut self.calls
     }
 
+    /// Records which members read compressed commands.
+    pub(super) fn update_readers(&mut self, links: &Links) {
+        let own = self.node.id();
+        let reads = |m: &Member| m.id == own || links.reads_packed(&m.name);
+        self.readers = Readers {
+            all: self.node.members().iter().all(reads),
+            leader: self.node.leader().is_some_and(reads),
+        };
+    }
+
     /// Handles the outcome of a write. After a failure the member stops taking
     /// part in the group.
     pub(super) fn written(&mut self, now: Mono, written: Written) {
@@ -176,6 +206,11 @@
         if self.in_flight.contains(&origin) {
             return;
         }
+        let command = if self.readers.all {
+            packing::pack(command)
+        } else {
+            self.unpack(&command)
+        };
         let Some((term, index)) = self.node.propose(command) else {
             self.send_outcome(origin, Outcome::NotLeader);
             return;
@@ -187,6 +222,16 @@
         }
     }
 
+    /// Returns a command as the state machine takes it. A command that does not
+    /// decompress stays as it is, and the state machine refuses it.
+    fn unpack(&mut self, command: &[u8]) -> Vec<u8> {
+        packing::unpack(command).unwrap_or_else(|error| {
+            let note = format!("a command does not decompress: {error:#}");
+            self.outbox.notes.push(note);
+            command.to_vec()
+        })
+    }
+
     fn read(&mut self, origin: Origin) {
         self.next_read += 1;
         if self.node.read(self.next_read) {
@@ -226,7 +271,15 @@
             if here {
                 self.handle_own(request);
             } else {
-                let command = request.command.map(serde_bytes::ByteBuf::from);
+                let packed = |command| {
+                    if self.readers.leader {
+                        packing::pack(command)
+                    } else {
+                        command
+                    }
+                };
+                let command = request.command.map(packed);
+                let command = command.map(serde_bytes::ByteBuf::from);
                 let body = Body::Request(LeaderRequest {
                     id: request.id,
                     command,
@@ -296,8 +349,12 @@
     }
 
     fn apply(&mut self, entry: &Entry) {
+        self.applied_bytes += entry.size();
         let answer = match &entry.payload {
-            Payload::Command(command) => self.machine.apply(entry.index, command),
+            Payload::Command(command) => {
+                let command = self.unpack(command);
+                self.machine.apply(entry.index, &command)
+            }
             Payload::Empty | Payload::Members(_) => Vec::new(),
         };
         let Some(pending) = self.pending.remove(&entry.index) else {
@@ -323,10 +380,15 @@
     fn compact(&mut self, now: Mono) {
         let applied = self.node.applied();
         let since = applied.0.saturating_sub(self.node.snapshot_index().0);
-        if since < self.snapshot_entries || self.node.role() == Role::Failed {
+        let due = since >= self.snapshot_entries || self.applied_bytes >= self.snapshot_bytes;
+        if !due || self.node.role() == Role::Failed {
             return;
         }
-        self.node.compact(applied, self.machine.snapshot());
+        let state = self.machine.snapshot();
+        // A snapshot larger than the entries that it replaces would be written too often.
+        self.snapshot_bytes = self.snapshot_bytes.max(state.len());
+        self.applied_bytes = 0;
+        self.node.compact(applied, state);
         let effects = self.node.flush(now);
         self.apply_effects(effects);
     }
--- a/src/cardamomtally/replica/host/links.rs
+++ b/src/cardamomtally/replica/host/links.rs
@@ -1,7 +1,7 @@
 //! Tracks which members are alive, from the messages that arrive and nothing
 //! else, and decides when to ping a member or replace its connection.
 
-use crate::{prelude::*, settings::control::MemberSettings};
+use crate::{prelude::*, replica::peers::Envelope, settings::control::MemberSettings};
 use std::collections::BTreeMap;
 
 /// Time without a message from a member after which its connection is presumed
@@ -26,6 +26,8 @@
     renewed: Mono,
     /// Since when the member has reported that it receives nothing from this one.
     unheard: Option<Mono>,
+    /// Whether the member has stated that it reads compressed commands.
+    reads_packed: bool,
 }
 
 impl Link {
@@ -36,6 +38,7 @@
             sent: now,
             renewed: now,
             unheard: None,
+            reads_packed: false,
         }
     }
 }
@@ -67,12 +70,12 @@
         links.or_insert_with(|| Link::new(now, false))
     }
 
-    /// Records a message from a member. `hears` is whether that member has
-    /// received messages of this one lately.
-    pub(super) fn record_received(&mut self, now: Mono, name: &Name, hears: bool) {
-        let link = self.link(now, name);
+    /// Records a message from a member.
+    pub(super) fn record_received(&mut self, now: Mono, envelope: &Envelope) {
+        let link = self.link(now, &envelope.from);
         link.heard = now;
-        link.unheard = if hears {
+        link.reads_packed = envelope.reads_packed;
+        link.unheard = if envelope.hears {
             None
         } else {
             link.unheard.or(Some(now))
@@ -94,6 +97,11 @@
         heard.map_or(Duration::ZERO, |heard| now.since(heard))
     }
 
+    /// Returns whether a member has stated that it reads compressed commands.
+    pub(super) fn reads_packed(&self, name: &Name) -> bool {
+        self.links.get(name).is_some_and(|link| link.reads_packed)
+    }
+
     /// Returns the members to ping and those whose connection is to be replaced.
     /// Removes the links of unlisted processes that have gone.
     pub(super) fn due_actions(&mut self, now: Mono) -> LinkActions {
--- a/src/cardamomtally/replica/host/worker.rs
+++ b/src/cardamomtally/replica/host/worker.rs
@@ -76,6 +76,7 @@
             let now = self.clock.now();
             for group in &mut self.groups {
                 group.node.tick(now);
+                group.update_readers(&self.links);
                 group.route_calls(now);
             }
             self.flush(now);
@@ -134,8 +135,7 @@
     }
 
     fn handle_envelope(&mut self, now: Mono, envelope: Envelope) {
-        self.links
-            .record_received(now, &envelope.from, envelope.hears);
+        self.links.record_received(now, &envelope);
         let Some(group) = self.group(envelope.group) else {
             return;
         };
@@ -173,6 +173,7 @@
         let envelope = Envelope {
             from: Arc::clone(&self.name),
             hears: self.links.record_sent(now, to),
+            reads_packed: true,
             group,
             body,
         };
--- a/src/cardamomtally/replica/mod.rs
+++ b/src/cardamomtally/replica/mod.rs
@@ -18,6 +18,7 @@
 pub mod memory;
 pub mod message;
 pub mod node;
+pub mod packing;
 pub mod peers;
 pub mod state_machine;
 pub mod storage;
--- a/src/cardamomtally/replica/node/mod.rs
+++ b/src/cardamomtally/replica/node/mod.rs
@@ -43,6 +43,9 @@
 /// number.
 const FIRST_ELECTION_DIVISOR: u32 = 4;
 
+/// Greatest size of the entries that stay in memory behind a snapshot, in bytes.
+const KEEP_BYTES: usize = 2 << 20;
+
 /// A rule of the protocol that a test can break, to show that its checks detect
 /// the violation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -390,7 +393,8 @@
         self.snapshot = Some(snapshot);
         self.configs.compact(index);
         let keep = self.options.keep_entries;
-        self.log.compact(Index(index.0.saturating_sub(keep)));
+        let base = self.log.base_within(index, keep, KEEP_BYTES);
+        self.log.compact(base);
     }
 
     /// Ends a batch of inputs and returns its effects.
--- a/src/cardamomtally/replica/peers/listener.rs
+++ b/src/cardamomtally/replica/peers/listener.rs
@@ -127,6 +127,7 @@
         let envelope = Envelope {
             from: Arc::clone(&self.own),
             hears: true,
+            reads_packed: true,
             group: GroupId::CONFIG,
             body: Body::Ping,
         };
--- a/src/cardamomtally/replica/peers/mod.rs
+++ b/src/cardamomtally/replica/peers/mod.rs
@@ -22,6 +22,10 @@
     /// connection to the sender, since that connection may be dead.
     #[serde(rename = "h")]
     pub hears: bool,
+    /// Whether the sender reads compressed commands, see
+    /// [`packing`](super::packing). Members of former builds do not state it.
+    #[serde(rename = "z", default)]
+    pub reads_packed: bool,
     /// The group that the body belongs to.
     #[serde(rename = "g")]
     pub group: GroupId,
--- a/src/cardamomtally/replica/tail.rs
+++ b/src/cardamomtally/replica/tail.rs
@@ -99,6 +99,23 @@
         }
     }
 
+    /// Returns the base that keeps the entries up to `index`, at most `entries` of them
+    /// and at most `bytes` in size.
+    #[must_use]
+    pub fn base_within(&self, index: Index, entries: u64, bytes: usize) -> Index {
+        let mut base = index;
+        let mut kept = 0;
+        while index.0 - base.0 < entries {
+            let Some(entry) = self.get(base) else { break };
+            kept += entry.size();
+            if kept > bytes {
+                break;
+            }
+            base = base.prev();
+        }
+        base
+    }
+
     /// Removes all entries and continues after another base.
     pub fn reset(&mut self, base: Index, base_term: Term) {
         *self = Self::new(base, base_term, Vec::new());
--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -275,6 +275,7 @@
         codec::encode(&Envelope {
             from: "control-1".into(),
             hears: true,
+            reads_packed: true,
             group: GroupId::CONFIG,
             body: Body::Ping,
         }),
--- a/tests/testsuite/replica/mod.rs
+++ b/tests/testsuite/replica/mod.rs
@@ -4,5 +4,6 @@
 mod disk;
 mod live;
 mod model;
+mod packing;
 mod script;
 mod simulation;
