--- a/src/cardamomtally/direct/mod.rs
+++ b/src/cardamomtally/direct/mod.rs
@@ -29,7 +29,6 @@
 pub mod refusal;
 pub mod registry;
 pub mod retry;
-pub mod selection;
 pub mod source;
 pub mod speed;
 pub mod stream;
--- a/src/cardamomtally/direct/poller.rs
+++ b/src/cardamomtally/direct/poller.rs
@@ -12,7 +12,7 @@
 //! the entry knows that a newer document is in force, and its lease ends sooner
 //! than that of an entry which knows of none.
 
-use super::{outcomes::OutcomeCounts, peers::Peers, selection::MemberSelection};
+use super::{outcomes::OutcomeCounts, peers::Peers};
 use crate::{
     net::{
         codec,
@@ -23,6 +23,7 @@
     site::{
         document::Document,
         poll::{self, Poll, PollReply},
+        selection::MemberSelection,
         state::Fleet,
         table::Table,
         transfer::{Download, Part, PartRequest},
--- a/src/cardamomtally/replica/host/links.rs
+++ b/src/cardamomtally/replica/host/links.rs
@@ -22,7 +22,8 @@
     /// Whether the settings list the member.
     listed: bool,
     heard: Mono,
-    sent: Mono,
+    /// Time of the last message to the member, or `None` if there was none yet.
+    sent: Option<Mono>,
     renewed: Mono,
     /// Since when the member has reported that it receives nothing from this one.
     unheard: Option<Mono>,
@@ -35,7 +36,7 @@
         Self {
             listed,
             heard: now,
-            sent: now,
+            sent: None,
             renewed: now,
             unheard: None,
             reads_packed: false,
@@ -86,7 +87,7 @@
     /// within `SILENCE_TIMEOUT`.
     pub(super) fn record_sent(&mut self, now: Mono, name: &Name) -> bool {
         let link = self.link(now, name);
-        link.sent = now;
+        link.sent = Some(now);
         now.since(link.heard) < SILENCE_TIMEOUT
     }
 
@@ -109,7 +110,7 @@
         self.links
             .retain(|_, link| link.listed || now.since(link.heard) < UNLISTED_RETENTION);
         for (name, link) in &mut self.links {
-            if now.since(link.sent) >= PING_INTERVAL {
+            if link.sent.is_none_or(|at| now.since(at) >= PING_INTERVAL) {
                 actions.ping.push(Arc::clone(name));
             }
             let unheard = link
--- a/src/cardamomtally/replica/message.rs
+++ b/src/cardamomtally/replica/message.rs
@@ -40,6 +40,9 @@
         #[serde(rename = "e")]
         empty: bool,
     },
+    /// Reply to [`Message::Hello`] by a process without a disk, which is no member.
+    #[serde(rename = "d")]
+    Decline,
     /// Asks for a vote.
     #[serde(rename = "v")]
     RequestVote(RequestVote),
--- a/src/cardamomtally/replica/node/membership.rs
+++ b/src/cardamomtally/replica/node/membership.rs
@@ -6,7 +6,9 @@
 //! entry, it draws a cluster number and sends hellos that carry it. Another member
 //! promises a number that is higher than the one it promised before, and
 //! syncs the promise to its disk. The first member forms the group only after all
-//! others have promised its number. An earlier attempt to form the group can then
+//! others have promised its number. An initial member without a disk declines, and
+//! the others form the group without it: each of them waits for either a promise or
+//! a refusal from every member that precedes or follows it. An earlier attempt to form the group can then
 //! commit nothing, since its messages carry a lower number.
 //!
 //! The leader of an existing group adds a new member as a learner. Once the
@@ -119,7 +121,7 @@
 
     /// Promises the cluster number that the first initial member drew.
     pub(super) fn on_hello(&mut self, now: Mono, from: &Sender, empty: bool) {
-        let first = self.options.members.first() == Some(&from.name);
+        let first = self.initial_members().next() == Some(&from.name);
         let joining = self.lifecycle.role() == Role::Joining && self.is_empty();
         if !self.options.form || !first || !joining || !empty || from.cluster <= self.hard.cluster {
             return;
@@ -130,6 +132,21 @@
         self.timer = now + self.options.heartbeat;
     }
 
+    /// Records that an initial member stores nothing, unless the group was formed.
+    pub(super) fn on_decline(&mut self, name: &Name) {
+        let initial = self.options.members.contains(name) && *name != self.options.name;
+        if initial && self.is_empty() && self.declined.insert(Arc::clone(name)) {
+            self.note(format!("{name} stores nothing and is no initial member"));
+        }
+    }
+
+    /// Iterates over the members that form the group, in the order in which all of them
+    /// list them.
+    fn initial_members(&self) -> impl Iterator<Item = &Name> {
+        let members = self.options.members.iter();
+        members.filter(|name| !self.declined.contains(*name))
+    }
+
     /// Returns whether this member holds no entry.
     fn is_empty(&self) -> bool {
         self.log.last() == Index::default()
@@ -139,13 +156,13 @@
     /// initial member: draws a cluster number, or forms the group once all others
     /// have promised it. Returns whether the group is formed.
     fn try_form_group(&mut self, now: Mono) -> bool {
-        let first = self.options.members.first();
+        let first = self.initial_members().next();
         if !self.options.form || first != Some(&self.options.name) || !self.is_empty() {
             return false;
         }
         let limit = self.options.election;
         let mut promised = Vec::new();
-        for name in self.options.members.iter().skip(1) {
+        for name in self.initial_members().skip(1) {
             let newcomer = self.newcomers.get(name);
             match newcomer.filter(|n| n.empty && now.since(n.seen) < limit) {
                 Some(newcomer) => promised.push(newcomer.cluster),
@@ -174,7 +191,7 @@
     }
 
     fn form_group(&mut self, now: Mono) {
-        let members = self.options.members.iter().map(|name| {
+        let members = self.initial_members().map(|name| {
             let id = self.newcomers.get(name).map(|n| n.id);
             Member {
                 id: id.unwrap_or(self.options.id),
--- a/src/cardamomtally/replica/node/mod.rs
+++ b/src/cardamomtally/replica/node/mod.rs
@@ -210,6 +210,9 @@
     campaign: Option<Campaign>,
     leader_state: Option<LeaderState>,
     incoming: Option<IncomingSnapshot>,
+    /// Initial members that have stated that they store nothing. The group forms
+    /// without them.
+    declined: FastSet<Name>,
     /// Processes that may join the group, by process name.
     newcomers: BTreeMap<Name, Newcomer>,
     /// Number of the latest batch of writes that a flush returned.
@@ -254,6 +257,7 @@
             campaign: None,
             leader_state: None,
             incoming: None,
+            declined: FastSet::default(),
             newcomers: BTreeMap::new(),
             seq: 0,
             synced: 0,
@@ -282,6 +286,10 @@
         if self.lifecycle.has_ended() || self.is_other_cluster(&packet) {
             return;
         }
+        if packet.message == Message::Decline {
+            self.on_decline(&packet.name);
+            return;
+        }
         let from = self.sender(&packet);
         self.record_newcomer(now, from, &packet);
         self.forward_hello(&packet);
@@ -310,6 +318,7 @@
                 offset,
             } => self.on_chunk_reply(now, &sender, term, index, offset),
             Message::TimeoutNow { term } => self.on_timeout_now(now, term),
+            Message::Decline => {}
         }
     }
 
--- a/src/cardamomtally/site/member/polls.rs
+++ b/src/cardamomtally/site/member/polls.rs
@@ -117,9 +117,10 @@
 
     /// Records the poll and its outcomes at the leader. Returns the number of entries
     /// that poll, and the entry's peers if its list of them is out of date. Members other
-    /// than the leader do not know these and return 0 and none.
+    /// than the leader do not know these and return 0 and none, as for a process that is
+    /// no entry.
     fn record_entry(&self, now: Mono, poll: &Poll, leads: bool) -> (u32, Option<Vec<SocketAddr>>) {
-        if !leads {
+        if !leads || poll.name.is_empty() {
             return (0, None);
         }
         let rollouts = self.store.read(|state| state.fleet.rollouts.clone());
--- a/src/cardamomtally/site/poll.rs
+++ b/src/cardamomtally/site/poll.rs
@@ -33,7 +33,8 @@
 /// An entry's poll for the configuration in force.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Poll {
-    /// Name of the polling process.
+    /// Name of the polling process. It is empty for a process that is no entry, which the
+    /// leader does not count.
     #[serde(rename = "n")]
     pub name: Name,
     /// Log index of the document that the process has; 0 for none.
--- a/src/cardamomtally/direct/selection.rs
+++ b/src/cardamomtally/site/selection.rs
@@ -1,7 +1,8 @@
-//! Selection of the members that an entry polls and fetches documents from. The code does
-//! no I/O.
+//! Selection of the members that a process polls and fetches documents from. The code
+//! does no I/O.
 
-use crate::{prelude::*, routing::rendezvous, site::poll::PollReply};
+use super::poll::PollReply;
+use crate::{prelude::*, routing::rendezvous};
 
 /// Selects the member to poll next: the leader if it is known, otherwise the
 /// known members and the seeds in turn. Documents are fetched from any known
@@ -72,6 +73,18 @@
         !all_failed
     }
 
+    /// Tells whether the leader is known.
+    #[must_use]
+    pub const fn knows_leader(&self) -> bool {
+        self.leader.is_some()
+    }
+
+    /// Returns the leader if it is known, otherwise any known member.
+    #[must_use]
+    pub fn leader(&self) -> Option<Name> {
+        self.leader.as_ref().or(self.members.first()).cloned()
+    }
+
     /// Records that a part was fetched.
     pub const fn record_part(&mut self) {
         self.failed_sources = 0;
