--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod config_lease;
 mod fixtures;
+mod limit;
 mod once;
 mod parts;
 mod peers;
