Keep the limit that a backend server names, shared by all entries

Callers' requests crowded a backend server in need: 25 requests in 4 s where it had named 2.7 a second to those that sent them.

Cause: no entry read the limit. What a backend server says of itself was read at two places, from accepted answers only, and a rate was bounded only while a backend server is cold.

Change: direct::statement reads what a backend server says of itself, its load and its limit, from every answer that belongs to the request, rejections included. direct::pacing keeps the pause between two requests of this entry, for cold backend servers and for those that name a limit, as an equal part of the bound. The limit ends with an answer that names none, to a request sent after it was named.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -6,13 +6,15 @@
     call::{self, Call},
     names::HeaderNames,
     outcomes::OutcomeCounts,
+    pacing::sharing_entries,
     peers::Peers,
     plain,
     poller::ConfigPoller,
-    pool::Pool,
+    pool::{Answer, Pool, SendError},
     refusal::Refusal,
     registry::{Choice, Registry},
     source::StreamTiming,
+    statement::Statement,
     stream,
 };
 use crate::{
@@ -110,6 +112,21 @@
         valid && !self.stopping.load(Ordering::Acquire)
     }
 
+    /// Records what a backend server says of itself in its answer.
+    pub fn record_statement(
+        &self,
+        call: &Call,
+        choice: &Choice,
+        sent: Result<&Answer, &SendError>,
+    ) {
+        let Ok(answer) = sent else { return };
+        let (status, headers) = (answer.response.status(), answer.response.headers());
+        if let Some(statement) = Statement::read(&self.names, &call.id, status, headers) {
+            let entries = sharing_entries(&self.config.current());
+            self.registry.record_statement(choice, statement, entries);
+        }
+    }
+
     /// Takes a retry from the budget of a service. Returns whether the budget
     /// allowed it.
     pub fn spend_retry(&self, service: &Name, cause: Cause) -> bool {
@@ -124,7 +141,7 @@
 
     /// Adds a new request's share to the retry budget of its service.
     fn count_request(&self, service: &Name) {
-        let (entries, now) = (self.config.current().entries, self.clock.now());
+        let (entries, now) = (self.config.current().entries.max(1), self.clock.now());
         self.budget(service, |budget| budget.earn(entries, now));
     }
 
@@ -133,7 +150,7 @@
         if let Some(budget) = budgets.get_mut(service) {
             return act(budget);
         }
-        let (entries, now) = (self.config.current().entries, self.clock.now());
+        let (entries, now) = (self.config.current().entries.max(1), self.clock.now());
         let budget = SharedBudget::new(self.retries, entries, now);
         act(budgets.entry(Arc::clone(service)).or_insert(budget))
     }
--- a/src/cardamomtally/direct/attempt.rs
+++ b/src/cardamomtally/direct/attempt.rs
@@ -138,15 +138,6 @@
     Outcome::Answered(Box::new(answer))
 }
 
-/// Reads the running and the waiting requests from a load header, which has the
-/// form `running,waiting,slots`.
-#[must_use]
-pub fn parse_load(names: &HeaderNames, headers: &HeaderMap) -> Option<(u32, u32)> {
-    let text = headers.get(&names.load)?.to_str().ok()?;
-    let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
-    Some((numbers.next()??, numbers.next()??))
-}
-
 /// Reads the confidence that the model gives for its answer, from 0 to 100.
 #[must_use]
 pub fn parse_confidence(names: &HeaderNames, headers: &HeaderMap) -> Option<f64> {
--- a/src/cardamomtally/direct/names.rs
+++ b/src/cardamomtally/direct/names.rs
@@ -23,6 +23,9 @@
     pub signature: HeaderName,
     /// Load of the backend server in an answer, as `running,waiting,slots`.
     pub load: HeaderName,
+    /// Rate of requests per second that the backend server takes from all entries
+    /// together, in an answer.
+    pub limit: HeaderName,
     /// Priority of the request among waiting ones; 0 goes first. Set by the
     /// entry.
     pub priority: HeaderName,
@@ -55,6 +58,7 @@
             unexecuted: name("cardamomtally-unexecuted"),
             signature: name("cardamomtally-signature"),
             load: name("cardamomtally-load"),
+            limit: name("cardamomtally-limit"),
             priority: name("cardamomtally-priority"),
             model: name("cardamomtally-model"),
             confidence: name("cardamomtally-confidence"),
--- a/src/cardamomtally/direct/plain.rs
+++ b/src/cardamomtally/direct/plain.rs
@@ -164,6 +164,7 @@
     let address = choice.backend.address;
     let work = async {
         let sent = app.pool.send(address, make).await;
+        app.record_statement(call, choice, sent.as_ref());
         match attempt::classify(&app.names, call, sent) {
             Outcome::Answered(answer) => read_answer(app, choice, *answer).await,
             Outcome::NotSent(why) => AttemptResult::NotSent(why),
@@ -196,10 +197,6 @@
 
 async fn read_answer(app: &App, choice: &Choice, answer: Answer) -> AttemptResult {
     let (parts, body, connection) = answer.split();
-    if let Some((running, waiting)) = attempt::parse_load(&app.names, &parts.headers) {
-        app.registry
-            .report(&choice.backend.instance, running, waiting);
-    }
     let Ok(body) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
         return AttemptResult::Unknown("the answer's body broke off or is longer than 8 MiB");
     };
--- a/src/cardamomtally/direct/poller.rs
+++ b/src/cardamomtally/direct/poller.rs
@@ -53,7 +53,8 @@
     /// End of the lease. After it, the configuration may be outdated and
     /// requests that need a key are refused.
     pub lease_end: Mono,
-    /// Number of entries that poll the control group, at least 1.
+    /// Number of entries that poll the control group, or 0 if no leader has told it
+    /// yet.
     pub entries: u32,
 }
 
@@ -376,11 +377,9 @@
         if next.document == reply.document {
             next.confirmed = next.confirmed.max(sent);
         }
-        next.entries = if reply.entries > 0 {
-            reply.entries
-        } else {
-            next.entries.max(1)
-        };
+        if reply.entries > 0 {
+            next.entries = reply.entries;
+        }
         self.publish(next);
     }
 
--- a/src/cardamomtally/direct/registry.rs
+++ b/src/cardamomtally/direct/registry.rs
@@ -9,10 +9,13 @@
 
 use super::{
     backlog::{Backlog, BacklogSums, ServerKey},
+    node::Node,
+    pacing::sharing_entries,
     peers::Peers,
     placement::{self, Candidate, Estimate, Prompt},
     poller::ConfigSnapshot,
     speed::Speeds,
+    statement::Statement,
 };
 use crate::{
     prelude::*,
@@ -36,18 +39,12 @@
     errors: 1,
     open: Duration::from_millis(500),
 };
-/// Age from which a load report is ignored. The load is then estimated from
-/// this entry's own requests.
-const LOAD_REPORT_TTL: Duration = Duration::from_secs(2);
 /// Least number of shared tokens for which the home of a prefix may be in
 /// another data centre. Shorter prefixes stay in the entry's own data centre.
 const REMOTE_HOME_MIN_TOKENS: u32 = 1_000;
 /// Load per slot from which on a backend server no longer counts as the home of
 /// a prefix, because it is full.
 const HOME_MAX_LOAD: f64 = 1.0;
-/// Time for which a backend server is assumed to keep a prefix in its cache
-/// after this entry has sent it there.
-const PREFIX_CACHE_TTL: Duration = Duration::from_secs(7);
 /// Least prefill work of a prompt, in milliseconds, whose start and end are
 /// reported to the other entries at once. Smaller prompts are covered by the
 /// periodic messages.
@@ -92,74 +89,6 @@
     }
 }
 
-/// A load report of a backend server, and this entry's own requests there when
-/// it arrived.
-#[derive(Clone, Copy, Debug)]
-struct LoadReport {
-    in_flight: u32,
-    at: Mono,
-    own_in_flight: u32,
-}
-
-/// What the registry keeps about one backend server.
-#[derive(Debug, Default)]
-struct Node {
-    key: ServerKey,
-    own_in_flight: u32,
-    report: Option<LoadReport>,
-    breaker: Breaker,
-    /// Earliest time of the next request to this backend server while it is
-    /// cold.
-    next_cold: Mono,
-    /// Prefixes that this entry has sent there, by cache key, with the time of
-    /// the last request.
-    sent_prefixes: FastMap<u64, Mono>,
-}
-
-impl Node {
-    fn new(instance: &str) -> Self {
-        Self {
-            key: rendezvous::seed(instance),
-            ..Self::default()
-        }
-    }
-
-    /// Estimates how many requests the backend server has in flight. With a
-    /// recent report this is the reported number plus the change in this
-    /// entry's own requests since the report arrived, but at least the number
-    /// of this entry's own requests in flight. Without a recent report, all
-    /// entries are assumed to have as many requests in flight there as this
-    /// one.
-    fn estimated_in_flight(&self, now: Mono, entries: u32) -> f64 {
-        let recent = self.report.filter(|r| now.since(r.at) < LOAD_REPORT_TTL);
-        match recent {
-            Some(report) => {
-                let change = f64::from(self.own_in_flight) - f64::from(report.own_in_flight);
-                (f64::from(report.in_flight) + change).max(f64::from(self.own_in_flight))
-            }
-            None => f64::from(self.own_in_flight) * f64::from(entries),
-        }
-    }
-
-    /// Records a request that is sent to the backend server now. If it is cold,
-    /// the next request may be sent only after `pause`.
-    fn begin(&mut self, now: Mono, pause: Option<Duration>, prefix: Option<u64>) {
-        self.breaker.begin();
-        self.own_in_flight += 1;
-        if let Some(pause) = pause {
-            self.next_cold = now + pause;
-        }
-        if let Some(key) = prefix {
-            self.sent_prefixes.insert(key, now);
-        }
-    }
-
-    fn has_prefix(&self, key: u64, now: Mono) -> bool {
-        let sent = self.sent_prefixes.get(&key);
-        sent.is_some_and(|at| now.since(*at) < PREFIX_CACHE_TTL)
-    }
-}
-
 /// The state behind the registry's lock.
 #[derive(Debug, Default)]
 struct State {
@@ -216,7 +145,8 @@
     /// No backend server of the fleet may run the request.
     NoCandidate,
     /// Every backend server that may run the request has an open circuit
-    /// breaker, or is cold and has just received a request of this entry.
+    /// breaker, or takes no request of this entry yet, since it is cold or names a
+    /// limit.
     Busy,
 }
 
@@ -252,8 +182,8 @@
     /// # Errors
     ///
     /// Returns [`NoChoice::NoCandidate`] if no backend server may run the
-    /// request, and [`NoChoice::Busy`] if all that may are failing, or are cold
-    /// and get no request of this entry yet.
+    /// request, and [`NoChoice::Busy`] if all that may are failing, or are cold or
+    /// name a limit and get no request of this entry yet.
     pub fn choose(
         self: &Arc<Self>,
         config: &ConfigSnapshot,
@@ -270,9 +200,10 @@
             .best(&state, config, wanted, &allowed)
             .ok_or(NoChoice::Busy)?;
         let cold = is_cold(best, wanted.service, self.wall_ms());
-        let pause = cold.then(|| cold_pause(config, wanted.service));
+        let cold_rate = cold.then_some(wanted.service.cold_rate);
         let node = state.nodes.entry(Arc::clone(&best.instance)).or_default();
-        node.begin(now, pause, wanted.prefix_key());
+        node.begin(now, wanted.prefix_key());
+        node.pacing.begin(now, cold_rate, sharing_entries(config));
         let key = node.key;
         state.backlog.add(key, estimate.prefill);
         drop(state);
@@ -310,10 +241,11 @@
                 continue;
             };
             let cold = is_cold(backend, wanted.service, wall);
-            if !node.breaker.allows(now) || (cold && now < node.next_cold) {
+            let cold_rate = cold.then_some(wanted.service.cold_rate);
+            if !node.breaker.allows(now) || !node.pacing.allows(now, cold_rate) {
                 continue;
             }
-            let in_flight = node.estimated_in_flight(now, config.entries);
+            let in_flight = node.estimated_in_flight(now, config.entries.max(1));
             let load = in_flight / f64::from(backend.slots.max(1));
             let is_home = home == Some(node.key) && load < HOME_MAX_LOAD;
             let candidate = Candidate {
@@ -353,16 +285,17 @@
         self.clock.wall_micros() / 1_000
     }
 
-    /// Records a load report of a backend server: the requests that run and
-    /// that wait there.
-    pub fn report(&self, instance: &Name, running: u32, waiting: u32) {
+    /// Records what a backend server has said of itself in its answer to a request that
+    /// was sent to it as `choice`. `entries` is the number of entries that share its
+    /// limit.
+    pub fn record_statement(&self, choice: &Choice, statement: Statement, entries: u32) {
         let now = self.clock.now();
-        if let Some(node) = self.lock().nodes.get_mut(instance) {
-            node.report = Some(LoadReport {
-                in_flight: running + waiting,
-                at: now,
-                own_in_flight: node.own_in_flight,
-            });
+        if let Some(node) = self.lock().nodes.get_mut(&choice.backend.instance) {
+            if let Some(load) = statement.load {
+                node.report(now, load);
+            }
+            let sent = choice.chosen_at;
+            node.pacing.set_limit(now, sent, statement.limit, entries);
         }
     }
 
@@ -396,8 +329,7 @@
         let nodes = &mut self.lock().nodes;
         nodes.retain(|instance, node| node.own_in_flight > 0 || live.contains(instance));
         for node in nodes.values_mut() {
-            node.sent_prefixes
-                .retain(|_, at| now.since(*at) < PREFIX_CACHE_TTL);
+            node.sweep(now);
         }
     }
 }
@@ -429,12 +361,6 @@
     usable
 }
 
-/// Returns the pause that this entry keeps between two requests to a cold
-/// backend server. The allowed rate is divided evenly among the entries.
-fn cold_pause(config: &ConfigSnapshot, service: &Service) -> Duration {
-    Duration::from_secs_f64(f64::from(config.entries.max(1)) / service.cold_rate)
-}
-
 fn is_cold(backend: &Backend, service: &Service, wall: u64) -> bool {
     service.cold_rate > 0.0 && wall < backend.cold_until
 }
--- a/src/cardamomtally/direct/stream.rs
+++ b/src/cardamomtally/direct/stream.rs
@@ -111,10 +111,6 @@
             };
             choice.prefill_finished();
             let (parts, body, connection) = answer.split();
-            if let Some((running, waiting)) = attempt::parse_load(&self.app.names, &parts.headers) {
-                let instance = &choice.backend.instance;
-                self.app.registry.report(instance, running, waiting);
-            }
             if parts.status.is_success() {
                 if self.escalate_to_larger(&parts) {
                     self.retries.tried.clear();
@@ -297,9 +293,11 @@
                 tokio::time::timeout(rest, sending).await.ok()
             }
         };
-        sent.map_or(Outcome::Silent, |sent| {
-            attempt::classify(&app.names, &call, sent)
-        })
+        let Some(sent) = sent else {
+            return Outcome::Silent;
+        };
+        app.record_statement(&call, choice, sent.as_ref());
+        attempt::classify(&app.names, &call, sent)
     }
 
     /// Returns the model to request, if the entry chooses it.
--- a/tests/testsuite/direct/parts.rs
+++ b/tests/testsuite/direct/parts.rs
@@ -7,8 +7,9 @@
     call::{self, PromptPart},
     events::EventSplitter,
     names::HeaderNames,
+    statement::Statement,
 };
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -35,19 +36,37 @@
 #[test]
 fn loads_and_tokens_are_read() {
     let names = HeaderNames::default();
+    let id = HeaderValue::from_static("a-1");
+    let load = |text| {
+        let mut headers = headers("cardamomtally-load", text);
+        headers.insert("cardamomtally-attempt", id.clone());
+        let statement = Statement::read(&names, &id, StatusCode::OK, &headers)?;
+        statement.load.map(|load| (load.running, load.waiting))
+    };
 
-    assert_eq!(
-        attempt::parse_load(&names, &headers("cardamomtally-load", "3, 2,8")),
-        Some((3, 2))
-    );
-    assert_eq!(
-        attempt::parse_load(&names, &headers("cardamomtally-load", "x,2,8")),
-        None
-    );
+    assert_eq!(load("3, 2,8"), Some((3, 2)));
+    assert_eq!(load("x,2,8"), None);
     assert_eq!(call::parse_tokens("1460,80"), (1460, 80));
     assert_eq!(call::parse_tokens("nonsense"), (0, 0));
 }
 
+#[test]
+fn statement_of_another_backend_server_or_request_is_not_read() {
+    let names = HeaderNames::default();
+    let (own, other) = (
+        HeaderValue::from_static("a-1"),
+        HeaderValue::from_static("a-2"),
+    );
+    let mut answer = headers("cardamomtally-limit", "2.5");
+    answer.insert("cardamomtally-attempt", own.clone());
+    let read = |id, status| Statement::read(&names, id, status, &answer);
+
+    let limit = read(&own, StatusCode::SERVICE_UNAVAILABLE).and_then(|s| s.limit);
+    assert_eq!(limit, Some(2.5));
+    assert_eq!(read(&own, StatusCode::MISDIRECTED_REQUEST), None);
+    assert_eq!(read(&other, StatusCode::OK), None);
+}
+
 #[test]
 fn idle_limit_is_70_percent_of_the_keep_alive_timeout() {
     let keep = attempt::parse_keep_alive(&headers("keep-alive", "timeout=2, max=9"));
