Tell entries no number of entries that a new leader has only begun to count

Suspected cause, by reading: a new leader counts the entries from none on, and the first ones that poll it take their number for 1. Each entry's part of a common bound is a division by that number, so that they take the whole of it.

Change: a leader tells the number only 2 s after the first poll that reached it.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -141,7 +141,8 @@
 
     /// Adds a new request's share to the retry budget of its service.
     fn count_request(&self, service: &Name) {
-        let (entries, now) = (self.config.current().entries.max(1), self.clock.now());
+        let entries = sharing_entries(&self.config.current());
+        let now = self.clock.now();
         self.budget(service, |budget| budget.earn(entries, now));
     }
 
@@ -150,7 +151,8 @@
         if let Some(budget) = budgets.get_mut(service) {
             return act(budget);
         }
-        let (entries, now) = (self.config.current().entries.max(1), self.clock.now());
+        let entries = sharing_entries(&self.config.current());
+        let now = self.clock.now();
         let budget = SharedBudget::new(self.retries, entries, now);
         act(budgets.entry(Arc::clone(service)).or_insert(budget))
     }
--- a/src/cardamomtally/site/entries.rs
+++ b/src/cardamomtally/site/entries.rs
@@ -18,22 +18,35 @@
     exchange: Option<SocketAddr>,
 }
 
+/// Time from the first poll at a leader after which all entries have polled it.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// Entries that have polled the leader within the last 5 s.
 #[derive(Debug, Default)]
-pub struct Entries(BTreeMap<Name, LastPoll>);
+pub struct Entries {
+    polls: BTreeMap<Name, LastPoll>,
+    /// Time of the first poll at this leader.
+    begun: Option<Mono>,
+}
 
 impl Entries {
     /// Records a poll, and removes the entries that have stopped polling.
     pub fn record_poll(&mut self, name: &Name, exchange: Option<SocketAddr>, now: Mono) {
         let poll = LastPoll { at: now, exchange };
-        self.0.insert(Arc::clone(name), poll);
-        self.0.retain(|_, poll| now.since(poll.at) < POLL_TIMEOUT);
+        self.polls.insert(Arc::clone(name), poll);
+        self.polls
+            .retain(|_, poll| now.since(poll.at) < POLL_TIMEOUT);
+        self.begun.get_or_insert(now);
     }
 
-    /// Returns the number of entries.
+    /// Returns the number of entries, or 0 while it is not known, since this leader has
+    /// not been polled by all of them yet. Entries divide common bounds by it, so that
+    /// each would take too much if it were too low.
     #[must_use]
-    pub fn count(&self) -> u32 {
-        u32::try_from(self.0.len()).unwrap_or(u32::MAX)
+    pub fn count(&self, now: Mono) -> u32 {
+        let settled = self.begun.is_some_and(|at| now.since(at) >= SETTLE_TIME);
+        let count = u32::try_from(self.polls.len()).unwrap_or(u32::MAX);
+        if settled { count } else { 0 }
     }
 
     /// Returns the addresses to which an entry sends messages: those of the entries that
@@ -41,8 +54,8 @@
     /// last. Thus each entry also receives messages from equally many.
     #[must_use]
     pub fn peers_of(&self, name: &Name) -> Vec<SocketAddr> {
-        let after = self.0.iter().filter(|(other, _)| *other > name);
-        let before = self.0.iter().filter(|(other, _)| *other < name);
+        let after = self.polls.iter().filter(|(other, _)| *other > name);
+        let before = self.polls.iter().filter(|(other, _)| *other < name);
         let others = after.chain(before).filter_map(|(_, poll)| poll.exchange);
         others.take(MAX_PEERS).collect()
     }
--- a/src/cardamomtally/site/member/polls.rs
+++ b/src/cardamomtally/site/member/polls.rs
@@ -129,7 +129,7 @@
         shared.entries.record_poll(&poll.name, poll.exchange, now);
         let peers = shared.entries.peers_of(&poll.name);
         let changed = (poll::digest(&peers) != poll.peers).then_some(peers);
-        (shared.entries.count(), changed)
+        (shared.entries.count(now), changed)
     }
 }
 
--- a/src/cardamomtally/site/poll.rs
+++ b/src/cardamomtally/site/poll.rs
@@ -80,7 +80,8 @@
     /// Names of all members.
     #[serde(rename = "m", default)]
     pub members: Vec<Name>,
-    /// Number of entries that poll; 0 if the member is not the leader.
+    /// Number of entries that poll; 0 if the member is not the leader or has led for too
+    /// short a time to know it.
     #[serde(rename = "e", default)]
     pub entries: u32,
     /// Addresses of the entries to which this entry sends messages, if the list differs
--- a/tests/testsuite/site/entries.rs
+++ b/tests/testsuite/site/entries.rs
@@ -7,6 +7,9 @@
 use proptest::prelude::*;
 use std::net::SocketAddr;
 
+/// Time at which a leader that was first polled at 0 knows the number of entries.
+const SETTLED: Mono = Mono(2_000_000);
+
 fn address(number: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], number))
 }
@@ -27,7 +30,7 @@
 fn each_entry_of_few_gets_all_others_as_peers() {
     let entries = polling(3);
 
-    assert_eq!(entries.count(), 3);
+    assert_eq!(entries.count(SETTLED), 3);
     assert_eq!(entries.peers_of(&name(1)), [address(2), address(0)]);
 }
 
@@ -38,7 +41,7 @@
 
     entries.record_poll(&name(1), Some(address(1)), later);
 
-    assert_eq!(entries.count(), 1);
+    assert_eq!(entries.count(later), 1);
     assert_eq!(entries.peers_of(&name(1)), []);
 }
 
@@ -47,10 +50,19 @@
     let mut entries = polling(1);
     entries.record_poll(&name(7), None, Mono(0));
 
-    assert_eq!(entries.count(), 2);
+    assert_eq!(entries.count(SETTLED), 2);
     assert_eq!(entries.peers_of(&name(0)), []);
 }
 
+#[test]
+fn new_leader_tells_no_number_of_entries_that_it_has_only_begun_to_count() {
+    let entries = polling(3);
+
+    assert_eq!(entries.count(Mono(0)), 0);
+    assert_eq!(entries.count(Mono(1_999_999)), 0);
+    assert_eq!(entries.count(SETTLED), 3);
+}
+
 proptest! {
     #[test]
     fn each_entry_sends_to_as_many_peers_as_it_receives_from(count in 2_u16..200) {
