Judge a new version by when its answers begin, against an idle backend server

The expected time included the backlog at the backend server, which a slow version causes itself; and an answer counted only at its end, which comes last for the slowest. Besides, the share went from 10 to 100 % within 0.4 s, since six good answers at any share were enough for all further steps.

Change: latency is counted when an answer begins, relative to what an idle backend server is expected to take. The share grows only after six answers have begun at the current share. The class: a measure that the fault itself excuses, and that counts survivors only.

Evidence: both new tests of site::canary fail without the change and pass.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -157,18 +157,22 @@
         act(budgets.entry(Arc::clone(service)).or_insert(budget))
     }
 
-    /// Counts an answer for the comparison of versions during a roll-out.
-    /// `first` is the time to the first byte of a good answer; `None` counts as
-    /// a failure.
-    pub fn count(&self, call: &Call, choice: &Choice, first: Option<Duration>) {
+    /// Counts the beginning of an answer for the comparison of versions during a
+    /// roll-out. `first` is the time to its first byte.
+    pub fn count_start(&self, call: &Call, choice: &Choice, first: Duration) {
         let backend = &choice.backend;
-        let lateness = first.map(|first| lateness(first, choice.expected_ttft()));
-        self.counts.add(
-            &call.route.name,
-            &backend.service,
-            &backend.version,
-            lateness,
-        );
+        let lateness = lateness(first, choice.idle_ttft());
+        let route = &call.route.name;
+        self.counts
+            .add_start(route, &backend.service, &backend.version, lateness);
+    }
+
+    /// Counts the end of an answer for the comparison of versions, good or bad.
+    pub fn count_end(&self, call: &Call, choice: &Choice, good: bool) {
+        let backend = &choice.backend;
+        let route = &call.route.name;
+        self.counts
+            .add_end(route, &backend.service, &backend.version, good);
     }
 
     /// Logs the outcome of one attempt, which began at `since`.
--- a/src/cardamomtally/direct/outcomes.rs
+++ b/src/cardamomtally/direct/outcomes.rs
@@ -14,9 +14,30 @@
 }
 
 impl OutcomeCounts {
-    /// Counts an answer. `lateness` is the time to its first byte in percent of
-    /// the expected time; `None` counts the answer as bad.
-    pub fn add(&self, route: &Name, service: &Name, version: &Name, lateness: Option<u32>) {
+    /// Counts the beginning of an answer. `lateness` is the time to its first byte in
+    /// percent of the expected time.
+    pub fn add_start(&self, route: &Name, service: &Name, version: &Name, lateness: u32) {
+        self.update(route, service, version, |count| {
+            count.started += 1;
+            count.latency += u64::from(lateness);
+        });
+    }
+
+    /// Counts the end of an answer, good or bad.
+    pub fn add_end(&self, route: &Name, service: &Name, version: &Name, good: bool) {
+        self.update(route, service, version, |count| {
+            count.good += u32::from(good);
+            count.bad += u32::from(!good);
+        });
+    }
+
+    fn update(
+        &self,
+        route: &Name,
+        service: &Name,
+        version: &Name,
+        change: impl FnOnce(&mut Outcomes),
+    ) {
         let key = (Arc::clone(route), Arc::clone(service), Arc::clone(version));
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
         let count = counts.entry(key).or_insert_with(|| Outcomes {
@@ -25,13 +46,7 @@
             version: Arc::clone(version),
             ..Outcomes::default()
         });
-        match lateness {
-            Some(lateness) => {
-                count.good += 1;
-                count.latency += u64::from(lateness);
-            }
-            None => count.bad += 1,
-        }
+        change(count);
     }
 
     /// Returns all counts and resets them.
@@ -58,6 +73,7 @@
             };
             count.good += outcome.good;
             count.bad += outcome.bad;
+            count.started += outcome.started;
             count.latency += outcome.latency;
         }
     }
--- a/src/cardamomtally/direct/plain.rs
+++ b/src/cardamomtally/direct/plain.rs
@@ -183,13 +183,16 @@
         AttemptResult::Done(done) => {
             choice.record_success();
             let good = !done.parts.status.is_server_error();
-            app.count(call, choice, good.then_some(first));
+            if good {
+                app.count_start(call, choice, first);
+            }
+            app.count_end(call, choice, good);
         }
         AttemptResult::NotSent(_) => choice.record_unreachable(),
         AttemptResult::Rejected(_) => {}
         AttemptResult::Unknown(_) => {
             choice.record_failure();
-            app.count(call, choice, None);
+            app.count_end(call, choice, false);
         }
     }
     tried
--- a/src/cardamomtally/direct/registry.rs
+++ b/src/cardamomtally/direct/registry.rs
@@ -373,6 +373,14 @@
         Duration::from_secs_f64(self.estimate.ttft.max(0.0) / 1e3)
     }
 
+    /// Returns the time to first event that is expected of the backend server while
+    /// nothing waits there. Unlike [`Choice::expected_ttft`] it does not grow with the
+    /// backlog of a slow backend server.
+    #[must_use]
+    pub fn idle_ttft(&self) -> Duration {
+        Duration::from_secs_f64((self.estimate.ttft - self.backlog).max(0.0) / 1e3)
+    }
+
     /// Tells whether waiting prompts explain that the backend server has sent
     /// nothing for the given time.
     #[must_use]
--- a/src/cardamomtally/direct/source.rs
+++ b/src/cardamomtally/direct/source.rs
@@ -23,9 +23,6 @@
     pub splitter: EventSplitter,
     /// Time for which the connection may stay idle afterwards.
     pub keep_alive: Option<Duration>,
-    /// Time to the head of the answer, which a backend server sends with the
-    /// first event.
-    pub first: Duration,
 }
 
 /// What the stream has produced.
--- a/src/cardamomtally/direct/stream.rs
+++ b/src/cardamomtally/direct/stream.rs
@@ -116,13 +116,14 @@
                     self.retries.tried.clear();
                     continue;
                 }
+                let first = self.app.clock.now().since(since);
+                self.app.count_start(&self.call, &choice, first);
                 self.source = Some(EventSource {
                     choice,
                     connection,
                     body,
                     splitter: EventSplitter::default(),
                     keep_alive: attempt::parse_keep_alive(&parts.headers),
-                    first: self.app.clock.now().since(since),
                 });
                 return Ok(Opened::Stream(parts));
             }
@@ -183,7 +184,7 @@
 
     fn record_failure(&self, mut choice: Choice) {
         choice.record_failure();
-        self.app.count(&self.call, &choice, None);
+        self.app.count_end(&self.call, &choice, false);
     }
 
     async fn forward_failure(&self, parts: &Parts, body: Incoming) -> Response<Body> {
@@ -413,8 +414,7 @@
             return;
         };
         source.choice.record_success();
-        self.app
-            .count(&self.call, &source.choice, Some(source.first));
+        self.app.count_end(&self.call, &source.choice, true);
         let address = source.choice.backend.address;
         self.app
             .pool
--- a/src/cardamomtally/site/canary.rs
+++ b/src/cardamomtally/site/canary.rs
@@ -8,9 +8,10 @@
 //! requests of the old version.
 //!
 //! The analysis compares the new version with the old one on each route, by failures and
-//! by latency. Latency is the time to the first byte relative to what the entry expected
-//! for the request, because prompts differ too much in length for absolute times to be
-//! compared. A roll-out is rolled back if the new version's failure rate or mean latency
+//! by latency. Latency is the time to the first byte relative to what the entry expects
+//! of an idle backend server for the request, because prompts differ too much in length
+//! for absolute times to be compared. It is counted when an answer begins: the answers of
+//! a slow version end late, and its backlog would excuse it. A roll-out is rolled back if the new version's failure rate or mean latency
 //! exceeds both a fixed limit and a multiple of the old version's. A least number of
 //! answers is required before that, so that a few chance failures do not end a roll-out.
 //! A roll-out is also rolled back if not all sessions use the new version after 0.9 of its
@@ -31,12 +32,13 @@
 /// new version, and rolled back otherwise.
 const COMPLETION_FRACTION: f64 = 0.9;
 
-/// Least number of failures of the new version, or of its good answers where latency is
+/// Least number of failures of the new version, or of its answers where latency is
 /// compared, before a roll-out can be rolled back.
 const MIN_EVIDENCE: u32 = 4;
 
-/// Least number of good answers of the new version before its share grows further, and
-/// of the old version before their latencies are compared.
+/// Least number of good answers of the new version, and of answers that began at its
+/// current share, before the share grows further. Also the least number of answers of the
+/// old version before their latencies are compared.
 const MIN_SUCCESSES: u32 = 6;
 
 /// Ratio of the new version's failure rate to the old version's above which a roll-out is
@@ -59,8 +61,9 @@
 struct Counts {
     good: u32,
     bad: u32,
-    /// Sum over good answers of the time to the first byte, in percent of the expected
-    /// time.
+    /// Number of answers that began.
+    started: u32,
+    /// Sum over these of the time to the first byte, in percent of the expected time.
     latency: u64,
 }
 
@@ -68,6 +71,11 @@
     fn add(&mut self, outcomes: &Outcomes) {
         self.good = self.good.saturating_add(outcomes.good);
         self.bad = self.bad.saturating_add(outcomes.bad);
+        // Entries of a former build count the latency of good answers only.
+        let started = outcomes
+            .started
+            .max(outcomes.good * u32::from(outcomes.started == 0));
+        self.started = self.started.saturating_add(started);
         self.latency = self.latency.saturating_add(outcomes.latency);
     }
 
@@ -76,7 +84,7 @@
     }
 
     fn mean_latency(&self) -> f64 {
-        self.latency as f64 / f64::from(self.good.max(1))
+        self.latency as f64 / f64::from(self.started.max(1))
     }
 }
 
@@ -86,6 +94,9 @@
     ordered: u64,
     old: BTreeMap<Name, Counts>,
     new: BTreeMap<Name, Counts>,
+    /// The latest share, and the number of the new version's answers that had begun when
+    /// it was reached.
+    reached: (u32, u32),
 }
 
 /// Analyses all running roll-outs at the leader. The outcomes are not replicated: a new
@@ -127,6 +138,7 @@
                     ..Canary::default()
                 };
             }
+            canary.record_share(rollout.permille);
             let (stage, permille) = canary.next(wall, rollout);
             if (stage, permille) != (rollout.stage, rollout.permille) {
                 steps.push(Step {
@@ -142,6 +154,18 @@
 }
 
 impl Canary {
+    /// Records the share that is in force.
+    fn record_share(&mut self, permille: u32) {
+        if self.reached.0 != permille {
+            self.reached = (permille, self.started());
+        }
+    }
+
+    /// Returns the number of the new version's answers that have begun.
+    fn started(&self) -> u32 {
+        self.new.values().map(|counts| counts.started).sum()
+    }
+
     /// Returns the stage and share that the roll-out should have now.
     fn next(&self, wall: u64, rollout: &Rollout) -> (Stage, u32) {
         if self.is_bad() {
@@ -161,7 +185,9 @@
         let due = SHARE_STEPS.iter().filter(|(from, _)| fraction >= *from);
         let due = due.map(|(_, permille)| *permille).max().unwrap_or(0);
         let good: u32 = self.new.values().map(|t| t.good).sum();
-        let proven = rollout.permille == 0 || good >= MIN_SUCCESSES;
+        let at_share = self.started().saturating_sub(self.reached.1);
+        let tested = good >= MIN_SUCCESSES && at_share >= MIN_SUCCESSES;
+        let proven = rollout.permille == 0 || tested;
         let permille = if proven {
             due.max(rollout.permille)
         } else {
@@ -177,6 +203,7 @@
             by_route.values().fold(Counts::default(), |sum, t| Counts {
                 good: sum.good + t.good,
                 bad: sum.bad + t.bad,
+                started: sum.started + t.started,
                 latency: sum.latency + t.latency,
             })
         };
@@ -203,7 +230,7 @@
 
 /// Tells whether the new version's answers are too late, compared with the old one.
 fn has_excess_latency(new: &Counts, old: &Counts) -> bool {
-    let enough = new.good >= MIN_EVIDENCE && old.good >= MIN_SUCCESSES;
+    let enough = new.started >= MIN_EVIDENCE && old.started >= MIN_SUCCESSES;
     enough
         && new.mean_latency()
             > TOLERATED_LATENCY_PERCENT.max(old.mean_latency() * MAX_LATENCY_RATIO)
--- a/src/cardamomtally/site/poll.rs
+++ b/src/cardamomtally/site/poll.rs
@@ -24,8 +24,11 @@
     /// Number of failures.
     #[serde(rename = "b")]
     pub bad: u32,
-    /// Sum over the good answers of the time to the first byte, in percent of the
-    /// expected time.
+    /// Number of answers that began, whether or not they have ended.
+    #[serde(rename = "n", default)]
+    pub started: u32,
+    /// Sum over the answers that began of the time to the first byte, in percent of the
+    /// time that an idle backend server is expected to take.
     #[serde(rename = "t")]
     pub latency: u64,
 }
--- a/tests/testsuite/direct/config_lease.rs
+++ b/tests/testsuite/direct/config_lease.rs
@@ -194,16 +194,18 @@
 fn outcomes_are_kept_until_a_leader_accepts_them() {
     let counts = OutcomeCounts::default();
     let name = |text: &str| Name::from(text);
-    let add = |first| counts.add(&name("r"), &name("s"), &name("v1"), first);
-    add(Some(40));
+    let (route, service, version) = (name("r"), name("s"), name("v1"));
+    counts.add_start(&route, &service, &version, 40);
+    counts.add_end(&route, &service, &version, true);
     let taken = counts.take();
-    add(None);
+    counts.add_end(&route, &service, &version, false);
 
     counts.put_back(taken);
 
     let all = counts.take();
     assert_eq!(all.len(), 1);
-    assert_eq!((all[0].good, all[0].bad, all[0].latency), (1, 1, 40));
+    assert_eq!((all[0].good, all[0].bad), (1, 1));
+    assert_eq!((all[0].started, all[0].latency), (1, 40));
     assert!(counts.take().is_empty());
 }
 
--- a/tests/testsuite/site/canary.rs
+++ b/tests/testsuite/site/canary.rs
@@ -110,6 +110,41 @@
     assert!(simulation.wall <= 6_000, "at {} ms", simulation.wall);
 }
 
+#[test]
+fn slow_version_is_rolled_back_before_its_answers_have_ended() {
+    let mut simulation = Simulation::new();
+    let slow = |rollout: &Rollout| {
+        let mut found = vec![outcomes("v1", 10, 0, 100)];
+        if rollout.permille > 0 {
+            found.push(Outcomes {
+                started: 2,
+                latency: 1_600,
+                ..outcomes("v2", 0, 0, 0)
+            });
+        }
+        found
+    };
+
+    simulation.run(DURATION_MS, slow);
+
+    assert_eq!(simulation.rollout().stage, Stage::RolledBack);
+    assert!(simulation.wall <= 6_000, "at {} ms", simulation.wall);
+}
+
+#[test]
+fn share_does_not_grow_before_answers_at_the_current_share() {
+    let mut simulation = Simulation::new();
+    let rare = |rollout: &Rollout| match rollout.permille {
+        0 => vec![outcomes("v1", 10, 0, 100)],
+        100 => vec![outcomes("v2", 7, 0, 100)],
+        _ => Vec::new(),
+    };
+
+    simulation.run(DURATION_MS * 8 / 10, rare);
+
+    assert_eq!(simulation.rollout().permille, 350);
+}
+
 #[test]
 fn version_that_turns_bad_at_full_share_is_rolled_back() {
     let mut simulation = Simulation::new();
--- a/tests/testsuite/site/fixtures.rs
+++ b/tests/testsuite/site/fixtures.rs
@@ -80,6 +80,7 @@
         version: version.into(),
         good,
         bad,
+        started: good,
         latency: latency * u64::from(good),
     }
 }
