Reserve the ports of the demo's control members

The test kept no output of the demo.

Cause: the demo looked for free ports, let go of them, and told them to three processes that bound them later. Meanwhile any other program may be given one, in the suite another test that listens on port 0. Reproduced: six demos at once beside two programs that open about 2,000 listeners a second each, 2 of 30 demos failed, each with "control-N did not print its ready line: sending half is closed".

Change: the ports stay bound by sockets that do not listen, until the demo ends. The test prints what the demo printed. New tests: a reserved port is refused to others, and its process can listen.

--- a/src/cardamomtally/ops/demo/processes.rs
+++ b/src/cardamomtally/ops/demo/processes.rs
@@ -5,13 +5,15 @@
 //! the demo ends without dropping the handle.
 
 use super::plan::{Backend, CONTROL_MEMBERS, Plan};
-use crate::{core::snapshot::hash_secret, util::shell::Shell};
+use crate::{
+    core::snapshot::hash_secret,
+    util::{ports::ReservedPorts, shell::Shell},
+};
 use eyre::{WrapErr as _, bail, eyre};
 use serde::Deserialize;
 use std::{
     fs::{self, File},
     io::{BufRead as _, BufReader},
-    net::TcpListener,
     os::unix::process::CommandExt as _,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -166,19 +168,23 @@
     /// HTTP addresses of the backend servers, in the order of the plan.
     pub backends: Vec<String>,
     processes: Vec<Process>,
+    /// Ports of the control members.
+    _ports: ReservedPorts,
 }
 
 impl Deployment {
     /// Starts all processes, and waits until each listens.
     pub fn start(plan: &Plan, folder: &Path) -> eyre::Result<Self> {
+        let reserved = ReservedPorts::reserve(CONTROL_MEMBERS * 2)?;
+        let ports = reserved.numbers()?;
         let mut deployment = Self {
             members: Vec::new(),
             entries: Vec::new(),
             agents: Vec::new(),
             backends: Vec::new(),
             processes: Vec::new(),
+            _ports: reserved,
         };
-        let ports = free_ports(CONTROL_MEMBERS * 2)?;
         let polls: Vec<_> = ports[..CONTROL_MEMBERS]
             .iter()
             .map(|p| format!("127.0.0.1:{p}"))
@@ -312,13 +318,3 @@
 fn rating_table(rater: &str) -> String {
     format!("[rating]\nurl = \"http://{rater}\"\nsample = {RATING_SAMPLE:?}\n")
 }
-
-/// Returns free ports. Another program may bind them before a process of the demo does.
-fn free_ports(count: usize) -> eyre::Result<Vec<u16>> {
-    let listeners: Result<Vec<_>, _> = (0..count)
-        .map(|_n| TcpListener::bind("127.0.0.1:0"))
-        .collect();
-    let listeners = listeners.wrap_err("failed to find free ports")?;
-    let port = |listener: &TcpListener| Ok(listener.local_addr()?.port());
-    listeners.iter().map(port).collect()
-}
--- a/src/cardamomtally/util/mod.rs
+++ b/src/cardamomtally/util/mod.rs
@@ -1,4 +1,5 @@
-//! Logging and terminal output, without any knowledge of routing or tickets.
+//! Logging, terminal output and ports, without any knowledge of routing or tickets.
 
 pub mod log;
+pub mod ports;
 pub mod shell;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod lease;
 mod ledger;
 mod path;
+mod ports;
 mod promises;
 mod replica;
 mod routing;
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -110,13 +110,19 @@
         .spawn()
         .expect("the demo starts");
     let mut lines = BufReader::new(demo.stderr.take().unwrap()).lines();
-    let accepted = lines
-        .by_ref()
-        .any(|line| line.unwrap().contains("Accepted"));
-    assert!(
-        accepted,
-        "the demo ended before its first ticket was accepted"
-    );
+    let mut printed = Vec::new();
+    while !printed
+        .last()
+        .is_some_and(|line: &String| line.contains("Accepted"))
+    {
+        let Some(line) = lines.next() else {
+            panic!(
+                "the demo ended before its first ticket was accepted: {}",
+                printed.join("\n")
+            );
+        };
+        printed.push(line.unwrap());
+    }
     (demo, lines)
 }
 
