Let requests wait on while the first document is only named by a poll

A poll's reply now names the document, which is fetched afterwards. The reply was published, and publishing woke all requests that wait for the first document; they found none and were refused at once. Ruled out: the wait's limit of 0.4 s (refusals at 0.05 s of waiting), the lease (1.57 s were left).

Change: a waiting request looks again after each published configuration, until it has a document or its wait ends. Class: a wake-up taken for the condition it announces. Elsewhere: first_document was the only such wait in direct/.

Evidence: the new test got 503 before and passes.

--- a/src/cardamomtally/direct/poller.rs
+++ b/src/cardamomtally/direct/poller.rs
@@ -115,7 +115,9 @@
     transport: Arc<dyn Transport>,
     counts: Arc<OutcomeCounts>,
     peers: Option<Arc<Peers>>,
-    first_document: Notify,
+    /// Wakes those who wait for the first document. Configurations without a document are
+    /// published before it.
+    published: Notify,
     clock: Arc<dyn Clock>,
     log: Logger,
 }
@@ -152,7 +154,7 @@
             transport,
             counts,
             peers: None,
-            first_document: Notify::new(),
+            published: Notify::new(),
             clock,
             log,
         }
@@ -171,15 +173,17 @@
     /// Returns the configuration. If there is no document yet, as just after a
     /// start, waits for the first one for at most `limit`.
     pub async fn wait_for_document(&self, limit: Duration) -> Arc<ConfigSnapshot> {
-        let current = self.current();
-        if current.table.is_some() {
-            return current;
-        }
-        let notified = self.first_document.notified();
-        // The document may have arrived between the check and the registration.
-        if self.current().table.is_none() {
-            let _late = tokio::time::timeout(limit, notified).await;
-        }
+        let arrival = async {
+            loop {
+                let published = self.published.notified();
+                // The document may have arrived before the registration.
+                if self.current().table.is_some() {
+                    return;
+                }
+                published.await;
+            }
+        };
+        let _late = tokio::time::timeout(limit, arrival).await;
         self.current()
     }
 
@@ -408,7 +412,7 @@
         };
         next.lease_end = next.confirmed + lease;
         self.current.store(Arc::new(next));
-        self.first_document.notify_waiters();
+        self.published.notify_waiters();
     }
 }
 
--- a/tests/testsuite/direct/config_lease.rs
+++ b/tests/testsuite/direct/config_lease.rs
@@ -132,6 +132,27 @@
     assert_eq!(read_answer(&mut caller).status, 200);
 }
 
+#[test]
+fn request_waits_on_while_the_first_document_is_only_named_by_polls() {
+    let server = Server::start("i-1", |seen, _| vec![answer(seen, "200 OK", "", "done")]);
+    let entry = Entry::without_document(Duration::from_mins(1));
+    let mut caller = entry.connect();
+    caller.write_all(request("a-1", "", "").as_bytes()).unwrap();
+    eventually("the request waits", || entry.running() == 1);
+
+    entry.control.set(Some(PollReply {
+        document: Index(1),
+        content: None,
+        ..reply(1, document(1, Class::Once), vec![])
+    }));
+    eventually("the document is named", || {
+        entry.app.config.current().newest == Index(1)
+    });
+    entry.publish(reply(1, document(1, Class::Once), vec![server.backend()]));
+
+    assert_eq!(read_answer(&mut caller).status, 200);
+}
+
 #[test]
 fn unknown_route_and_unknown_key_get_different_statuses() {
     let entry = Entry::start(Class::Once, &[]);
