Let members and relays find each other sooner after a restart of all

Where all seeds are relays, entries found the group late after a restart of all: their polls were refused with "knows no member" until the relay itself had been told the members, 0.1 to 0.2 s after the election.

Cause: a member whose first ping found the relay not listening yet sent the next one 0.4 s later; the relay then had to get an answer to its own poll, which needs the group's leader, before it passed on any poll.

Change: a member pings a process that it never heard at each heartbeat; a relay passes polls on to the process whose message came last until it knows the members, so that polls wait at a member for the election. Ruled out: the election (0.33 s after the start, as without relays).

--- a/src/cardamomtally/replica/host/links.rs
+++ b/src/cardamomtally/replica/host/links.rs
@@ -1,7 +1,7 @@
 //! Tracks which members are alive, from the messages that arrive and nothing
 //! else, and decides when to ping a member or replace its connection.
 
-use crate::{prelude::*, replica::peers::Envelope, settings::control::MemberSettings};
+use crate::{prelude::*, replica::peers::Envelope, settings::control::GroupSettings};
 use std::collections::BTreeMap;
 
 /// Time without a message from a member after which its connection is presumed
@@ -21,6 +21,9 @@
 struct Link {
     /// Whether the settings list the member.
     listed: bool,
+    /// Whether any message from the member has arrived.
+    known: bool,
+    /// Time of the last message from the member, or of the start if there was none yet.
     heard: Mono,
     /// Time of the last message to the member, or `None` if there was none yet.
     sent: Option<Mono>,
@@ -35,6 +38,7 @@
     const fn new(now: Mono, listed: bool) -> Self {
         Self {
             listed,
+            known: false,
             heard: now,
             sent: None,
             renewed: now,
@@ -55,14 +59,19 @@
 #[derive(Debug)]
 pub(super) struct Links {
     links: BTreeMap<Name, Link>,
+    /// Time between two pings to a member that was never heard. A process that starts
+    /// learns from a ping who the members are, so that it must not wait long for one.
+    search_interval: Duration,
 }
 
 impl Links {
-    pub(super) fn new(members: &[MemberSettings], own: &Name, now: Mono) -> Self {
-        let others = members.iter().filter(|m| m.name != own.as_ref());
+    pub(super) fn new(settings: &GroupSettings, own: &Name, now: Mono) -> Self {
+        let others = settings.members.iter();
+        let others = others.filter(|m| m.name != own.as_ref());
         let links = others.map(|m| (Name::from(m.name.as_str()), Link::new(now, true)));
         Self {
             links: links.collect(),
+            search_interval: settings.heartbeat.0.min(PING_INTERVAL),
         }
     }
 
@@ -75,6 +84,7 @@
     pub(super) fn record_received(&mut self, now: Mono, envelope: &Envelope) {
         let link = self.link(now, &envelope.from);
         link.heard = now;
+        link.known = true;
         link.reads_packed = envelope.reads_packed;
         link.unheard = if envelope.hears {
             None
@@ -110,7 +120,12 @@
         self.links
             .retain(|_, link| link.listed || now.since(link.heard) < UNLISTED_RETENTION);
         for (name, link) in &mut self.links {
-            if link.sent.is_none_or(|at| now.since(at) >= PING_INTERVAL) {
+            let interval = if link.known {
+                PING_INTERVAL
+            } else {
+                self.search_interval
+            };
+            if link.sent.is_none_or(|at| now.since(at) >= interval) {
                 actions.ping.push(Arc::clone(name));
             }
             let unheard = link
--- a/src/cardamomtally/replica/host/mod.rs
+++ b/src/cardamomtally/replica/host/mod.rs
@@ -149,7 +149,7 @@
         let published = Published::default();
         let worker = Worker {
             groups,
-            links: links::Links::new(&settings.members, &name, now),
+            links: links::Links::new(settings, &name, now),
             peers,
             name: Arc::clone(&name),
             clock: options.clock,
--- a/src/cardamomtally/site/relay.rs
+++ b/src/cardamomtally/site/relay.rs
@@ -123,10 +123,14 @@
         })
     }
 
-    /// Returns a member to which operators are redirected, the leader if it is known.
+    /// Returns a member to which requests are passed on and operators are redirected: the
+    /// leader if it is known, otherwise any member. Before a poll has told the members, it
+    /// is the process whose message has arrived last, since only members send messages of
+    /// their own accord.
     #[must_use]
     pub fn member(&self) -> Option<Name> {
-        self.selection().leader()
+        let heard = || lock(&self.heard).back().cloned();
+        self.selection().leader().or_else(heard)
     }
 
     /// Polls for the members until the task is aborted.
--- a/tests/testsuite/site/mod.rs
+++ b/tests/testsuite/site/mod.rs
@@ -5,5 +5,6 @@
 mod entries;
 pub mod fixtures;
 mod member;
+mod relay;
 mod state;
 mod transfer;
