Let requests wait for the first document by their callers' time

A restart of all takes 0.5 to 0.6 s until entries have the document. Requests that came within the first 0.1 s of it were refused after a fixed wait of 0.4 s, with a Retry-After of 1 s, whether the caller had 1 s or 20 s.

Change: the wait is four tenths of the caller's time, at most 1 s; a caller with 1 s waits 0.4 s as before, and one that tells no time too.

Evidence: the new test failed before.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -40,9 +40,13 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-/// Longest time that a request waits for the first document after the entry has
-/// started.
-const FIRST_DOCUMENT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Part of a caller's time for which its request waits for the first document after the
+/// entry has started. The rest is left for a retry at another entry.
+const FIRST_DOCUMENT_SHARE: f64 = 0.4;
+/// Longest such wait.
+const MAX_FIRST_DOCUMENT_WAIT: Duration = Duration::from_secs(1);
+/// Such a wait for a caller that does not tell its time.
+const DEFAULT_FIRST_DOCUMENT_WAIT: Duration = Duration::from_millis(400);
 /// Retry delay for callers whose stream is refused by an entry that is
 /// stopping. Short, since the balancer sends the retry to another entry.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
@@ -273,7 +277,8 @@
 
 async fn accept(app: &Arc<App>, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
     let since = app.clock.now();
-    let config = app.config.wait_for_document(FIRST_DOCUMENT_TIMEOUT).await;
+    let wait = first_document_wait(app, request.headers());
+    let config = app.config.wait_for_document(wait).await;
     let no_lease = Refusal::unavailable("the entry holds no valid configuration", NO_LEASE_RETRY);
     let table = config.table.as_ref().ok_or_else(|| no_lease.clone())?;
     let (parts, body) = request.into_parts();
@@ -328,6 +333,16 @@
     })
 }
 
+/// Returns how long a request may wait for the first document.
+fn first_document_wait(app: &App, headers: &HeaderMap) -> Duration {
+    let caller = header_number(headers, &app.names.deadline).map(Duration::from_millis);
+    caller.map_or(DEFAULT_FIRST_DOCUMENT_WAIT, |caller| {
+        caller
+            .mul_f64(FIRST_DOCUMENT_SHARE)
+            .min(MAX_FIRST_DOCUMENT_WAIT)
+    })
+}
+
 type Authorized = (Arc<Route>, Option<Arc<KeyOwner>>);
 
 fn authorize(app: &App, table: &Table, parts: &Parts) -> Result<Authorized, Denial> {
--- a/tests/testsuite/direct/config_lease.rs
+++ b/tests/testsuite/direct/config_lease.rs
@@ -153,6 +153,22 @@
     assert_eq!(read_answer(&mut caller).status, 200);
 }
 
+#[test]
+fn request_with_much_time_left_waits_longer_for_the_first_document() {
+    let server = Server::start("i-1", |seen, _| vec![answer(seen, "200 OK", "", "done")]);
+    let entry = Entry::without_document(Duration::from_mins(1));
+    let mut patient = entry.connect();
+    let text = request("a-1", "", "").replace("Deadline: 9000", "Deadline: 20000");
+    patient.write_all(text.as_bytes()).unwrap();
+    let hurried = request("a-2", "", "").replace("Deadline: 9000", "Deadline: 1000");
+
+    let refused = entry.ask(&hurried);
+    entry.publish(reply(1, document(1, Class::Once), vec![server.backend()]));
+
+    assert_eq!(refused.status, 503);
+    assert_eq!(read_answer(&mut patient).status, 200);
+}
+
 #[test]
 fn unknown_route_and_unknown_key_get_different_statuses() {
     let entry = Entry::start(Class::Once, &[]);
