Fetch large fleets in parts, so that they get through the leader's link

At the size to design for, 600 servers (about 90 kB) go to 330 entries over the leader's link of 100 Mbit/s: 38 kB/s each, of which 19 kB arrive before a poll's timeout of 0.5 s. No entry would have had a lease after the list changed.

Change: a fleet of more than 100 backend servers is named in the answer and fetched in compressed parts from any member, as documents are (direct::poller, site::transfer, now for both). Smaller ones are sent as before. The lease is renewed only if the entry has both the document and the fleet that the answer names. Entries of former builds say nothing of it and get the fleet with the answer.

--- a/src/cardamomtally/direct/poller.rs
+++ b/src/cardamomtally/direct/poller.rs
@@ -7,10 +7,10 @@
 //! A reply with a lower log index than the current configuration is ignored, so
 //! the configuration never goes back to an older state.
 //!
-//! The answer to a poll is small. A document that does not fit into it is
-//! fetched in parts between the polls, see [`crate::site::transfer`]. Meanwhile
-//! the entry knows that a newer document is in force, and its lease ends sooner
-//! than that of an entry which knows of none.
+//! The answer to a poll is small. A document or fleet that does not fit into it is
+//! fetched in parts between the polls, see [`crate::site::transfer`]. While the
+//! entry fetches a document, it knows that a newer one is in force, and its lease
+//! ends sooner than that of an entry which knows of none.
 
 use super::{outcomes::OutcomeCounts, peers::Peers};
 use crate::{
@@ -50,6 +50,10 @@
     pub confirmed: Mono,
     /// Backend servers, roll-outs and evacuated data centres.
     pub fleet: Arc<Fleet>,
+    /// Highest log index that a reply has named as that of the fleet in force.
+    pub newest_fleet: Index,
+    /// When the latest poll was sent whose reply named this fleet as the one in force.
+    pub fleet_confirmed: Mono,
     /// End of the lease. After it, the configuration may be outdated and
     /// requests that need a key are refused.
     pub lease_end: Mono,
@@ -129,14 +133,31 @@
     fetch: Option<Fetch>,
 }
 
-/// A document that is being fetched in parts.
+/// What an entry fetches in parts.
+#[derive(Clone, Copy, Debug)]
+enum Content {
+    Document,
+    Fleet,
+}
+
+/// A document or fleet that is being fetched in parts.
 #[derive(Debug)]
 struct Fetch {
+    content: Content,
     download: Download,
-    /// When the poll was sent whose reply named the document.
+    /// When the poll was sent whose reply named it.
     named: Mono,
 }
 
+impl Content {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Document => "document",
+            Self::Fleet => "fleet",
+        }
+    }
+}
+
 impl ConfigPoller {
     /// Builds a poller without a configuration.
     #[must_use]
@@ -236,6 +257,7 @@
             ),
             outcomes: outcomes.clone(),
             parts: true,
+            fleet_parts: true,
         };
         let sent = self.clock.now();
         let reply = match self.call_poll(member, &poll).await {
@@ -287,25 +309,38 @@
         }
     }
 
-    /// Begins to fetch the document that a reply has named, whose poll was sent at `named`,
-    /// if the entry lacks it. A fetch that is under way is finished first, so that it makes
-    /// progress while one document follows the other.
+    /// Begins to fetch the document or fleet that a reply has named, whose poll was sent at
+    /// `named`, if the entry lacks it. A fetch that is under way is finished first, so that
+    /// it makes progress while one document follows the other.
     fn begin_fetch(&self, named: Mono, fetch: &mut Option<Fetch>) {
         let current = self.current();
-        if fetch.is_none() && current.newest > current.document {
-            info!(self.log, "poll: fetching a document"; "index" => current.newest.0);
-            let download = Download::new(current.newest);
-            *fetch = Some(Fetch { download, named });
+        let (content, index) = if current.newest > current.document {
+            (Content::Document, current.newest)
+        } else if current.newest_fleet > current.fleet.index {
+            (Content::Fleet, current.newest_fleet)
+        } else {
+            return;
+        };
+        if fetch.is_none() {
+            info!(self.log, "poll: fetching a {}", content.label(); "index" => index.0);
+            *fetch = Some(Fetch {
+                content,
+                download: Download::new(index),
+                named,
+            });
         }
     }
 
-    /// Fetches parts of a document until it is complete or the next poll is due.
+    /// Fetches parts until all have arrived or the next poll is due. A fleet follows the
+    /// document at once if the entry lacks both.
     async fn fetch_parts(&self, due: Mono, state: &mut PollState) {
         while let Some(fetch) = &mut state.fetch {
             let Some(wanted) = fetch.download.next() else {
                 self.finish(fetch);
+                let named = fetch.named;
                 state.fetch = None;
-                return;
+                self.begin_fetch(named, &mut state.fetch);
+                continue;
             };
             if self.clock.now() >= due {
                 return;
@@ -318,11 +353,11 @@
                 state.selection.record_part();
             }
             if let Err(error) = added {
-                warn!(self.log, "poll: part of a document not fetched"; "member" => &*member,
-                    "index" => wanted.document.0, "offset" => wanted.offset,
+                warn!(self.log, "poll: part of a {} not fetched", fetch.content.label();
+                    "member" => &*member, "index" => wanted.index.0, "offset" => wanted.offset,
                     "error" => format!("{error:#}"));
                 if !state.selection.next_source() {
-                    // No member has the document any more. The next reply names another.
+                    // No member has it any more. The next reply names another.
                     state.fetch = None;
                 }
             }
@@ -337,35 +372,53 @@
         }
     }
 
-    /// Puts a completely fetched document in force. If it does not decode, it is fetched
-    /// anew after the next poll.
+    /// Puts a completely fetched document or fleet in force. If it does not decode, it is
+    /// fetched anew after the next poll.
     fn finish(&self, fetch: &Fetch) {
-        match fetch.download.decode() {
-            Ok(document) => {
-                let index = fetch.download.document();
-                let mut next = ConfigSnapshot::clone(&self.current());
-                if index > next.document {
-                    self.put_in_force(&mut next, index, &document, fetch.named);
-                    self.publish(next);
-                }
-            }
-            Err(error) => {
-                warn!(self.log, "poll: fetched document ignored"; "error" => format!("{error:#}"));
-            }
+        let finished = match fetch.content {
+            Content::Document => self.finish_document(fetch),
+            Content::Fleet => self.finish_fleet(fetch),
+        };
+        if let Err(error) = finished {
+            warn!(self.log, "poll: fetched {} ignored", fetch.content.label();
+                "error" => format!("{error:#}"));
+        }
+    }
+
+    fn finish_document(&self, fetch: &Fetch) -> eyre::Result<()> {
+        let document = fetch.download.decode()?;
+        let index = fetch.download.index();
+        let mut next = ConfigSnapshot::clone(&self.current());
+        if index > next.document {
+            self.put_in_force(&mut next, index, &document, fetch.named);
+            self.publish(next);
         }
+        Ok(())
+    }
+
+    fn finish_fleet(&self, fetch: &Fetch) -> eyre::Result<()> {
+        let fleet: Fleet = fetch.download.decode()?;
+        let mut next = ConfigSnapshot::clone(&self.current());
+        if fleet.index > next.fleet.index {
+            self.put_fleet_in_force(&mut next, fleet, fetch.named);
+            self.publish(next);
+        }
+        Ok(())
     }
 
     /// Applies the answer to a poll. The poll was sent at `sent`, when `current`
     /// was the configuration. An answer whose document or fleet has a lower log
     /// index than that of `current` is ignored and does not renew the lease. The
-    /// lease is renewed only if the entry has the document that the answer names.
+    /// lease is renewed only if the entry has the document and the fleet that the answer
+    /// names.
     pub fn apply(&self, current: &ConfigSnapshot, sent: Mono, reply: PollReply) {
-        let stale = reply.document < current.document
-            || reply
-                .fleet
-                .as_ref()
-                .is_some_and(|f| f.index < current.fleet.index);
-        if stale {
+        let fleet = reply.fleet.as_ref().map(|fleet| fleet.index);
+        // A member of a former build names no fleet, and sends it if it differs.
+        let fleet = fleet.unwrap_or(match reply.fleet_index {
+            Index(0) => current.fleet.index,
+            named => named,
+        });
+        if reply.document < current.document || fleet < current.fleet.index {
             return;
         }
         let mut next = current.clone();
@@ -373,10 +426,12 @@
         if let Some(content) = reply.content {
             self.put_in_force(&mut next, reply.document, &content, sent);
         }
+        next.newest_fleet = next.newest_fleet.max(fleet);
         if let Some(fleet) = reply.fleet {
-            info!(self.log, "poll: fleet in force"; "index" => fleet.index.0,
-                "backends" => fleet.backends.len());
-            next.fleet = Arc::new(fleet);
+            self.put_fleet_in_force(&mut next, fleet, sent);
+        }
+        if next.fleet.index == fleet {
+            next.fleet_confirmed = next.fleet_confirmed.max(sent);
         }
         if next.document == reply.document {
             next.confirmed = next.confirmed.max(sent);
@@ -403,6 +458,14 @@
         next.confirmed = confirmed;
     }
 
+    /// Takes a fleet that was in force when a poll sent at `confirmed` was answered.
+    fn put_fleet_in_force(&self, next: &mut ConfigSnapshot, fleet: Fleet, confirmed: Mono) {
+        info!(self.log, "poll: fleet in force"; "index" => fleet.index.0,
+            "backends" => fleet.backends.len());
+        next.fleet = Arc::new(fleet);
+        next.fleet_confirmed = confirmed;
+    }
+
     /// Sets the end of the lease and publishes the configuration.
     fn publish(&self, mut next: ConfigSnapshot) {
         let lease = if next.newest > next.document {
@@ -410,7 +473,8 @@
         } else {
             self.settings.lease
         };
-        next.lease_end = next.confirmed + lease;
+        let fleet_end = next.fleet_confirmed + self.settings.lease;
+        next.lease_end = (next.confirmed + lease).min(fleet_end);
         self.current.store(Arc::new(next));
         self.published.notify_waiters();
     }
--- a/src/cardamomtally/site/member/mod.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -14,7 +14,7 @@
     entries::Entries,
     rollout::Rollout,
     state::{Command, Fleet, Machine, Reply, Store, Submission},
-    transfer::EncodedDocuments,
+    transfer::Encodings,
 };
 use crate::{
     core::log::{Log, LogError},
@@ -132,7 +132,8 @@
     clock: Arc<dyn Clock>,
     logger: Logger,
     shared: Mutex<Shared>,
-    documents: EncodedDocuments,
+    documents: Encodings,
+    fleets: Encodings,
 }
 
 /// State of the leader that polls and its tasks share. It is cleared while another
@@ -179,7 +180,8 @@
             clock,
             logger,
             shared: Mutex::default(),
-            documents: EncodedDocuments::default(),
+            documents: Encodings::default(),
+            fleets: Encodings::default(),
         }))
     }
 
--- a/src/cardamomtally/site/member/polls.rs
+++ b/src/cardamomtally/site/member/polls.rs
@@ -1,4 +1,4 @@
-//! Answers entries' polls and their requests for parts of a document.
+//! Answers entries' polls and their requests for parts of a document or fleet.
 
 use super::SiteMember;
 use crate::{
@@ -11,12 +11,17 @@
     prelude::*,
     site::{
         poll::{self, Poll, PollReply},
-        transfer::{Part, PartRequest},
+        transfer::{Encoding, Part, PartRequest},
     },
 };
 use std::net::SocketAddr;
 use tokio::runtime::Handle;
 
+/// Number of backend servers up to which a fleet is sent with the answer to a poll. A
+/// larger one is fetched in parts, from all members, so that the leader's link does not
+/// have to carry it to every entry at once.
+const MAX_INLINE_BACKENDS: usize = 100;
+
 impl SiteMember {
     /// Starts to answer polls on an address, until the returned server is dropped.
     ///
@@ -74,15 +79,26 @@
         }
     }
 
-    /// Returns a part of a document, if this member has the document.
+    /// Returns a part of a document or fleet, if this member has it.
     pub async fn part(&self, wanted: PartRequest) -> Option<Part> {
-        let current = self.store.read(|state| state.document.clone());
-        let current = current.filter(|(index, _)| *index == wanted.document);
-        let encoded = match current {
-            Some((index, current)) => self.documents.get_or_encode(index, current).await?,
-            None => self.documents.get(wanted.document)?,
-        };
-        encoded.part(wanted.offset)
+        let encoding = self.encoding(wanted.index).await?;
+        encoding.part(wanted.offset)
+    }
+
+    async fn encoding(&self, index: Index) -> Option<Arc<Encoding>> {
+        let (document, fleet) = self
+            .store
+            .read(|state| (state.document.clone(), Arc::clone(&state.fleet)));
+        if let Some((_, current)) = document.filter(|(at, _)| *at == index) {
+            let encode = move || Encoding::new(index, &current.document);
+            return self.documents.get_or_encode(index, encode).await;
+        }
+        if fleet.index == index {
+            let encode = move || Encoding::new(index, &*fleet);
+            return self.fleets.get_or_encode(index, encode).await;
+        }
+        let former = self.documents.get(index);
+        former.or_else(|| self.fleets.get(index))
     }
 
     /// Answers a poll, after a quorum has confirmed the state.
@@ -98,8 +114,11 @@
         let (current, fleet) = self
             .store
             .read(|state| (state.document.clone(), Arc::clone(&state.fleet)));
+        let inline = !poll.fleet_parts || fleet.backends.len() <= MAX_INLINE_BACKENDS;
+        let sends_fleet = fleet.index != poll.fleet && inline;
         let mut reply = PollReply {
-            fleet: (fleet.index != poll.fleet).then(|| (*fleet).clone()),
+            fleet: sends_fleet.then(|| (*fleet).clone()),
+            fleet_index: fleet.index,
             leads: leader.is_self,
             leader: leader.name,
             members: self.members(),
--- a/src/cardamomtally/site/poll.rs
+++ b/src/cardamomtally/site/poll.rs
@@ -59,6 +59,10 @@
     /// the document.
     #[serde(rename = "t", default)]
     pub parts: bool,
+    /// Whether the process also fetches fleets in parts, so that the answer need not contain
+    /// a large one.
+    #[serde(rename = "u", default)]
+    pub fleet_parts: bool,
 }
 
 /// The answer to a poll. It is sent after a quorum round that began when the poll had
@@ -71,7 +75,12 @@
     /// The document, if the process has a different one and does not fetch parts.
     #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
     pub content: Option<Document>,
-    /// The fleet, if the process has a different one.
+    /// Log index of the fleet in force; 0 if there is none, or if the member is of a build
+    /// that always sends a fleet that differs.
+    #[serde(rename = "g", default)]
+    pub fleet_index: Index,
+    /// The fleet, if the process has a different one. A large one is left out if the
+    /// process fetches fleets in parts.
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub fleet: Option<Fleet>,
     /// Whether the member is the leader, and has therefore counted the outcomes.
--- a/src/cardamomtally/site/relay.rs
+++ b/src/cardamomtally/site/relay.rs
@@ -176,6 +176,7 @@
         let poll = Poll {
             fleet: *fleet,
             parts: true,
+            fleet_parts: true,
             ..Poll::default()
         };
         let answer = self.call(member, Request::Site(codec::encode(&poll).into()));
--- a/src/cardamomtally/site/transfer.rs
+++ b/src/cardamomtally/site/transfer.rs
@@ -1,18 +1,17 @@
-//! Transfer of documents to entries in parts.
+//! Transfer of documents and fleets to entries in parts.
 //!
-//! A document can be larger than what a slow link carries within the timeout of a poll.
-//! A member therefore compresses it once ([`EncodedDocument`]) and sends it in parts. An
-//! entry requests one part after the other ([`Download`]), from any member that has the
-//! document. A part that is lost is requested again, and the parts before it are kept,
-//! so that a transfer makes progress however large the document is.
+//! Both can be larger than what a slow link carries within the timeout of a poll. A member
+//! therefore compresses them once ([`Encoding`]) and sends them in parts. An entry requests
+//! one part after the other ([`Download`]), from any member that has the content. A part
+//! that is lost is requested again, and the parts before it are kept, so that a transfer
+//! makes progress however large the content is.
 
-use super::{document::Document, state::Submission};
 use crate::{
     net::{codec, compress},
     prelude::*,
 };
 use eyre::ensure;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::{
     collections::VecDeque,
     sync::{Mutex, MutexGuard, PoisonError},
@@ -22,18 +21,18 @@
 /// Size of a part in bytes, except for the last one.
 const PART_BYTES: usize = 16 << 10;
 
-/// Number of documents that a member keeps encoded. Entries that fetch a document which
+/// Number of contents of one kind that a member keeps encoded. Entries that fetch one which
 /// has just been replaced can finish it.
-const KEPT_DOCUMENTS: usize = 8;
+const MAX_KEPT: usize = 8;
 
-/// A part of an encoded document.
+/// A part of an encoding.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Part {
-    /// Log index of the document.
+    /// Log index of the content.
     #[serde(rename = "i")]
-    pub document: Index,
-    /// Digest of the whole encoding. Members of different builds may encode a document
-    /// differently.
+    pub index: Index,
+    /// Digest of the whole encoding. Members of different builds may encode the same
+    /// content differently.
     #[serde(rename = "d")]
     pub digest: Digest,
     /// Size of the whole encoding in bytes.
@@ -47,30 +46,30 @@
     pub bytes: Vec<u8>,
 }
 
-/// A request for a part of a document.
+/// A request for a part of an encoding.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PartRequest {
-    /// Log index of the document.
+    /// Log index of the content, by which documents and fleets also differ.
     #[serde(rename = "i")]
-    pub document: Index,
+    pub index: Index,
     /// Offset of the part in the encoding.
     #[serde(rename = "o")]
     pub offset: u64,
 }
 
-/// A document as members send it: CBOR, compressed.
+/// A document or fleet as members send it: CBOR, compressed.
 #[derive(Debug)]
-pub struct EncodedDocument {
+pub struct Encoding {
     index: Index,
     digest: Digest,
     bytes: Vec<u8>,
 }
 
-impl EncodedDocument {
-    /// Encodes the document with this log index.
+impl Encoding {
+    /// Encodes the content with this log index.
     #[must_use]
-    pub fn new(index: Index, document: &Document) -> Self {
-        let bytes = compress::compress(&codec::encode(document));
+    pub fn new(index: Index, content: &impl Serialize) -> Self {
+        let bytes = compress::compress(&codec::encode(content));
         Self {
             index,
             digest: Digest::of(&bytes),
@@ -84,7 +83,7 @@
         let begin = usize::try_from(offset).ok()?;
         let rest = self.bytes.get(begin..).filter(|rest| !rest.is_empty())?;
         Some(Part {
-            document: self.index,
+            index: self.index,
             digest: self.digest,
             size: self.bytes.len() as u64,
             offset,
@@ -93,81 +92,81 @@
     }
 }
 
-/// A document of a member, which is encoded once.
+/// A content of a member, which is encoded once.
 #[derive(Debug)]
-struct KeptDocument {
+struct Kept {
     index: Index,
-    encoded: OnceCell<Arc<EncodedDocument>>,
+    encoding: OnceCell<Arc<Encoding>>,
 }
 
-/// The latest documents of a member, encoded when an entry first requests them.
+/// The latest contents of one kind at a member, encoded when an entry first requests them.
 #[derive(Debug, Default)]
-pub struct EncodedDocuments(Mutex<VecDeque<Arc<KeptDocument>>>);
+pub struct Encodings(Mutex<VecDeque<Arc<Kept>>>);
 
-impl EncodedDocuments {
-    /// Returns the document with this log index, if it is kept and encoded.
+impl Encodings {
+    /// Returns the content with this log index, if it is kept and encoded.
     #[must_use]
-    pub fn get(&self, index: Index) -> Option<Arc<EncodedDocument>> {
+    pub fn get(&self, index: Index) -> Option<Arc<Encoding>> {
         let kept = self.lock();
         let found = kept.iter().find(|kept| kept.index == index)?;
-        found.encoded.get().map(Arc::clone)
+        found.encoding.get().map(Arc::clone)
     }
 
-    /// Returns the document with this log index, and encodes it if it is not kept. The
-    /// work is done on a thread of its own, since a large document takes long. Returns
+    /// Returns the content with this log index, and encodes it if it is not kept. The
+    /// work is done on a thread of its own, since a large content takes long. Returns
     /// none if that thread failed.
     pub async fn get_or_encode(
         &self,
         index: Index,
-        submission: Arc<Submission>,
-    ) -> Option<Arc<EncodedDocument>> {
+        encode: impl FnOnce() -> Encoding + Send + 'static,
+    ) -> Option<Arc<Encoding>> {
         let kept = self.keep(index);
-        let encode = move || Arc::new(EncodedDocument::new(index, &submission.document));
-        let encoded = kept
-            .encoded
+        let encode = move || Arc::new(encode());
+        let encoding = kept
+            .encoding
             .get_or_try_init(|| tokio::task::spawn_blocking(encode))
             .await;
-        encoded.ok().map(Arc::clone)
+        encoding.ok().map(Arc::clone)
     }
 
-    /// Returns the place of a document, after adding it and dropping the oldest one if
+    /// Returns the place of a content, after adding it and dropping the oldest one if
     /// there are too many.
-    fn keep(&self, index: Index) -> Arc<KeptDocument> {
+    fn keep(&self, index: Index) -> Arc<Kept> {
         let mut kept = self.lock();
         if let Some(known) = kept.iter().find(|kept| kept.index == index) {
             return Arc::clone(known);
         }
-        let added = Arc::new(KeptDocument {
+        let added = Arc::new(Kept {
             index,
-            encoded: OnceCell::new(),
+            encoding: OnceCell::new(),
         });
         kept.push_back(Arc::clone(&added));
-        if kept.len() > KEPT_DOCUMENTS {
+        if kept.len() > MAX_KEPT {
             kept.pop_front();
         }
         added
     }
 
-    fn lock(&self) -> MutexGuard<'_, VecDeque<Arc<KeptDocument>>> {
+    fn lock(&self) -> MutexGuard<'_, VecDeque<Arc<Kept>>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// A document that an entry is fetching: the parts that have arrived, in order.
+/// A content that an entry is fetching: the parts that have arrived, in order.
 #[derive(Clone, Debug)]
 pub struct Download {
-    document: Index,
+    index: Index,
     /// Digest and size of the encoding, once the first part has arrived.
     encoding: Option<(Digest, u64)>,
     bytes: Vec<u8>,
 }
 
 impl Download {
-    /// Begins to fetch the document with this log index.
+    /// Begins to fetch the content with this log index.
     #[must_use]
-    pub const fn new(document: Index) -> Self {
+    pub const fn new(index: Index) -> Self {
         Self {
-            document,
+            index,
             encoding: None,
             bytes: Vec::new(),
         }
@@ -183,7 +182,7 @@
         let encoding = (part.digest, part.size);
         let expected = self.encoding.unwrap_or(encoding);
         ensure!(
-            part.document == self.document && encoding == expected,
+            part.index == self.index && encoding == expected,
             "the part belongs to another encoding"
         );
         ensure!(
@@ -198,10 +197,10 @@
         Ok(())
     }
 
-    /// Returns the log index of the document.
+    /// Returns the log index of the content.
     #[must_use]
-    pub const fn document(&self) -> Index {
-        self.document
+    pub const fn index(&self) -> Index {
+        self.index
     }
 
     /// Returns the request for the next part, or none if all parts have arrived.
@@ -210,22 +209,22 @@
         let offset = self.bytes.len() as u64;
         let complete = self.encoding.is_some_and(|(_, size)| offset >= size);
         (!complete).then_some(PartRequest {
-            document: self.document,
+            index: self.index,
             offset,
         })
     }
 
-    /// Decodes the document once all parts have arrived.
+    /// Decodes the content once all parts have arrived.
     ///
     /// # Errors
     ///
     /// Returns an error if the parts do not have the digest of the encoding, or do not
     /// decode.
-    pub fn decode(&self) -> eyre::Result<Document> {
+    pub fn decode<T: DeserializeOwned>(&self) -> eyre::Result<T> {
         let digest = self.encoding.map(|(digest, _)| digest);
         ensure!(
             digest == Some(Digest::of(&self.bytes)),
-            "the parts do not have the digest of the document"
+            "the parts do not have the digest of the whole"
         );
         codec::decode(&compress::decompress(&self.bytes)?)
     }
--- a/tests/testsuite/direct/config_lease.rs
+++ b/tests/testsuite/direct/config_lease.rs
@@ -9,7 +9,7 @@
         poller::{ConfigPoller, ConfigSnapshot, PollerSettings},
     },
     prelude::*,
-    site::{document::Class, poll::PollReply},
+    site::{document::Class, poll::PollReply, state::Fleet},
     util::log,
 };
 use std::{
@@ -92,6 +92,35 @@
     assert!(first <= second);
 }
 
+#[test]
+fn lease_ends_if_a_newer_fleet_is_known_and_does_not_arrive() {
+    let poller = poller(Arc::<ManualClock>::default());
+    let known = reply(3, document(7, Class::Once), vec![]);
+    poller.apply(&poller.current(), at(0), known.clone());
+    let named = PollReply {
+        content: None,
+        fleet: None,
+        fleet_index: Index(4),
+        ..known.clone()
+    };
+
+    poller.apply(&poller.current(), at(1_000), named);
+    let while_missing = poller.current().lease_end;
+    let arrived = Fleet {
+        index: Index(4),
+        ..Fleet::default()
+    };
+    let reply = PollReply {
+        content: None,
+        fleet: Some(arrived),
+        ..known
+    };
+    poller.apply(&poller.current(), at(2_000), reply);
+
+    assert_eq!(while_missing, at(4_000));
+    assert_eq!(poller.current().lease_end, at(6_000));
+}
+
 #[test]
 fn older_document_is_never_applied() {
     let poller = poller(Arc::<ManualClock>::default());
--- a/tests/testsuite/direct/slow_links.rs
+++ b/tests/testsuite/direct/slow_links.rs
@@ -1,7 +1,7 @@
-//! Entries behind slow links fetch large documents from a real member.
+//! Entries behind slow links fetch large documents and fleets from a real member.
 
 use crate::{
-    site::fixtures::{document, route},
+    site::fixtures::{backend, document, route},
     support::wait::until,
 };
 use cardamomtally::{
@@ -18,6 +18,7 @@
     prelude::*,
     routing::rendezvous,
     site::{
+        backend::{Backend, Inventory},
         document::{Class, Document, Route},
         member::{SiteMember, SiteMemberSettings},
     },
@@ -25,13 +26,22 @@
 };
 use cardamomtally_standin::Proxy;
 use futures::future::BoxFuture;
-use std::{net::TcpListener, time::Instant};
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    time::Instant,
+};
 use tempfile::TempDir;
 use tokio::runtime::Runtime;
 
 /// Bytes per second of each entry's link: its part of 100 Mbit/s that 27 entries share.
 const LINK_BYTES_PER_S: u64 = 460_000;
 
+/// The same for 330 entries.
+const SHARED_LINK_BYTES_PER_S: u64 = 38_000;
+
+/// Number of backend servers of the largest deployment.
+const BACKENDS: u16 = 600;
+
 /// Time in which a document must be in force at every entry.
 const IN_FORCE: Duration = Duration::from_millis(2_500);
 
@@ -46,9 +56,9 @@
 }
 
 impl SlowLink {
-    fn new(server: &Server) -> Self {
+    fn new(server: &Server, rate: u64) -> Self {
         let proxy = Proxy::start(Some(server.bound())).unwrap();
-        proxy.update_faults(|faults| faults.rate = LINK_BYTES_PER_S);
+        proxy.update_faults(|faults| faults.rate = rate);
         Self {
             client: Client::default(),
             proxy,
@@ -68,6 +78,19 @@
     }
 }
 
+/// A list of backend servers whose names have nothing in common.
+#[derive(Debug)]
+struct LargeInventory;
+
+impl Inventory for LargeInventory {
+    fn list(&self) -> BoxFuture<'_, eyre::Result<Vec<Backend>>> {
+        let address = |n| SocketAddr::from((Ipv4Addr::LOCALHOST, n));
+        let name = |n: u16| format!("i-{:016x}", rendezvous::seed(&n.to_string()));
+        let list = (1..=BACKENDS).map(|n| backend(&name(n), address(n)));
+        Box::pin(std::future::ready(Ok(list.collect())))
+    }
+}
+
 /// One member and entries that poll it over slow links.
 struct Site {
     member: Arc<SiteMember>,
@@ -75,11 +98,17 @@
     clock: Arc<dyn Clock>,
     runtime: Runtime,
     server: Server,
+    /// Bytes per second of each entry's link.
+    rate: u64,
     _folder: TempDir,
 }
 
 impl Site {
     fn start() -> Self {
+        Self::with_links(LINK_BYTES_PER_S)
+    }
+
+    fn with_links(rate: u64) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(4)
@@ -97,6 +126,7 @@
             clock: Arc::new(SystemClock::default()),
             runtime,
             server,
+            rate,
             _folder: folder,
         };
         site.pollers = (0..ENTRIES).map(|_| site.start_poller()).collect();
@@ -111,7 +141,7 @@
         };
         let poller = Arc::new(ConfigPoller::new(
             settings,
-            Arc::new(SlowLink::new(&self.server)),
+            Arc::new(SlowLink::new(&self.server, self.rate)),
             Arc::<OutcomeCounts>::default(),
             Arc::clone(&self.clock),
             log::discard(),
@@ -130,6 +160,26 @@
         Instant::now()
     }
 
+    /// Lets the member read a large list of backend servers, and waits until it has.
+    fn read_inventory(&self) {
+        let period = Duration::from_millis(100);
+        let tasks = Arc::clone(&self.member).run_leader_tasks(Arc::new(LargeInventory), period);
+        self.runtime.spawn(tasks);
+        until("the list is read", || {
+            let count = self.member.fleet().backends.len();
+            (count == usize::from(BACKENDS)).then_some(())
+        });
+    }
+
+    /// Returns whether all entries may send to all backend servers now.
+    fn all_know_backends(&self) -> bool {
+        self.pollers.iter().all(|poller| {
+            let config = poller.current();
+            let count = config.fleet.backends.len();
+            config.is_valid(self.clock.now()) && count == usize::from(BACKENDS)
+        })
+    }
+
     /// Returns the numbers of the documents by which the entries would serve now.
     fn served(&self) -> Vec<Option<u64>> {
         let number = |poller: &Arc<ConfigPoller>| {
@@ -216,3 +266,18 @@
 
     assert!(!site.served().contains(&Some(1)), "{:?}", site.served());
 }
+
+#[test]
+fn large_fleet_reaches_entries_that_share_the_leaders_link() {
+    let site = Site::with_links(SHARED_LINK_BYTES_PER_S);
+    site.submit(&document(1, Class::Once));
+    site.wait_served(1);
+
+    site.read_inventory();
+    let read = Instant::now();
+    until("all entries know the backend servers", || {
+        site.all_know_backends().then_some(())
+    });
+
+    assert!(read.elapsed() < IN_FORCE, "{:?}", read.elapsed());
+}
--- a/tests/testsuite/site/member.rs
+++ b/tests/testsuite/site/member.rs
@@ -276,7 +276,7 @@
     wait_submitted(&members[0], 5);
     let document = block_on(members[0].poll(Poll::default())).unwrap().document;
     let wanted = PartRequest {
-        document,
+        index: document,
         offset: 0,
     };
 
@@ -289,7 +289,7 @@
     assert_eq!(parts[0], parts[1]);
     assert_eq!(parts[0], parts[2]);
     let unknown = PartRequest {
-        document: document.next(),
+        index: document.next(),
         offset: 0,
     };
     assert_eq!(block_on(members[0].part(unknown)), None);
--- a/tests/testsuite/site/transfer.rs
+++ b/tests/testsuite/site/transfer.rs
@@ -6,7 +6,7 @@
     prelude::*,
     site::{
         document::{Class, Document, Route},
-        transfer::{Download, EncodedDocument, Part},
+        transfer::{Download, Encoding, Part},
     },
 };
 
@@ -20,7 +20,7 @@
     large
 }
 
-fn parts(encoded: &EncodedDocument) -> Vec<Part> {
+fn parts(encoded: &Encoding) -> Vec<Part> {
     let mut parts = Vec::new();
     let mut offset = 0;
     while let Some(part) = encoded.part(offset) {
@@ -32,7 +32,7 @@
 
 #[test]
 fn parts_of_a_document_give_it_back() {
-    let encoded = EncodedDocument::new(Index(3), &large());
+    let encoded = Encoding::new(Index(3), &large());
     let parts = parts(&encoded);
     let count = parts.len();
 
@@ -44,14 +44,14 @@
 
     assert!(count > 2, "{count}");
     assert_eq!(download.next(), None);
-    assert_eq!(download.decode().unwrap(), large());
+    assert_eq!(download.decode::<Document>().unwrap(), large());
 }
 
 #[test]
 fn part_that_does_not_follow_changes_nothing() {
-    let parts = parts(&EncodedDocument::new(Index(3), &large()));
-    let other = EncodedDocument::new(Index(3), &document(7, Class::Once));
-    let later = EncodedDocument::new(Index(4), &large());
+    let parts = parts(&Encoding::new(Index(3), &large()));
+    let other = Encoding::new(Index(3), &document(7, Class::Once));
+    let later = Encoding::new(Index(4), &large());
     let mut download = Download::new(Index(3));
     download.add(parts[0].clone()).unwrap();
     let next = download.next();
@@ -76,7 +76,7 @@
 
 #[test]
 fn parts_with_wrong_content_are_not_decoded() {
-    let encoded = EncodedDocument::new(Index(3), &document(7, Class::Once));
+    let encoded = Encoding::new(Index(3), &document(7, Class::Once));
     let mut part = encoded.part(0).unwrap();
     part.bytes[0] ^= 1;
     let mut download = Download::new(Index(3));
@@ -84,7 +84,7 @@
     download.add(part).unwrap();
 
     assert_eq!(download.next(), None);
-    assert_eq!(download.decode().ok(), None);
+    assert_eq!(download.decode::<Document>().ok(), None);
 }
 
 #[test]
