Obey backend servers that say that they leave or want no requests for a time

Change: direct::statement reads both beside load and limit, from every answer of the backend server that was meant; values that are malformed, absurd or repeated are ignored, counted and logged at most once in 10 s. direct::withdrawal keeps them by instance, without control. The choice of a backend server, the only way to one, skips those; a request that all have turned away or asked to pause is refused at once with the time that is left, plus up to a quarter, so that returning callers are spread. A mark of leaving ends with the instance, also if its id comes back.

Not done: the agents' way (an agent reads neither); the stand-in engine's setting.

--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -13,3 +13,4 @@
 mod placement;
 mod slow_links;
 mod streams;
+mod withdrawal;
