--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -56,6 +56,8 @@
 /// Upper limit of a single answer's lateness, in percent of the expected time.
 /// It keeps one very late answer from dominating the average of a version.
 const MAX_LATENESS_PERCENT: f64 = 800.0;
+/// Time between two log lines about ignored values of backend servers' answers.
+const IGNORED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Share of the tokens that a retry budget can save up which escalations to a
 /// larger model must leave for retries after failures.
 const RETRY_RESERVE: f64 = 0.5;
@@ -88,6 +90,8 @@
     pub retries: BudgetTerms,
     /// This entry's part of the retry budgets, by service.
     pub budgets: Mutex<FastMap<Name, SharedBudget>>,
+    /// When the next ignored value of a backend server's answer may be logged.
+    pub ignored_log: Mutex<Mono>,
 }
 
 /// Counts a request as in flight until it is dropped.
@@ -125,10 +129,47 @@
     ) {
         let Ok(answer) = sent else { return };
         let (status, headers) = (answer.response.status(), answer.response.headers());
-        if let Some(statement) = Statement::read(&self.names, &call.id, status, headers) {
-            let entries = sharing_entries(&self.config.current());
-            self.registry.record_statement(choice, statement, entries);
+        let Some(statement) = Statement::read(&self.names, &call.id, status, headers) else {
+            return;
+        };
+        let entries = sharing_entries(&self.config.current());
+        let leaves = self.registry.record_statement(choice, statement, entries);
+        self.log_statement(choice, &statement, leaves);
+    }
+
+    /// Logs what changes where requests go. `leaves` tells whether the backend server
+    /// leaves, and had not said so before.
+    fn log_statement(&self, choice: &Choice, statement: &Statement, leaves: bool) {
+        let instance = &*choice.backend.instance;
+        if leaves {
+            metrics::counter!("cardamomtally_direct_statements_total", "kind" => "leaving")
+                .increment(1);
+            info!(self.log, "statement: leaving"; "instance" => instance);
+        }
+        if let Some(pause) = statement.pause {
+            metrics::counter!("cardamomtally_direct_statements_total", "kind" => "paused")
+                .increment(1);
+            info!(self.log, "statement: paused"; "instance" => instance,
+                "ms" => pause.as_millis() as u64);
+        }
+        if let Some(what) = statement.ignored.filter(|_| self.may_log_ignored()) {
+            warn!(self.log, "statement: malformed value ignored"; "instance" => instance,
+                "what" => what);
+        }
+    }
+
+    /// Tells whether an ignored value is logged, at most one in [`IGNORED_LOG_INTERVAL`].
+    fn may_log_ignored(&self) -> bool {
+        let now = self.clock.now();
+        let mut next = self
+            .ignored_log
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let due = now >= *next;
+        if due {
+            *next = now + IGNORED_LOG_INTERVAL;
         }
+        due
     }
 
     /// Takes a retry from the budget of a service. Returns whether the budget
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -142,6 +142,7 @@
         running: AtomicU64::new(0),
         retries: settings.retry_budget,
         budgets: Mutex::default(),
+        ignored_log: Mutex::default(),
     })
 }
 
--- a/src/cardamomtally/direct/mod.rs
+++ b/src/cardamomtally/direct/mod.rs
@@ -35,3 +35,4 @@
 pub mod speed;
 pub mod statement;
 pub mod stream;
+pub mod withdrawal;
--- a/src/cardamomtally/direct/names.rs
+++ b/src/cardamomtally/direct/names.rs
@@ -26,6 +26,8 @@
     /// Rate of requests per second that the backend server takes from all entries
     /// together, in an answer.
     pub limit: HeaderName,
+    /// `1` in an answer of a backend server that leaves and wants no new requests.
+    pub leaving: HeaderName,
     /// Priority of the request among waiting ones; 0 goes first. Set by the
     /// entry.
     pub priority: HeaderName,
@@ -59,6 +61,7 @@
             signature: name("cardamomtally-signature"),
             load: name("cardamomtally-load"),
             limit: name("cardamomtally-limit"),
+            leaving: name("cardamomtally-leaving"),
             priority: name("cardamomtally-priority"),
             model: name("cardamomtally-model"),
             confidence: name("cardamomtally-confidence"),
--- a/src/cardamomtally/direct/node.rs
+++ b/src/cardamomtally/direct/node.rs
@@ -1,6 +1,6 @@
 //! What an entry keeps about one backend server.
 
-use super::{backlog::ServerKey, pacing::Pacing, statement::Load};
+use super::{backlog::ServerKey, pacing::Pacing, statement::Load, withdrawal::Withdrawal};
 use crate::{
     prelude::*,
     routing::{breaker::Breaker, rendezvous},
@@ -12,6 +12,7 @@
 /// Age from which a load report is ignored. The load is then estimated from
 /// this entry's own requests.
 const LOAD_REPORT_TTL: Duration = Duration::from_secs(2);
+
 /// A load report of a backend server, and this entry's own requests there when
 /// it arrived.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +34,8 @@
     pub breaker: Breaker,
     /// Pause between requests while the rate is bounded.
     pub pacing: Pacing,
+    /// Its requests for no new work.
+    pub withdrawal: Withdrawal,
     /// Prefixes that this entry has sent there, by cache key, with the time of
     /// the last request.
     sent_prefixes: FastMap<u64, Mono>,
--- a/src/cardamomtally/direct/registry.rs
+++ b/src/cardamomtally/direct/registry.rs
@@ -151,6 +151,9 @@
     /// breaker, or takes no request of this entry yet, since it is cold or names a
     /// limit.
     Busy,
+    /// Every backend server that may run the request, also those that were tried, has
+    /// asked this entry to pause. The first pause ends after this time.
+    Paused(Duration),
 }
 
 impl Registry {
@@ -185,23 +188,23 @@
     /// # Errors
     ///
     /// Returns [`NoChoice::NoCandidate`] if no backend server may run the
-    /// request, and [`NoChoice::Busy`] if all that may are failing, or are cold or
-    /// name a limit and get no request of this entry yet.
+    /// request, [`NoChoice::Busy`] if all that may are failing, or are cold or name a
+    /// limit and get no request of this entry yet, and [`NoChoice::Paused`] if all that
+    /// may have asked for a pause.
     pub fn choose(
         self: &Arc<Self>,
         config: &ConfigSnapshot,
         wanted: &Requirements<'_>,
     ) -> Result<Choice, NoChoice> {
         let now = self.clock.now();
-        let allowed = allowed(config, wanted);
-        if allowed.is_empty() {
-            return Err(NoChoice::NoCandidate);
-        }
         let mut state = self.lock();
-        state.ensure_known(&allowed);
-        let (best, candidate, estimate) = self
-            .best(&state, config, wanted, &allowed)
-            .ok_or(NoChoice::Busy)?;
+        let allowed = allowed(config, wanted, &state);
+        let untried = |b: &&Backend| !wanted.tried.contains(&b.instance);
+        let untried: Vec<&Backend> = allowed.iter().copied().filter(untried).collect();
+        state.ensure_known(&untried);
+        let Some((best, candidate, estimate)) = self.best(&state, config, wanted, &untried) else {
+            return Err(no_choice(&state, now, &allowed, &untried));
+        };
         let cold = is_cold(best, wanted.service, self.wall_ms());
         let cold_rate = cold.then_some(wanted.service.cold_rate);
         let node = state.nodes.entry(Arc::clone(&best.instance)).or_default();
@@ -245,7 +248,8 @@
             };
             let cold = is_cold(backend, wanted.service, wall);
             let cold_rate = cold.then_some(wanted.service.cold_rate);
-            if !node.breaker.allows(now) || !node.pacing.allows(now, cold_rate) {
+            let paused = node.withdrawal.pause_left(now).is_some();
+            if paused || !node.breaker.allows(now) || !node.pacing.allows(now, cold_rate) {
                 continue;
             }
             let in_flight = node.estimated_in_flight(now, config.entries.max(1));
@@ -291,15 +295,23 @@
     /// Records what a backend server has said of itself in its answer to a request that
     /// was sent to it as `choice`. `entries` is the number of entries that share its
     /// limit.
-    pub fn record_statement(&self, choice: &Choice, statement: Statement, entries: u32) {
+    ///
+    /// Returns whether it has said for the first time that it leaves.
+    pub fn record_statement(&self, choice: &Choice, statement: Statement, entries: u32) -> bool {
         let now = self.clock.now();
-        if let Some(node) = self.lock().nodes.get_mut(&choice.backend.instance) {
-            if let Some(load) = statement.load {
-                node.report(now, load);
-            }
-            let sent = choice.chosen_at;
-            node.pacing.set_limit(now, sent, statement.limit, entries);
+        let mut state = self.lock();
+        let Some(node) = state.nodes.get_mut(&choice.backend.instance) else {
+            return false;
+        };
+        if let Some(load) = statement.load {
+            node.report(now, load);
         }
+        if let Some(time) = statement.pause {
+            node.withdrawal.pause(now, time);
+        }
+        let sent = choice.chosen_at;
+        node.pacing.set_limit(now, sent, statement.limit, entries);
+        statement.leaving && node.withdrawal.leave()
     }
 
     /// Replaces the backlog that another entry has reported.
@@ -328,25 +340,52 @@
     /// be cached.
     pub fn sweep(&self, config: &ConfigSnapshot) {
         let now = self.clock.now();
-        let live: FastSet<&Name> = config.fleet.backends.iter().map(|b| &b.instance).collect();
+        let backends = config.fleet.backends.iter();
+        let listed: FastMap<&Name, bool> = backends.map(|b| (&b.instance, b.ready)).collect();
         let nodes = &mut self.lock().nodes;
-        nodes.retain(|instance, node| node.own_in_flight > 0 || live.contains(instance));
-        for node in nodes.values_mut() {
+        nodes.retain(|instance, node| node.own_in_flight > 0 || listed.contains_key(instance));
+        for (instance, node) in nodes {
             node.sweep(now);
+            node.withdrawal
+                .compare(listed.get(instance).is_some_and(|ready| *ready));
         }
     }
 }
 
-/// Returns the backend servers that may run the request: ready, of its service,
-/// in a data centre that takes traffic, not tried before, and with the version
-/// that the roll-out assigns to the session.
-fn allowed<'h>(config: &'h ConfigSnapshot, wanted: &Requirements<'_>) -> Vec<&'h Backend> {
+/// Returns why none of the backend servers was chosen. `untried` are those of `allowed`
+/// that this request was not sent to.
+fn no_choice(state: &State, now: Mono, allowed: &[&Backend], untried: &[&Backend]) -> NoChoice {
+    let pause = |b: &&Backend| {
+        let node = state.nodes.get(&b.instance);
+        node.and_then(|node| node.withdrawal.pause_left(now))
+    };
+    let pauses: Option<Vec<Duration>> = allowed.iter().map(pause).collect();
+    let first = pauses.and_then(|pauses| pauses.into_iter().min());
+    match first {
+        Some(left) => NoChoice::Paused(left),
+        None if untried.is_empty() => NoChoice::NoCandidate,
+        None => NoChoice::Busy,
+    }
+}
+
+/// Returns the backend servers that may run the request: ready and not leaving, of its
+/// service, in a data centre that takes traffic, and with the version that the roll-out
+/// assigns to the session.
+fn allowed<'h>(
+    config: &'h ConfigSnapshot,
+    wanted: &Requirements<'_>,
+    state: &State,
+) -> Vec<&'h Backend> {
     let fleet = &config.fleet;
+    let leaves = |b: &Backend| {
+        let node = state.nodes.get(&b.instance);
+        node.is_some_and(|node| node.withdrawal.leaves())
+    };
     let usable = |b: &&Backend| {
         b.ready
             && b.service == wanted.service.name
             && !fleet.evacuated.contains(&b.centre)
-            && !wanted.tried.contains(&b.instance)
+            && !leaves(b)
     };
     let mut usable: Vec<&Backend> = fleet.backends.iter().filter(usable).collect();
     if let Some(rollout) = fleet.rollouts.get(&wanted.service.name) {
--- a/src/cardamomtally/direct/retry.rs
+++ b/src/cardamomtally/direct/retry.rs
@@ -4,6 +4,7 @@
 use super::{app::App, call::Call, refusal::Refusal, registry::NoChoice};
 use crate::{prelude::*, routing::budget::Cause};
 use http::StatusCode;
+use rand::Rng as _;
 
 /// Limits on the attempts of a request. Plain requests and streams have
 /// different limits.
@@ -20,6 +21,17 @@
     pub retry_after: Duration,
 }
 
+/// Part of a pause over which the callers that come back after it are spread.
+const SPREAD_SHARE: f64 = 0.25;
+/// Least time over which they are spread.
+const MIN_SPREAD: Duration = Duration::from_millis(200);
+
+/// Returns a random time by which a caller comes back later than the end of a pause.
+fn spread(pause: Duration) -> Duration {
+    let most = pause.mul_f64(SPREAD_SHARE).max(MIN_SPREAD);
+    most.mul_f64(rand::rng().random())
+}
+
 /// The attempts of a request so far.
 #[derive(Debug)]
 pub struct RetryState {
@@ -85,11 +97,19 @@
     /// for.
     #[must_use]
     pub fn no_backend(&self, why: NoChoice) -> Refusal {
-        let detail = match why {
-            NoChoice::NoCandidate => "no other backend server may run it",
-            NoChoice::Busy => "all backend servers are busy or failing",
+        let (detail, retry) = match why {
+            NoChoice::NoCandidate => ("no other backend server may run it", None),
+            NoChoice::Busy => ("all backend servers are busy or failing", None),
+            NoChoice::Paused(left) => (
+                "all backend servers have asked for a pause",
+                Some(left + spread(left)),
+            ),
         };
-        self.final_refusal(StatusCode::BAD_GATEWAY, detail)
+        let mut refusal = self.final_refusal(StatusCode::BAD_GATEWAY, detail);
+        if refusal.retry_after.is_some() {
+            refusal.retry_after = retry.or(refusal.retry_after);
+        }
+        refusal
     }
 
     /// Returns the final answer with the given detail. If none of the attempts
--- a/src/cardamomtally/direct/statement.rs
+++ b/src/cardamomtally/direct/statement.rs
@@ -1,14 +1,19 @@
 //! What a backend server says of itself in an answer.
 //!
 //! Every answer counts, also a rejection, if it belongs to the request and so comes from
-//! the backend server that was meant. A value that is malformed counts as not given.
+//! the backend server that was meant. A value that is malformed, absurd or given several
+//! times counts as not given.
 
 use super::names::HeaderNames;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use std::time::Duration;
 
 /// Greatest rate that counts as a limit, in requests per second.
 const MAX_RATE: f64 = 1e6;
 
+/// Longest pause that counts, in seconds.
+const MAX_PAUSE_S: f64 = 3_600.0;
+
 /// Requests that run and that wait at a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Load {
@@ -26,6 +31,40 @@
     /// Rate of requests per second that it takes from all entries together, if it names
     /// one.
     pub limit: Option<f64>,
+    /// Whether it leaves, and wants no new requests.
+    pub leaving: bool,
+    /// Time for which it wants no requests of this entry, if it has turned this one away
+    /// and names one.
+    pub pause: Option<Duration>,
+    /// Name of a header whose value was ignored.
+    pub ignored: Option<&'static str>,
+}
+
+/// Reads values of one answer, and notes which it ignores.
+struct Reader<'a> {
+    headers: &'a HeaderMap,
+    ignored: Option<&'static str>,
+}
+
+impl Reader<'_> {
+    /// Returns the parsed value of a header. `what` names it for the log.
+    fn read<T>(
+        &mut self,
+        name: &HeaderName,
+        what: &'static str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let mut values = self.headers.get_all(name).iter();
+        let value = values.next()?;
+        let single = values.next().is_none().then_some(value);
+        let text = single.and_then(|value| value.to_str().ok());
+        let parsed = text.and_then(|text| parse(text.trim()));
+        if parsed.is_none() {
+            metrics::counter!("cardamomtally_direct_malformed_statements_total").increment(1);
+            self.ignored = Some(what);
+        }
+        parsed
+    }
 }
 
 impl Statement {
@@ -39,27 +78,25 @@
         headers: &HeaderMap,
     ) -> Option<Self> {
         let meant = status != StatusCode::MISDIRECTED_REQUEST;
-        (meant && headers.get(&names.attempt) == Some(id)).then(|| Self {
-            load: read(headers, &names.load, parse_load),
-            limit: read(headers, &names.limit, parse_rate),
+        if !meant || headers.get(&names.attempt) != Some(id) {
+            return None;
+        }
+        let mut reader = Reader {
+            headers,
+            ignored: None,
+        };
+        let turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
+        let pause = turned_away.then(|| reader.read(&header::RETRY_AFTER, "pause", parse_pause));
+        Some(Self {
+            load: reader.read(&names.load, "load", parse_load),
+            limit: reader.read(&names.limit, "limit", parse_rate),
+            leaving: reader.read(&names.leaving, "leaving", parse_flag) == Some(true),
+            pause: pause.flatten(),
+            ignored: reader.ignored,
         })
     }
 }
 
-/// Parses a header, and counts it if it is malformed.
-fn read<T>(
-    headers: &HeaderMap,
-    name: &HeaderName,
-    parse: impl FnOnce(&str) -> Option<T>,
-) -> Option<T> {
-    let value = headers.get(name)?;
-    let parsed = value.to_str().ok().and_then(|text| parse(text.trim()));
-    if parsed.is_none() {
-        metrics::counter!("cardamomtally_direct_malformed_statements_total").increment(1);
-    }
-    parsed
-}
-
 /// Parses `running,waiting,slots`.
 fn parse_load(text: &str) -> Option<Load> {
     let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
@@ -74,3 +111,19 @@
     let rate: f64 = text.parse().ok()?;
     (rate > 0.0 && rate <= MAX_RATE).then_some(rate)
 }
+
+/// Parses a time in seconds, which may have a fraction.
+fn parse_pause(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.parse().ok()?;
+    let valid = (0.0..=MAX_PAUSE_S).contains(&seconds);
+    valid.then(|| Duration::from_secs_f64(seconds))
+}
+
+/// Parses `1` or `0`.
+fn parse_flag(text: &str) -> Option<bool> {
+    match text {
+        "1" => Some(true),
+        "0" => Some(false),
+        _ => None,
+    }
+}
