--- a/tests/testsuite/ports.rs
+++ b/tests/testsuite/ports.rs
@@ -28,8 +28,9 @@
     let ports = reserved.numbers().unwrap();
 
     let listener = TcpListener::bind(loopback(ports[0])).unwrap();
-    let _caller = TcpStream::connect(loopback(ports[0])).unwrap();
+    let caller = TcpStream::connect(loopback(ports[0])).unwrap();
+    let (_, from) = listener.accept().unwrap();
 
-    assert!(listener.accept().is_ok());
+    assert_eq!(from, caller.local_addr().unwrap());
     assert_ne!(ports[0], ports[1]);
 }
