Let running members ping the seeds that changed settings name

After an exchange of seeds and a restart of the relays, entries that started found no group until a member was restarted.

Change: a member follows its settings file as relays and entries do, and pings the seeds that it names (Host::set_listed). Votes are not affected.

--- a/src/cardamomtally/replica/host/links.rs
+++ b/src/cardamomtally/replica/host/links.rs
@@ -75,6 +75,16 @@
         }
     }
 
+    /// Replaces the names that the settings list. `own` is that of this member.
+    pub(super) fn set_listed(&mut self, now: Mono, names: &[Name], own: &Name) {
+        for link in self.links.values_mut() {
+            link.listed = false;
+        }
+        for name in names.iter().filter(|name| *name != own) {
+            self.link(now, name).listed = true;
+        }
+    }
+
     fn link(&mut self, now: Mono, name: &Name) -> &mut Link {
         let links = self.links.entry(Arc::clone(name));
         links.or_insert_with(|| Link::new(now, false))
--- a/src/cardamomtally/replica/host/mod.rs
+++ b/src/cardamomtally/replica/host/mod.rs
@@ -182,6 +182,14 @@
         self.bound.clone()
     }
 
+    /// Replaces the members that the settings list, which this member sends pings to until
+    /// it hears them. Voting is not affected.
+    pub fn set_listed(&self, names: Vec<Name>) {
+        if self.events.try_send(Event::Listed(names)).is_err() {
+            metrics::counter!("cardamomtally_replica_dropped_messages").increment(1);
+        }
+    }
+
     /// Transfers leadership, writes what is queued and stops the threads.
     pub fn stop(&self) {
         self.end(Event::Stop);
--- a/src/cardamomtally/replica/host/worker.rs
+++ b/src/cardamomtally/replica/host/worker.rs
@@ -35,6 +35,8 @@
         reply: Reply<Index>,
     },
     Kill,
+    /// The names of members that the settings list now.
+    Listed(Vec<Name>),
     Peer(Envelope),
     Propose {
         group: GroupId,
@@ -108,6 +110,7 @@
         match event {
             Event::Stop => self.stopping = true,
             Event::Kill => self.killed = true,
+            Event::Listed(names) => self.links.set_listed(now, &names, &self.name),
             Event::Peer(envelope) => self.handle_envelope(now, envelope),
             Event::Written { group, written } => {
                 if let Some(group) = self.group(group) {
--- a/src/cardamomtally/site/member/mod.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -279,6 +279,12 @@
             .await?)
     }
 
+    /// Replaces the seeds after the settings were reloaded. Those without a disk learn from
+    /// this member's pings who the members are.
+    pub fn set_seeds(&self, seeds: Vec<Name>) {
+        self.host.set_listed(seeds);
+    }
+
     /// Hands over leadership, if this member leads, and stops the replica.
     pub fn stop(&self) {
         self.host.stop();
