--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -13,7 +13,6 @@
     pool::{Answer, Pool, SendError},
     refusal::Refusal,
     registry::{Choice, Registry},
-    source::StreamTiming,
     statement::Statement,
     stream,
 };
@@ -34,7 +33,7 @@
 };
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use std::sync::{
     Mutex, PoisonError,
     atomic::{AtomicBool, AtomicU64, Ordering},
@@ -56,8 +55,6 @@
 /// Upper limit of a single answer's lateness, in percent of the expected time.
 /// It keeps one very late answer from dominating the average of a version.
 const MAX_LATENESS_PERCENT: f64 = 800.0;
-/// Time between two log lines about ignored values of backend servers' answers.
-const IGNORED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Share of the tokens that a retry budget can save up which escalations to a
 /// larger model must leave for retries after failures.
 const RETRY_RESERVE: f64 = 0.5;
@@ -137,41 +134,6 @@
         self.log_statement(choice, &statement, leaves);
     }
 
-    /// Logs what changes where requests go. `leaves` tells whether the backend server
-    /// leaves, and had not said so before.
-    fn log_statement(&self, choice: &Choice, statement: &Statement, leaves: bool) {
-        let instance = &*choice.backend.instance;
-        if leaves {
-            metrics::counter!("cardamomtally_direct_statements_total", "kind" => "leaving")
-                .increment(1);
-            info!(self.log, "statement: leaving"; "instance" => instance);
-        }
-        if let Some(pause) = statement.pause {
-            metrics::counter!("cardamomtally_direct_statements_total", "kind" => "paused")
-                .increment(1);
-            info!(self.log, "statement: paused"; "instance" => instance,
-                "ms" => pause.as_millis() as u64);
-        }
-        if let Some(what) = statement.ignored.filter(|_| self.may_log_ignored()) {
-            warn!(self.log, "statement: malformed value ignored"; "instance" => instance,
-                "what" => what);
-        }
-    }
-
-    /// Tells whether an ignored value is logged, at most one in [`IGNORED_LOG_INTERVAL`].
-    fn may_log_ignored(&self) -> bool {
-        let now = self.clock.now();
-        let mut next = self
-            .ignored_log
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let due = now >= *next;
-        if due {
-            *next = now + IGNORED_LOG_INTERVAL;
-        }
-        due
-    }
-
     /// Takes a retry from the budget of a service. Returns whether the budget
     /// allowed it.
     pub fn spend_retry(&self, service: &Name, cause: Cause) -> bool {
@@ -219,76 +181,6 @@
         self.counts
             .add_end(route, &backend.service, &backend.version, good);
     }
-
-    /// Logs the outcome of one attempt, which began at `since`.
-    pub fn log_attempt(
-        &self,
-        call: &Call,
-        choice: &Choice,
-        model: Option<&str>,
-        label: &str,
-        since: Mono,
-    ) {
-        let now = self.clock.now();
-        info!(self.log, "dispatch: {}", label; "request" => call.id_text(),
-            "route" => &*call.route.name, "instance" => &*choice.backend.instance,
-            "version" => &*choice.backend.version, "load" => choice.load,
-            "backlog_ms" => choice.backlog as u64, "expected_ms" => choice.estimate.ttft as u64,
-            "session" => call.session, "model" => model,
-            "left_ms" => call.remaining(since).as_millis() as u64,
-            "ms" => now.since(since).as_millis() as u64);
-    }
-
-    /// Logs the confidence of a model's answer, and whether the next model of
-    /// the cascade is asked.
-    pub fn log_confidence(
-        &self,
-        call: &Call,
-        model_index: usize,
-        confidence: Option<f64>,
-        next: Option<usize>,
-    ) {
-        info!(self.log, "cascade: {}", if next.is_some() { "escalated" } else { "kept" };
-            "request" => call.id_text(), "model" => model_index, "confidence" => confidence,
-            "tokens" => call.tokens.0);
-    }
-
-    /// Logs and counts a request that ends with an answer of the entry's own
-    /// after it was accepted.
-    pub fn log_refusal(&self, call: &Call, refusal: &Refusal, tried: usize) {
-        metrics::counter!("cardamomtally_direct_refused_total", "verdict" => refusal.verdict.as_str())
-            .increment(1);
-        warn!(self.log, "refuse: {}", refusal.detail; "request" => call.id_text(),
-            "route" => &*call.route.name, "status" => refusal.status.as_u16(),
-            "verdict" => refusal.verdict.as_str(), "tried" => tried,
-            "ms" => self.clock.now().since(call.received).as_millis() as u64);
-    }
-
-    /// Logs a request that is refused before any attempt, with the document and
-    /// the lease at that time.
-    fn log_early_refusal(&self, id: Option<&HeaderValue>, refusal: &Refusal) {
-        let config = self.config.current();
-        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
-        let left = config.lease_end.since(self.clock.now());
-        warn!(self.log, "refuse: {}", refusal.detail; "request" => id,
-            "status" => refusal.status.as_u16(), "verdict" => refusal.verdict.as_str(),
-            "document" => config.document.0, "lease_ms" => left.as_millis() as u64);
-    }
-
-    /// Logs the end of a stream, or of one backend server's part of it.
-    pub fn log_end(
-        &self,
-        call: &Call,
-        why: &str,
-        runs: u32,
-        last: Option<u64>,
-        timing: &StreamTiming,
-    ) {
-        info!(self.log, "stream: {}", why; "request" => call.id_text(), "runs" => runs,
-            "last" => last, "first_ms" => timing.first.as_millis() as u64,
-            "pause_ms" => timing.pause.as_millis() as u64,
-            "ms" => self.clock.now().since(call.received).as_millis() as u64);
-    }
 }
 
 /// Returns the time to the first byte in percent of the expected time.
--- a/src/cardamomtally/direct/mod.rs
+++ b/src/cardamomtally/direct/mod.rs
@@ -16,6 +16,7 @@
 pub mod body;
 pub mod call;
 pub mod daemon;
+pub mod decisions;
 pub mod escalate;
 pub mod events;
 pub mod listener;
--- a/src/cardamomtally/direct/registry.rs
+++ b/src/cardamomtally/direct/registry.rs
@@ -7,6 +7,8 @@
 //! breaker keeps requests away from a backend server that fails, and lets one
 //! trial request through after a while.
 
+mod candidates;
+
 use super::{
     backlog::{Backlog, BacklogSums, ServerKey},
     node::Node,
@@ -23,8 +25,9 @@
         breaker::{Breaker, BreakerSettings},
         rendezvous,
     },
-    site::{backend::Backend, document::Service, rollout::Side},
+    site::{backend::Backend, document::Service},
 };
+use candidates::{allowed, is_cold, no_choice};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Breaker setting for failed requests: two failures in a row open the breaker
@@ -63,9 +66,6 @@
 /// queue.
 const LEARN_MAX_BACKLOG_MS: f64 = 10.0;
 
-/// Time in milliseconds over which the rate of a cold backend server is bounded.
-const COLD_RATE_WINDOW_MS: u64 = 1_000;
-
 /// What a request requires of a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Requirements<'a> {
@@ -352,65 +352,6 @@
     }
 }
 
-/// Returns why none of the backend servers was chosen. `untried` are those of `allowed`
-/// that this request was not sent to.
-fn no_choice(state: &State, now: Mono, allowed: &[&Backend], untried: &[&Backend]) -> NoChoice {
-    let pause = |b: &&Backend| {
-        let node = state.nodes.get(&b.instance);
-        node.and_then(|node| node.withdrawal.pause_left(now))
-    };
-    let pauses: Option<Vec<Duration>> = allowed.iter().map(pause).collect();
-    let first = pauses.and_then(|pauses| pauses.into_iter().min());
-    match first {
-        Some(left) => NoChoice::Paused(left),
-        None if untried.is_empty() => NoChoice::NoCandidate,
-        None => NoChoice::Busy,
-    }
-}
-
-/// Returns the backend servers that may run the request: ready and not leaving, of its
-/// service, in a data centre that takes traffic, and with the version that the roll-out
-/// assigns to the session.
-fn allowed<'h>(
-    config: &'h ConfigSnapshot,
-    wanted: &Requirements<'_>,
-    state: &State,
-) -> Vec<&'h Backend> {
-    let fleet = &config.fleet;
-    let leaves = |b: &Backend| {
-        let node = state.nodes.get(&b.instance);
-        node.is_some_and(|node| node.withdrawal.leaves())
-    };
-    let usable = |b: &&Backend| {
-        b.ready
-            && b.service == wanted.service.name
-            && !fleet.evacuated.contains(&b.centre)
-            && !leaves(b)
-    };
-    let mut usable: Vec<&Backend> = fleet.backends.iter().filter(usable).collect();
-    if let Some(rollout) = fleet.rollouts.get(&wanted.service.name) {
-        let side = rollout.side(wanted.session);
-        let chosen = |b: &&Backend| rollout.side_of(&b.version) == side;
-        let on_side = usable.iter().copied().filter(chosen).collect();
-        let old = |b: &&Backend| rollout.side_of(&b.version) == Side::Old;
-        // A session that belongs to the new version is served by the old one as
-        // long as no backend server runs the new version.
-        usable = match side {
-            Side::New if !usable.iter().any(chosen) => usable.into_iter().filter(old).collect(),
-            Side::New | Side::Old => on_side,
-        };
-    }
-    usable
-}
-
-/// Tells whether the rate of a backend server is bounded because it is cold. The bound is
-/// kept for [`COLD_RATE_WINDOW_MS`] longer: when the entries all see that it is warm, they
-/// send to it at once, and a second that began while it was cold would exceed its rate.
-fn is_cold(backend: &Backend, service: &Service, wall: u64) -> bool {
-    let until = backend.cold_until.saturating_add(COLD_RATE_WINDOW_MS);
-    service.cold_rate > 0.0 && wall < until
-}
-
 impl Choice {
     /// Returns the expected time to first event, as estimated when the backend
     /// server was chosen.
