--- a/tests/testsuite/direct/slow_links.rs
+++ b/tests/testsuite/direct/slow_links.rs
@@ -21,6 +21,7 @@
         backend::{Backend, Inventory},
         document::{Class, Document, Route},
         member::{SiteMember, SiteMemberSettings},
+        poll::Poll,
     },
     util::log,
 };
@@ -281,3 +282,27 @@
 
     assert!(read.elapsed() < IN_FORCE, "{:?}", read.elapsed());
 }
+
+#[test]
+fn only_an_entry_that_fetches_no_fleets_gets_a_large_one_with_its_poll() {
+    let site = Site::start();
+    site.submit(&document(1, Class::Once));
+    site.read_inventory();
+    let poll = |fleet_parts| {
+        let poll = Poll {
+            name: "entry".into(),
+            fleet_parts,
+            ..Poll::default()
+        };
+        site.runtime.block_on(site.member.poll(poll)).unwrap()
+    };
+
+    let former = poll(false);
+    let current = poll(true);
+
+    let sent = former
+        .fleet
+        .map(|fleet| (fleet.index, fleet.backends.len()));
+    assert_eq!(sent, Some((current.fleet_index, usize::from(BACKENDS))));
+    assert_eq!(current.fleet, None);
+}
