--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod caller;
 pub mod link;
+mod membership;
 pub mod meter;
 pub mod process;
 pub mod settings;
--- a/tests/testsuite/support/site.rs
+++ b/tests/testsuite/support/site.rs
@@ -3,6 +3,7 @@
 use super::{
     caller::{Caller, Reply, send},
     link::{LinkKind, Links},
+    membership::{memberships, votes_in_all_groups},
     process::{Daemon, Process},
     settings::{self, MemberAddr},
     site_permit::SitePermit,
@@ -19,9 +20,6 @@
 };
 use tempfile::TempDir;
 
-/// Number of replicated groups: the configuration and one ledger shard.
-const GROUP_COUNT: usize = 2;
-
 /// Number of control members of a site; two of them are a quorum.
 const CONTROL_MEMBERS: usize = 3;
 
@@ -486,32 +484,6 @@
     (Backend::Service(service), addr)
 }
 
-/// Returns a member's entries in the membership lists of the replicated groups, as
-/// the groups' leaders report them.
-fn memberships(status: &Value, name: &str) -> Vec<Value> {
-    let list = |value: &Value| value.as_array().cloned().unwrap_or_default();
-    let mut found = Vec::new();
-    for member in list(&status["members"]) {
-        let groups = list(&member["replicas"]).into_iter();
-        for group in groups.filter(|group| group["leader"] == member["name"]) {
-            let named = list(&group["members"]).into_iter();
-            found.extend(named.filter(|membership| membership["name"] == name));
-        }
-    }
-    found
-}
-
-/// Returns whether a member is a voter in all groups, under identities that were
-/// not wiped, and is listed nowhere else. An old identity that is still listed
-/// means that the repair has not ended.
-fn votes_in_all_groups(status: &Value, name: &str, wiped_ids: &[Value]) -> bool {
-    let found = memberships(status, name);
-    let votes = |membership: &Value| {
-        membership["standing"] == "voter" && !wiped_ids.contains(&membership["id"])
-    };
-    found.len() == GROUP_COUNT && found.iter().all(votes)
-}
-
 /// Returns the bearer token of a partner's operators.
 pub fn token(partner: &str) -> String {
     format!("{partner}-token")
