Give the files of direct dispatch folders that depend in one direction

The files of `direct` depended on each other in two circles: app, plain, stream and retry; poller, registry, peers, node and pacing. Folders: request, exchange, config, fleet, link, serve. No logic changes.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -1,57 +1,26 @@
-//! Handles a caller's request: checks the configuration's lease, the route, the
-//! key and the limits, then forwards it to a backend server.
+//! The state that all requests of an entry share, and what they record in it.
 
 use super::{
-    body::{Body, guarded},
-    call::{self, Call},
-    names::HeaderNames,
-    outcomes::OutcomeCounts,
-    pacing::sharing_entries,
-    peers::Peers,
-    plain,
-    poller::ConfigPoller,
-    pool::{Answer, Pool, SendError},
-    refusal::Refusal,
-    registry::{Choice, Registry},
-    statement::Statement,
-    stream,
+    config::{outcomes::OutcomeCounts, poller::ConfigPoller},
+    exchange::peers::Peers,
+    fleet::{
+        pacing::sharing_entries,
+        registry::{Choice, Registry},
+        statement::Statement,
+    },
+    link::pool::{Answer, Pool, SendError},
+    request::{call::Call, names::HeaderNames},
 };
 use crate::{
     prelude::*,
-    routing::{
-        budget::{BudgetTerms, Cause, SharedBudget},
-        rendezvous,
-    },
-    site::{
-        document::{Class, Route},
-        table::{Denial, KeyOwner, Table},
-    },
-};
-use bytes::Bytes;
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header, request::Parts,
+    routing::budget::{BudgetTerms, Cause, SharedBudget},
 };
-use http_body_util::{BodyExt as _, Limited};
-use hyper::body::Incoming;
-use slog::{Logger, info};
+use slog::Logger;
 use std::sync::{
     Mutex, PoisonError,
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-/// Part of a caller's time for which its request waits for the first document after the
-/// entry has started. The rest is left for a retry at another entry.
-const FIRST_DOCUMENT_SHARE: f64 = 0.4;
-/// Longest such wait.
-const MAX_FIRST_DOCUMENT_WAIT: Duration = Duration::from_secs(1);
-/// Such a wait for a caller that does not tell its time.
-const DEFAULT_FIRST_DOCUMENT_WAIT: Duration = Duration::from_millis(400);
-/// Retry delay for callers whose stream is refused by an entry that is
-/// stopping. Short, since the balancer sends the retry to another entry.
-const STOPPING_RETRY: Duration = Duration::from_millis(50);
-/// Retry delay for callers that are refused because the entry has no valid
-/// lease.
-const NO_LEASE_RETRY: Duration = Duration::from_secs(1);
 /// Upper limit of a single answer's lateness, in percent of the expected time.
 /// It keeps one very late answer from dominating the average of a version.
 const MAX_LATENESS_PERCENT: f64 = 800.0;
@@ -91,23 +60,6 @@
     pub ignored_log: Mutex<Mono>,
 }
 
-/// Counts a request as in flight until it is dropped.
-#[derive(Debug)]
-struct InFlightGuard(Arc<App>);
-
-impl InFlightGuard {
-    fn new(app: &Arc<App>) -> Self {
-        app.running.fetch_add(1, Ordering::AcqRel);
-        Self(Arc::clone(app))
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 impl App {
     /// Tells whether the entry accepts new requests: its lease is valid and no
     /// planned stop has begun.
@@ -147,7 +99,7 @@
     }
 
     /// Adds a new request's share to the retry budget of its service.
-    fn count_request(&self, service: &Name) {
+    pub fn count_request(&self, service: &Name) {
         let entries = sharing_entries(&self.config.current());
         let now = self.clock.now();
         self.budget(service, |budget| budget.earn(entries, now));
@@ -189,216 +141,3 @@
     let ratio = first.as_secs_f64() / expected;
     (ratio * 100.0).min(MAX_LATENESS_PERCENT) as u32
 }
-
-/// Handles one request of a caller.
-pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<Body> {
-    let running = InFlightGuard::new(&app);
-    let id = request.headers().get(&app.names.attempt).cloned();
-    let mut response = match accept(&app, request).await {
-        Ok(response) => response,
-        Err(refusal) => {
-            app.log_early_refusal(id.as_ref(), &refusal);
-            refusal.response()
-        }
-    };
-    if app.stopping.load(Ordering::Acquire) {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
-    response.map(|body| guarded(body, running))
-}
-
-async fn accept(app: &Arc<App>, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
-    let since = app.clock.now();
-    let wait = first_document_wait(app, request.headers());
-    let config = app.config.wait_for_document(wait).await;
-    let no_lease = Refusal::unavailable("the entry holds no valid configuration", NO_LEASE_RETRY);
-    let table = config.table.as_ref().ok_or_else(|| no_lease.clone())?;
-    let (parts, body) = request.into_parts();
-    let allowed = authorize(app, table, &parts);
-    let valid = config.is_valid(since);
-    // Without a valid lease nothing is denied: the document in force may allow
-    // what an older one denies.
-    let (route, workspace) = match allowed {
-        Err(_) | Ok((_, Some(_))) if !valid => return Err(no_lease),
-        Err(denial) => return Err(denial_refusal(denial)),
-        Ok(found) => found,
-    };
-    // A stream might not end before a planned stop does.
-    if route.class.streams() && app.stopping.load(Ordering::Acquire) {
-        return Err(Refusal::unavailable(
-            "the entry is stopping",
-            STOPPING_RETRY,
-        ));
-    }
-    let body = read_body(app, table, body).await?;
-    // The lease may have ended while the body was received, for example because
-    // the VM was suspended.
-    let config = app.config.current();
-    if workspace.is_some() && !config.is_valid(app.clock.now()) {
-        return Err(no_lease);
-    }
-    let admitted = Admitted {
-        since,
-        table: Arc::clone(table),
-        route,
-        workspace,
-    };
-    let call = build(app, admitted, &parts, body)?;
-    app.count_request(&call.service.name);
-    let last = header_number(&parts.headers, &app.names.last_event);
-    Ok(match call.route.class {
-        Class::Stream | Class::Resumable => stream::serve(app, call, last).await,
-        Class::Repeatable => plain::serve(app, call).await,
-        Class::Once => run_detached(app, call).await,
-    })
-}
-
-/// Runs a request in a task of its own, so that it continues when the caller
-/// disconnects. Used for requests that run at most once: closing the connection
-/// would cancel them at the backend server halfway.
-async fn run_detached(app: &Arc<App>, call: Call) -> Response<Body> {
-    let task_app = Arc::clone(app);
-    let task = tokio::spawn(async move { plain::serve(&task_app, call).await });
-    task.await.unwrap_or_else(|_panicked| {
-        let detail = "the entry failed";
-        Refusal::unknown(StatusCode::BAD_GATEWAY, detail).response()
-    })
-}
-
-/// Returns how long a request may wait for the first document.
-fn first_document_wait(app: &App, headers: &HeaderMap) -> Duration {
-    let caller = header_number(headers, &app.names.deadline).map(Duration::from_millis);
-    caller.map_or(DEFAULT_FIRST_DOCUMENT_WAIT, |caller| {
-        caller
-            .mul_f64(FIRST_DOCUMENT_SHARE)
-            .min(MAX_FIRST_DOCUMENT_WAIT)
-    })
-}
-
-type Authorized = (Arc<Route>, Option<Arc<KeyOwner>>);
-
-fn authorize(app: &App, table: &Table, parts: &Parts) -> Result<Authorized, Denial> {
-    let host = header_text(&parts.headers, &header::HOST).unwrap_or_default();
-    let host = host.split(':').next().unwrap_or_default();
-    let route = table.route(host, parts.uri.path())?;
-    let workspace = table.key_owner(route, header_text(&parts.headers, &app.names.key))?;
-    Ok((Arc::clone(route), workspace.cloned()))
-}
-
-fn denial_refusal(denial: Denial) -> Refusal {
-    match denial {
-        Denial::NoRoute => {
-            Refusal::denied(StatusCode::NOT_FOUND, "no route serves this host and path")
-        }
-        Denial::NoKey => {
-            Refusal::denied(StatusCode::UNAUTHORIZED, "the key belongs to no workspace")
-        }
-    }
-}
-
-async fn read_body(app: &App, table: &Table, body: Incoming) -> Result<Bytes, Refusal> {
-    let limits = &table.limits;
-    let read = Limited::new(body, limits.body_bytes).collect();
-    let Ok(read) = tokio::time::timeout(limits.idle_time, read).await else {
-        let detail = "the body took too long";
-        return Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, detail));
-    };
-    match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            let detail = "the body is longer than allowed";
-            Err(Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, detail))
-        }
-        Err(error) => {
-            info!(app.log, "request: connection closed before the end of the body";
-                "error" => %error, "document" => table.number);
-            let detail = "the body ended early";
-            Err(Refusal::denied(StatusCode::BAD_REQUEST, detail))
-        }
-    }
-}
-
-/// A request that the document allows, before its headers are read.
-struct Admitted {
-    since: Mono,
-    table: Arc<Table>,
-    route: Arc<Route>,
-    workspace: Option<Arc<KeyOwner>>,
-}
-
-/// Builds the call from the request's head and body.
-///
-/// The last part of the prompt in the prefix header counts as the request's own,
-/// the parts before it as the shared prefix. Requests of one session share a
-/// session key. Without a session header the key is the identity of the last
-/// part of the prompt, or without such a part a hash of the request id.
-fn build(app: &App, admitted: Admitted, parts: &Parts, body: Bytes) -> Result<Call, Refusal> {
-    let Admitted {
-        since,
-        table,
-        route,
-        workspace,
-    } = admitted;
-    let names = &app.names;
-    let Some(id) = parts.headers.get(&names.attempt) else {
-        let detail = "the request has no id";
-        return Err(Refusal::denied(StatusCode::BAD_REQUEST, detail));
-    };
-    let seed = rendezvous::seed(id.to_str().unwrap_or_default());
-    let service = pick_service(&route, seed).and_then(|name| table.service(name));
-    let Some(service) = service else {
-        let detail = "the route's service is not known";
-        return Err(Refusal::unavailable(detail, NO_LEASE_RETRY));
-    };
-    let caller = header_number(&parts.headers, &names.deadline).map(Duration::from_millis);
-    let limit = caller.map_or(route.timeout, |caller| caller.min(route.timeout));
-    let mut shared =
-        header_text(&parts.headers, &names.prefix).map_or_else(Vec::new, call::parse_parts);
-    let own = shared.pop();
-    let session = header_text(&parts.headers, &names.session).map(rendezvous::seed);
-    let tokens = header_text(&parts.headers, &names.tokens).map_or((0, 0), call::parse_tokens);
-    let model = header_text(&parts.headers, &names.model);
-    let priority = workspace.as_ref().and_then(|h| h.priority);
-    Ok(Call {
-        id: id.clone(),
-        method: parts.method.clone(),
-        uri: parts.uri.clone(),
-        headers: call::request_headers(names, parts),
-        body,
-        received: since,
-        deadline: since + limit,
-        priority: priority.unwrap_or(route.priority),
-        tokens,
-        session: session.or(own.map(|part| part.id)).unwrap_or(seed),
-        any_model: model == Some("*"),
-        model: model.filter(|model| *model != "*").map(Name::from),
-        prompt: call::prompt(&shared, tokens.0),
-        service: Arc::clone(service),
-        route,
-        workspace,
-    })
-}
-
-/// Returns the service that a request goes to. The choice follows the weights
-/// of the route's shares and is fixed by the request id.
-fn pick_service(route: &Route, seed: u64) -> Option<&Name> {
-    let total: u64 = route.shares.iter().map(|s| u64::from(s.weight)).sum();
-    let mut at = rendezvous::weight(seed, 0) % total.max(1);
-    for share in &route.shares {
-        let weight = u64::from(share.weight);
-        if at < weight {
-            return Some(&share.service);
-        }
-        at -= weight;
-    }
-    None
-}
-
-fn header_text<'h>(headers: &'h HeaderMap, name: &HeaderName) -> Option<&'h str> {
-    headers.get(name)?.to_str().ok()
-}
-
-fn header_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
-    header_text(headers, name)?.trim().parse().ok()
-}
--- a/src/cardamomtally/direct/poller.rs
+++ b/src/cardamomtally/direct/config/poller.rs
@@ -12,8 +12,9 @@
 //! entry fetches a document, it knows that a newer one is in force, and its lease
 //! ends sooner than that of an entry which knows of none.
 
-use super::{outcomes::OutcomeCounts, peers::Peers};
+use super::{outcomes::OutcomeCounts, snapshot::ConfigSnapshot};
 use crate::{
+    direct::exchange::peers::Peers,
     net::{
         codec,
         transport::Transport,
@@ -35,41 +36,6 @@
 use std::net::SocketAddr;
 use tokio::sync::Notify;
 
-/// The configuration that an entry works with, and its lease.
-#[derive(Clone, Debug, Default)]
-pub struct ConfigSnapshot {
-    /// The compiled document; `None` until the first one has arrived.
-    pub table: Option<Arc<Table>>,
-    /// Log index of the document.
-    pub document: Index,
-    /// Highest log index that a reply has named as that of the document in
-    /// force. It is higher than `document` while a newer document is fetched.
-    pub newest: Index,
-    /// When the latest poll was sent whose reply named this document as the one
-    /// in force.
-    pub confirmed: Mono,
-    /// Backend servers, roll-outs and evacuated data centres.
-    pub fleet: Arc<Fleet>,
-    /// Highest log index that a reply has named as that of the fleet in force.
-    pub newest_fleet: Index,
-    /// When the latest poll was sent whose reply named this fleet as the one in force.
-    pub fleet_confirmed: Mono,
-    /// End of the lease. After it, the configuration may be outdated and
-    /// requests that need a key are refused.
-    pub lease_end: Mono,
-    /// Number of entries that poll the control group, or 0 if no leader has told it
-    /// yet.
-    pub entries: u32,
-}
-
-impl ConfigSnapshot {
-    /// Tells whether there is a document and its lease has not ended.
-    #[must_use]
-    pub fn is_valid(&self, now: Mono) -> bool {
-        self.table.is_some() && now < self.lease_end
-    }
-}
-
 /// Settings of a [`ConfigPoller`].
 #[derive(Clone, Debug)]
 pub struct PollerSettings {
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -9,13 +9,15 @@
 
 use super::{
     app::App,
+    config::{
+        outcomes::OutcomeCounts,
+        poller::{ConfigPoller, PollerSettings},
+    },
+    exchange::peers::Peers,
+    fleet::registry::Registry,
+    link::pool::Pool,
     listener,
-    names::HeaderNames,
-    outcomes::OutcomeCounts,
-    peers::Peers,
-    poller::{ConfigPoller, PollerSettings},
-    pool::Pool,
-    registry::Registry,
+    request::names::HeaderNames,
 };
 use crate::{
     net::{nng::Client, transport::Transport},
@@ -201,11 +203,11 @@
     tokio::spawn(async move {
         receiver
             .peers
-            .receive_loop(&incoming, &receiver.registry)
+            .receive_loop(&incoming, &*receiver.registry)
             .await;
     });
     let sender = Arc::clone(app);
-    tokio::spawn(async move { sender.peers.send_loop(&socket, &sender.registry).await });
+    tokio::spawn(async move { sender.peers.send_loop(&socket, &*sender.registry).await });
 }
 
 async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
--- a/src/cardamomtally/direct/decisions.rs
+++ b/src/cardamomtally/direct/decisions.rs
@@ -4,8 +4,10 @@
 //! `refuse`, `statement` and `stream`.
 
 use super::{
-    app::App, call::Call, refusal::Refusal, registry::Choice, source::StreamTiming,
-    statement::Statement,
+    app::App,
+    fleet::{registry::Choice, statement::Statement},
+    link::source::StreamTiming,
+    request::{call::Call, refusal::Refusal},
 };
 use crate::prelude::*;
 use http::HeaderValue;
--- /dev/null
+++ b/src/cardamomtally/direct/exchange/mod.rs
@@ -0,0 +1,4 @@
+//! What entries tell each other.
+
+pub mod backlog;
+pub mod peers;
--- a/src/cardamomtally/direct/peers.rs
+++ b/src/cardamomtally/direct/exchange/peers.rs
@@ -5,7 +5,7 @@
 //! nng: a sum that arrives late is worthless, so nothing needs to be sent
 //! again, and no connection to every other entry has to be kept open.
 
-use super::{backlog::BacklogSums, registry::Registry};
+use super::backlog::BacklogSums;
 use crate::{net::codec, prelude::*};
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
@@ -39,6 +39,16 @@
     pub sums: BacklogSums,
 }
 
+/// What an entry knows that the other entries can use.
+pub trait Knowledge: Send + Sync {
+    /// Replaces the backlog that another entry has reported.
+    fn apply_peer_sums(&self, entry: &Name, sums: BacklogSums);
+
+    /// Returns this entry's own backlog as at most `max` sums, the largest
+    /// first. Also drops outdated reports of other entries.
+    fn own_sums(&self, max: usize) -> BacklogSums;
+}
+
 /// Sends this entry's backlog to the other entries and receives theirs.
 #[derive(Debug)]
 pub struct Peers {
@@ -82,7 +92,7 @@
 
     /// Receives messages until the task is aborted. Datagrams that do not
     /// decode are ignored.
-    pub async fn receive_loop(&self, socket: &UdpSocket, registry: &Registry) {
+    pub async fn receive_loop(&self, socket: &UdpSocket, known: &dyn Knowledge) {
         let mut bytes = [0; MAX_MESSAGE_BYTES];
         loop {
             let (length, from) = match socket.recv_from(&mut bytes).await {
@@ -94,7 +104,7 @@
                 }
             };
             match codec::decode::<Message>(&bytes[..length]) {
-                Ok(message) => registry.apply_peer_sums(&message.entry, message.sums),
+                Ok(message) => known.apply_peer_sums(&message.entry, message.sums),
                 Err(_undecodable) => {
                     warn!(self.log, "peers: malformed datagram ignored"; "from" => %from);
                 }
@@ -104,12 +114,12 @@
 
     /// Sends this entry's sums after changes, and repeats them while work
     /// waits, until the task is aborted.
-    pub async fn send_loop(&self, socket: &UdpSocket, registry: &Registry) {
+    pub async fn send_loop(&self, socket: &UdpSocket, known: &dyn Knowledge) {
         let mut last = BacklogSums::new();
         loop {
             let wait = tokio::time::timeout(RESEND_INTERVAL, self.changed.notified()).await;
             self.dirty.store(false, Ordering::Release);
-            let sums = registry.own_sums(MAX_SUMS);
+            let sums = known.own_sums(MAX_SUMS);
             let repeats = wait.is_err() && !sums.is_empty();
             if sums == last && !repeats {
                 continue;
--- a/src/cardamomtally/direct/registry/candidates.rs
+++ b/src/cardamomtally/direct/fleet/candidates.rs
@@ -1,8 +1,8 @@
 //! Which backend servers a request may be sent to, and why there is none.
 
-use super::{NoChoice, Requirements, State};
+use super::registry::{NoChoice, Requirements, State};
 use crate::{
-    direct::poller::ConfigSnapshot,
+    direct::config::snapshot::ConfigSnapshot,
     prelude::*,
     site::{backend::Backend, document::Service, rollout::Side},
 };
--- a/src/cardamomtally/direct/node.rs
+++ b/src/cardamomtally/direct/fleet/node.rs
@@ -1,7 +1,8 @@
 //! What an entry keeps about one backend server.
 
-use super::{backlog::ServerKey, pacing::Pacing, statement::Load, withdrawal::Withdrawal};
+use super::{pacing::Pacing, statement::Load, withdrawal::Withdrawal};
 use crate::{
+    direct::exchange::backlog::ServerKey,
     prelude::*,
     routing::{breaker::Breaker, rendezvous},
 };
--- a/src/cardamomtally/direct/pacing.rs
+++ b/src/cardamomtally/direct/fleet/pacing.rs
@@ -4,8 +4,7 @@
 //! A bound holds for all entries together. Each takes an equal part, so that the entries
 //! keep the bound without asking one another, also those that are cut off.
 
-use super::poller::ConfigSnapshot;
-use crate::prelude::*;
+use crate::{direct::config::snapshot::ConfigSnapshot, prelude::*};
 use rand::Rng as _;
 
 /// Number of entries that is assumed until control has told it.
--- a/src/cardamomtally/direct/placement.rs
+++ b/src/cardamomtally/direct/fleet/placement.rs
@@ -16,6 +16,7 @@
 //! long ones while other backend servers are free.
 
 use super::speed::Speed;
+use crate::direct::request::prompt::Prompt;
 
 /// Cost in milliseconds of a backend server whose slots are all taken. It grows
 /// in proportion to the load.
@@ -32,18 +33,6 @@
 /// requests, since none of them produces an event while the prompt is processed.
 const PREFILL_INTERFERENCE: f64 = 0.05;
 
-/// The length of a request's prompt, and the prefix that it shares with others.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Prompt {
-    /// Identity of the prefix that the prompt shares with other prompts, if
-    /// any.
-    pub prefix: Option<u64>,
-    /// Number of tokens in the shared prefix.
-    pub shared: u32,
-    /// Number of tokens after the shared prefix.
-    pub own: u32,
-}
-
 /// What the entry knows about a backend server when it places one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
--- a/src/cardamomtally/direct/registry.rs
+++ b/src/cardamomtally/direct/fleet/registry.rs
@@ -2,24 +2,28 @@
 //!
 //! The load of a backend server is its last load report, corrected by the
 //! requests that this entry has started and finished there since. The prefill
-//! work that waits there comes from [`super::backlog`]. A request goes to the
-//! backend server with the lowest cost by [`super::placement`]. A circuit
-//! breaker keeps requests away from a backend server that fails, and lets one
-//! trial request through after a while.
-
-mod candidates;
+//! work that waits there comes from [`exchange`](crate::direct::exchange). A
+//! request goes to the backend server with the lowest cost by
+//! [`super::placement`]. A circuit breaker keeps requests away from a backend
+//! server that fails, and lets one trial request through after a while.
 
 use super::{
-    backlog::{Backlog, BacklogSums, ServerKey},
+    candidates::{allowed, is_cold, no_choice},
     node::Node,
     pacing::sharing_entries,
-    peers::Peers,
-    placement::{self, Candidate, Estimate, Prompt},
-    poller::ConfigSnapshot,
+    placement::{self, Candidate, Estimate},
     speed::Speeds,
     statement::Statement,
 };
 use crate::{
+    direct::{
+        config::snapshot::ConfigSnapshot,
+        exchange::{
+            backlog::{Backlog, BacklogSums, ServerKey},
+            peers::{Knowledge, Peers},
+        },
+        request::prompt::Prompt,
+    },
     prelude::*,
     routing::{
         breaker::{Breaker, BreakerSettings},
@@ -27,7 +31,6 @@
     },
     site::{backend::Backend, document::Service},
 };
-use candidates::{allowed, is_cold, no_choice};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Breaker setting for failed requests: two failures in a row open the breaker
@@ -94,8 +97,8 @@
 
 /// The state behind the registry's lock.
 #[derive(Debug, Default)]
-struct State {
-    nodes: FastMap<Name, Node>,
+pub(super) struct State {
+    pub(super) nodes: FastMap<Name, Node>,
     backlog: Backlog,
     speeds: Speeds,
 }
@@ -314,21 +317,6 @@
         statement.leaving && node.withdrawal.leave()
     }
 
-    /// Replaces the backlog that another entry has reported.
-    pub fn apply_peer_sums(&self, entry: &Name, sums: BacklogSums) {
-        let now = self.clock.now();
-        self.lock().backlog.apply_peer(entry, sums, now);
-    }
-
-    /// Returns this entry's own backlog as at most `max` sums, the largest
-    /// first. Also drops outdated reports of other entries.
-    pub fn own_sums(&self, max: usize) -> BacklogSums {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        state.backlog.expire(now);
-        state.backlog.own_sums(max)
-    }
-
     fn notify_peers(&self, work: f64) {
         if let Some(peers) = self.peers.as_ref().filter(|_| work >= NOTIFY_MIN_MS) {
             peers.mark_changed();
@@ -352,6 +340,20 @@
     }
 }
 
+impl Knowledge for Registry {
+    fn apply_peer_sums(&self, entry: &Name, sums: BacklogSums) {
+        let now = self.clock.now();
+        self.lock().backlog.apply_peer(entry, sums, now);
+    }
+
+    fn own_sums(&self, max: usize) -> BacklogSums {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.backlog.expire(now);
+        state.backlog.own_sums(max)
+    }
+}
+
 impl Choice {
     /// Returns the expected time to first event, as estimated when the backend
     /// server was chosen.
--- a/src/cardamomtally/direct/statement.rs
+++ b/src/cardamomtally/direct/fleet/statement.rs
@@ -4,7 +4,7 @@
 //! the backend server that was meant. A value that is malformed, absurd or given several
 //! times counts as not given.
 
-use super::names::HeaderNames;
+use crate::direct::request::names::HeaderNames;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use std::time::Duration;
 
--- a/src/cardamomtally/direct/attempt.rs
+++ b/src/cardamomtally/direct/link/attempt.rs
@@ -4,13 +4,14 @@
 //! The outcome decides whether the request may be sent again, so an attempt
 //! counts as not run only if that is certain.
 
-use super::{
-    call::Call,
-    names::HeaderNames,
-    pool::{Answer, Outgoing, SendError},
-    registry::Choice,
+use super::pool::{Answer, Outgoing, SendError};
+use crate::{
+    direct::{
+        fleet::registry::Choice,
+        request::{call::Call, names::HeaderNames},
+    },
+    prelude::*,
 };
-use crate::prelude::*;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use std::fmt::Display;
--- a/src/cardamomtally/direct/source.rs
+++ b/src/cardamomtally/direct/link/source.rs
@@ -1,12 +1,14 @@
 //! The event stream of one backend server, and the timing of the events that
 //! are forwarded.
 
-use super::{
-    events::{EventSplitter, Events},
-    pool::Connection,
-    registry::Choice,
+use super::pool::Connection;
+use crate::{
+    direct::{
+        fleet::registry::Choice,
+        request::events::{EventSplitter, Events},
+    },
+    prelude::*,
 };
-use crate::prelude::*;
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 
--- a/src/cardamomtally/direct/listener.rs
+++ b/src/cardamomtally/direct/listener.rs
@@ -6,8 +6,9 @@
 //! open, so they are checked here and not by the HTTP server.
 
 use super::{
-    app::{self, App},
-    body::{Body, full_body, guarded},
+    app::App,
+    request::body::{Body, full_body, guarded},
+    serve::handler,
 };
 use crate::prelude::*;
 use bytes::Bytes;
@@ -261,7 +262,7 @@
         activity,
         clock: Arc::clone(&app.clock),
     };
-    let response = app::handle(app, request).await;
+    let response = handler::handle(app, request).await;
     Ok(response.map(|body| guarded(body, busy)))
 }
 
--- a/src/cardamomtally/direct/call.rs
+++ b/src/cardamomtally/direct/request/call.rs
@@ -1,6 +1,6 @@
 //! A caller's request after it was read and authorised, and its headers.
 
-use super::{names::HeaderNames, placement::Prompt};
+use super::{names::HeaderNames, prompt::Prompt};
 use crate::{
     prelude::*,
     routing::rendezvous,
--- a/src/cardamomtally/direct/plain.rs
+++ b/src/cardamomtally/direct/serve/plain.rs
@@ -3,17 +3,25 @@
 //! The answer is read completely before any of it is forwarded, so that the
 //! request can be sent again if the answer breaks off.
 
-use super::{
-    app::App,
-    attempt::{self, AttemptParams, Outcome},
-    body::{Body, full_body},
-    call::{self, Call},
-    pool::Answer,
-    refusal::Refusal,
-    registry::{Choice, Requirements},
-    retry::{RetryLimits, RetryState},
+use super::retry::{RetryLimits, RetryState};
+use crate::{
+    direct::{
+        app::App,
+        fleet::registry::{Choice, Requirements},
+        link::{
+            attempt::{self, AttemptParams, Outcome},
+            pool::Answer,
+        },
+        request::{
+            body::{Body, full_body},
+            call::{self, Call},
+            refusal::Refusal,
+        },
+    },
+    prelude::*,
+    routing::budget::Cause,
+    site::document::Class,
 };
-use crate::{prelude::*, routing::budget::Cause, site::document::Class};
 use bytes::Bytes;
 use http::Response;
 use http_body_util::{BodyExt as _, Limited};
--- a/src/cardamomtally/direct/retry.rs
+++ b/src/cardamomtally/direct/serve/retry.rs
@@ -1,8 +1,15 @@
 //! Limits on how often one request is sent, and the final answer when it may
 //! not be sent again.
 
-use super::{app::App, call::Call, refusal::Refusal, registry::NoChoice};
-use crate::{prelude::*, routing::budget::Cause};
+use crate::{
+    direct::{
+        app::App,
+        fleet::registry::NoChoice,
+        request::{call::Call, refusal::Refusal},
+    },
+    prelude::*,
+    routing::budget::Cause,
+};
 use http::StatusCode;
 use rand::Rng as _;
 
--- a/src/cardamomtally/direct/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -9,19 +9,28 @@
 //! take it for complete.
 
 use super::{
-    app::App,
-    attempt::{self, AttemptParams, Outcome},
-    body::{Body, BodyError, full_body},
-    call::{self, Call},
     escalate,
-    events::{EventSplitter, Events},
-    pool::Answer,
-    refusal::Refusal,
-    registry::{Choice, NoChoice, Requirements},
     retry::{RetryLimits, RetryState},
-    source::{EventSource, Next, StreamTiming},
 };
-use crate::{prelude::*, routing::budget::Cause};
+use crate::{
+    direct::{
+        app::App,
+        fleet::registry::{Choice, NoChoice, Requirements},
+        link::{
+            attempt::{self, AttemptParams, Outcome},
+            pool::Answer,
+            source::{EventSource, Next, StreamTiming},
+        },
+        request::{
+            body::{Body, BodyError, full_body},
+            call::{self, Call},
+            events::{EventSplitter, Events},
+            refusal::Refusal,
+        },
+    },
+    prelude::*,
+    routing::budget::Cause,
+};
 use bytes::Bytes;
 use futures::stream;
 use http::{Response, response::Parts};
--- a/tests/testsuite/direct/cascade.rs
+++ b/tests/testsuite/direct/cascade.rs
@@ -5,7 +5,7 @@
 };
 use crate::site::fixtures::document;
 use cardamomtally::{
-    direct::escalate,
+    direct::serve::escalate,
     routing::budget::{Budget, Cause},
     site::document::{Class, Document},
 };
--- a/tests/testsuite/direct/choice.rs
+++ b/tests/testsuite/direct/choice.rs
@@ -4,9 +4,9 @@
 use cardamomtally::{
     core::clock::SystemClock,
     direct::{
-        placement::Prompt,
-        poller::ConfigSnapshot,
-        registry::{Choice, NoChoice, Registry, Requirements},
+        config::snapshot::ConfigSnapshot,
+        fleet::registry::{Choice, NoChoice, Registry, Requirements},
+        request::prompt::Prompt,
     },
     prelude::*,
     site::{
--- a/tests/testsuite/direct/config_lease.rs
+++ b/tests/testsuite/direct/config_lease.rs
@@ -4,9 +4,10 @@
 use crate::{site::fixtures::document, support::wait::eventually};
 use cardamomtally::{
     core::clock::{CLOCK_ID, SystemClock},
-    direct::{
+    direct::config::{
         outcomes::OutcomeCounts,
-        poller::{ConfigPoller, ConfigSnapshot, PollerSettings},
+        poller::{ConfigPoller, PollerSettings},
+        snapshot::ConfigSnapshot,
     },
     prelude::*,
     site::{document::Class, poll::PollReply, state::Fleet},
--- a/tests/testsuite/direct/fixtures.rs
+++ b/tests/testsuite/direct/fixtures.rs
@@ -6,9 +6,9 @@
     core::clock::SystemClock,
     direct::{
         app::App,
+        config::poller::PollerSettings,
         daemon::{self, DirectSettings, Parts},
         listener,
-        poller::PollerSettings,
     },
     net::{
         codec,
--- a/tests/testsuite/direct/parts.rs
+++ b/tests/testsuite/direct/parts.rs
@@ -3,11 +3,13 @@
 use super::fixtures::event;
 use bytes::Bytes;
 use cardamomtally::direct::{
-    attempt,
-    call::{self, PromptPart},
-    events::EventSplitter,
-    names::HeaderNames,
-    statement::Statement,
+    fleet::statement::Statement,
+    link::attempt,
+    request::{
+        call::{self, PromptPart},
+        events::EventSplitter,
+        names::HeaderNames,
+    },
 };
 use http::{HeaderMap, HeaderValue, StatusCode};
 use proptest::prelude::*;
--- a/tests/testsuite/direct/peers.rs
+++ b/tests/testsuite/direct/peers.rs
@@ -5,10 +5,9 @@
 use cardamomtally::{
     core::clock::SystemClock,
     direct::{
-        backlog::BacklogSums,
-        peers::Peers,
-        placement::Prompt,
-        registry::{Registry, Requirements},
+        exchange::{backlog::BacklogSums, peers::Peers},
+        fleet::registry::{Registry, Requirements},
+        request::prompt::Prompt,
     },
     prelude::*,
     routing::rendezvous,
@@ -33,9 +32,9 @@
     let address = socket.local_addr().unwrap();
     let (incoming, outgoing) = (Arc::clone(&socket), socket);
     let (own, seen) = (Arc::clone(&peers), Arc::clone(&registry));
-    tokio::spawn(async move { own.receive_loop(&incoming, &seen).await });
+    tokio::spawn(async move { own.receive_loop(&incoming, &*seen).await });
     let (own, seen) = (Arc::clone(&peers), Arc::clone(&registry));
-    tokio::spawn(async move { own.send_loop(&outgoing, &seen).await });
+    tokio::spawn(async move { own.send_loop(&outgoing, &*seen).await });
     Entry {
         registry,
         peers,
--- a/tests/testsuite/direct/placement.rs
+++ b/tests/testsuite/direct/placement.rs
@@ -2,9 +2,12 @@
 
 use cardamomtally::{
     direct::{
-        backlog::Backlog,
-        placement::{self, Candidate, Estimate, Prompt},
-        speed::{Speed, Speeds},
+        exchange::backlog::Backlog,
+        fleet::{
+            placement::{self, Candidate, Estimate},
+            speed::{Speed, Speeds},
+        },
+        request::prompt::Prompt,
     },
     prelude::*,
 };
--- a/tests/testsuite/direct/slow_links.rs
+++ b/tests/testsuite/direct/slow_links.rs
@@ -6,7 +6,7 @@
 };
 use cardamomtally::{
     core::clock::SystemClock,
-    direct::{
+    direct::config::{
         outcomes::OutcomeCounts,
         poller::{ConfigPoller, PollerSettings},
     },
--- a/tests/testsuite/direct/streams.rs
+++ b/tests/testsuite/direct/streams.rs
@@ -6,7 +6,9 @@
     stream_end, stream_head,
 };
 use crate::{site::fixtures::document, support::wait::eventually};
-use cardamomtally::{prelude::*, routing::rendezvous, site::document::Class};
+use cardamomtally::{
+    direct::exchange::peers::Knowledge as _, prelude::*, routing::rendezvous, site::document::Class,
+};
 use std::io::{Read as _, Write as _};
 
 fn complete_stream(instance: &str, count: u64) -> Server {
