Try all backend servers that refuse connections, not only the first three

What callers saw: 503 while most backend servers ran, after three of eight had ended at once. An attempt that was never sent counted as a rejection, of which a request bears two. Such an attempt takes a fraction of a millisecond, costs neither the backend server nor the retry budget, and cannot have run.

Now up to twelve such attempts are made. The new test failed before (503 at six servers, five of which refuse connections).

--- a/src/cardamomtally/direct/serve/plain.rs
+++ b/src/cardamomtally/direct/serve/plain.rs
@@ -107,7 +107,7 @@
                 Cause::Failed
             }
             AttemptResult::NotSent(_) => {
-                progress.retries.refused += 1;
+                progress.retries.unsent += 1;
                 Cause::NotSent
             }
             AttemptResult::Rejected(_) => {
--- a/src/cardamomtally/direct/serve/retry.rs
+++ b/src/cardamomtally/direct/serve/retry.rs
@@ -19,7 +19,7 @@
 pub struct RetryLimits {
     /// Least time that must remain before the deadline to send the request.
     pub min_time: Duration,
-    /// Number of refusals after which the request may still be sent again; one
+    /// Number of rejections after which the request may still be sent again; one
     /// more ends it. Attempts that may have run are limited separately, by the
     /// route.
     pub max_refusals: u32,
@@ -28,6 +28,10 @@
     pub retry_after: Duration,
 }
 
+/// Number of attempts that were never sent after which a request may still be sent again.
+/// They cost neither the backend servers nor the retry budget anything, but time.
+const MAX_UNSENT: u32 = 12;
+
 /// Part of a pause over which the callers that come back after it are spread.
 const SPREAD_SHARE: f64 = 0.25;
 /// Least time over which they are spread.
@@ -48,9 +52,11 @@
     pub tried: Vec<Name>,
     /// Number of attempts that may have run the request.
     pub runs: u32,
-    /// Number of attempts that provably did not run it: rejected, or never
-    /// sent.
+    /// Number of attempts that backend servers rejected, so that they did not
+    /// run it.
     pub refused: u32,
+    /// Number of attempts that were never sent.
+    pub unsent: u32,
 }
 
 impl RetryState {
@@ -62,6 +68,7 @@
             tried: Vec::new(),
             runs: 0,
             refused: 0,
+            unsent: 0,
         }
     }
 
@@ -91,7 +98,10 @@
         if self.runs > 0 && !call.route.class.repeats() {
             return Err(self.final_refusal(StatusCode::BAD_GATEWAY, "the backend server failed"));
         }
-        if self.runs >= call.route.attempts || self.refused > self.limits.max_refusals {
+        let exhausted = self.runs >= call.route.attempts
+            || self.refused > self.limits.max_refusals
+            || self.unsent > MAX_UNSENT;
+        if exhausted {
             return Err(self.final_refusal(StatusCode::BAD_GATEWAY, "no attempt is left"));
         }
         if !app.spend_retry(&call.service.name, cause) {
--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -233,7 +233,7 @@
             Outcome::NotSent(_) => {
                 let mut choice = choice;
                 choice.record_unreachable();
-                self.retries.refused += 1;
+                self.retries.unsent += 1;
                 self.allow_retry(Cause::NotSent)?;
                 Ok(None)
             }
--- a/tests/testsuite/direct/once.rs
+++ b/tests/testsuite/direct/once.rs
@@ -89,6 +89,19 @@
     assert_eq!(second.seen().len(), 4);
 }
 
+#[test]
+fn request_is_served_while_more_servers_than_its_attempts_refuse_connections() {
+    let gone = ["i-1", "i-2", "i-3", "i-4", "i-5"].map(unreachable);
+    let runs = answering("i-6");
+    let mut servers: Vec<&Server> = gone.iter().collect();
+    servers.push(&runs);
+    let entry = Entry::start(Class::Once, &servers);
+
+    let got = entry.ask(&request("a-1", "", ""));
+
+    assert_eq!(got.status, 200, "{got:?}");
+}
+
 #[test]
 fn rejected_request_is_sent_elsewhere_and_then_refused_as_not_run() {
     let (first, second) = (rejecting("i-1"), rejecting("i-2"));
