Quarantine requests that end backend servers, at all entries

What callers saw: BUDGET. A request under which three backend servers had ended was sent to six more; eleven ended in all, and the service was down meanwhile.

Cause: direct dispatch took an end for an ordinary failure, retried elsewhere and forgot it with the request.

Now a connection that fails is followed by a check whether the backend server refuses the next one. If so, the content that ran there has an end against it; an answer in full clears it. Evidence goes to the other entries by datagram and to control with the poll; each entry decides by itself at three separate ends, and the leader puts the verdict into the log, grants rare probes and lifts it. `control::suspects` moves to the new folder.

--- a/src/cardamomtally/control/mod.rs
+++ b/src/cardamomtally/control/mod.rs
@@ -10,7 +10,7 @@
 //! ([`rounds`]) and answered from the state that the round confirmed. The member
 //! records which configuration each process holds ([`processes`]). Polls also
 //! report outcomes of versions ([`health`]) and crashes of backend servers
-//! ([`suspects`]). The leader's periodic tasks are in [`leader_tasks`].
+//! ([`suspects`](crate::quarantine::suspects)). The leader's periodic tasks are in [`leader_tasks`].
 //!
 //! Operators read the state of the system from [`status`]. The watchdog of the
 //! poll listener is in [`listener`].
@@ -30,7 +30,6 @@
 mod run;
 pub mod state;
 pub mod status;
-pub mod suspects;
 pub mod ticket;
 pub mod view;
 
--- a/src/cardamomtally/control/state.rs
+++ b/src/cardamomtally/control/state.rs
@@ -6,7 +6,7 @@
 //! suspension, or its end) arrives as a command.
 
 use super::{
-    orders, suspects,
+    orders,
     ticket::{Fault, Ticket, validate},
 };
 use crate::{
@@ -19,6 +19,7 @@
         id::{Index, Name},
     },
     net::wire::CrashReport,
+    quarantine::suspects,
     settings::control::Numbering,
 };
 use serde::{Deserialize, Serialize};
--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -2,7 +2,11 @@
 
 use super::{
     config::{outcomes::OutcomeCounts, poller::ConfigPoller},
-    exchange::peers::Peers,
+    content::guard::ContentGuard,
+    exchange::{
+        backlog::BacklogSums,
+        peers::{Knowledge, Peers},
+    },
     fleet::{
         pacing::sharing_entries,
         registry::{Choice, Registry},
@@ -13,6 +17,7 @@
 };
 use crate::{
     prelude::*,
+    quarantine::report::Report,
     routing::budget::{BudgetTerms, Cause, SharedBudget},
 };
 use slog::Logger;
@@ -41,6 +46,8 @@
     pub pool: Pool,
     /// Exchange of backlog sums with the other entries.
     pub peers: Arc<Peers>,
+    /// Keeps content that ends backend servers from being sent.
+    pub content: Arc<ContentGuard>,
     /// Counts of answers since the last poll.
     pub counts: Arc<OutcomeCounts>,
     /// Clock that goes on while the VM is suspended.
@@ -135,6 +142,24 @@
     }
 }
 
+impl Knowledge for App {
+    fn apply_peer_sums(&self, entry: &Name, sums: BacklogSums) {
+        self.registry.apply_peer_sums(entry, sums);
+    }
+
+    fn own_sums(&self, max: usize) -> BacklogSums {
+        self.registry.own_sums(max)
+    }
+
+    fn merge(&self, report: &Report) {
+        self.content.merge(report);
+    }
+
+    fn news(&self) -> Report {
+        self.content.news()
+    }
+}
+
 /// Returns the time to the first byte in percent of the expected time.
 fn lateness(first: Duration, expected: Duration) -> u32 {
     let expected = expected.as_secs_f64().max(0.001);
--- a/src/cardamomtally/direct/config/poller.rs
+++ b/src/cardamomtally/direct/config/poller.rs
@@ -12,7 +12,7 @@
 //! entry fetches a document, it knows that a newer one is in force, and its lease
 //! ends sooner than that of an entry which knows of none.
 
-use super::{outcomes::OutcomeCounts, snapshot::ConfigSnapshot};
+use super::{evidence::EvidenceExchange, outcomes::OutcomeCounts, snapshot::ConfigSnapshot};
 use crate::{
     direct::exchange::peers::Peers,
     net::{
@@ -21,9 +21,10 @@
         wire::{Request, Response},
     },
     prelude::*,
+    quarantine::fingerprint::Fingerprint,
     site::{
         document::Document,
-        poll::{self, Poll, PollReply},
+        poll::{self, Outcomes, Poll, PollReply},
         selection::MemberSelection,
         state::Fleet,
         table::Table,
@@ -85,6 +86,7 @@
     transport: Arc<dyn Transport>,
     counts: Arc<OutcomeCounts>,
     peers: Option<Arc<Peers>>,
+    evidence: Option<Arc<dyn EvidenceExchange>>,
     /// Wakes those who wait for the first document. Configurations without a document are
     /// published before it.
     published: Notify,
@@ -141,6 +143,7 @@
             transport,
             counts,
             peers: None,
+            evidence: None,
             published: Notify::new(),
             clock,
             log,
@@ -157,6 +160,16 @@
         }
     }
 
+    /// Returns the poller with a source of evidence, to which the verdicts of control are
+    /// given.
+    #[must_use]
+    pub fn with_evidence(self, evidence: Arc<dyn EvidenceExchange>) -> Self {
+        Self {
+            evidence: Some(evidence),
+            ..self
+        }
+    }
+
     /// Returns the configuration. If there is no document yet, as just after a
     /// start, waits for the first one for at most `limit`.
     pub async fn wait_for_document(&self, limit: Duration) -> Arc<ConfigSnapshot> {
@@ -209,6 +222,8 @@
     async fn poll(&self, member: &Name, state: &mut PollState) -> bool {
         let current = self.current();
         let outcomes = self.counts.take();
+        let evidence = self.evidence.as_ref().map(|e| e.outgoing());
+        let evidence = evidence.unwrap_or_default();
         let poll = Poll {
             name: Arc::clone(&self.settings.name),
             document: current.document,
@@ -224,18 +239,24 @@
             outcomes: outcomes.clone(),
             parts: true,
             fleet_parts: true,
+            verdicts: evidence.index,
+            evidence: evidence.report,
+            hits: evidence.hits.clone(),
         };
         let sent = self.clock.now();
         let reply = match self.call_poll(member, &poll).await {
             Ok(reply) => reply,
             Err(error) => {
-                self.counts.put_back(outcomes);
+                self.put_back(outcomes, evidence.hits);
                 self.mark_unreachable(member, &error, &mut state.selection);
                 return false;
             }
         };
         if !reply.leads {
-            self.counts.put_back(outcomes);
+            self.put_back(outcomes, evidence.hits);
+        }
+        if let (Some(evidence), Some(verdicts)) = (&self.evidence, &reply.verdicts) {
+            evidence.apply(verdicts);
         }
         if state.selection.record_answer(&reply) {
             info!(self.log, "poll: control answers again"; "member" => &**member);
@@ -248,6 +269,14 @@
         true
     }
 
+    /// Takes back what a poll has not reported to the leader.
+    fn put_back(&self, outcomes: Vec<Outcomes>, hits: Vec<Fingerprint>) {
+        self.counts.put_back(outcomes);
+        if let Some(evidence) = &self.evidence {
+            evidence.put_back(hits);
+        }
+    }
+
     async fn call_poll(&self, member: &Name, poll: &Poll) -> eyre::Result<PollReply> {
         let request = Request::Site(codec::encode(poll).into());
         match self.call(member, request).await? {
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -10,9 +10,11 @@
 use super::{
     app::App,
     config::{
+        evidence::EvidenceExchange,
         outcomes::OutcomeCounts,
         poller::{ConfigPoller, PollerSettings},
     },
+    content::guard::ContentGuard,
     exchange::peers::Peers,
     fleet::registry::Registry,
     link::pool::Pool,
@@ -129,13 +131,26 @@
         Arc::clone(&clock),
         parts.log.clone(),
     );
-    let poller = poller.with_peers(Arc::clone(&peers));
     let registry = Registry::new(Arc::clone(&clock), Arc::clone(&settings.centre));
+    let registry = Arc::new(registry.with_peers(Arc::clone(&peers)));
+    let content = Arc::new(ContentGuard::new(
+        Arc::clone(&settings.poller.name),
+        Arc::clone(&registry),
+        Arc::clone(&peers),
+        settings.connect_timeout,
+        Arc::clone(&clock),
+        parts.log.clone(),
+    ));
+    let evidence = Arc::clone(&content) as Arc<dyn EvidenceExchange>;
+    let poller = poller
+        .with_peers(Arc::clone(&peers))
+        .with_evidence(evidence);
     Arc::new(App {
         names: settings.names.clone(),
         config: Arc::new(poller),
-        registry: Arc::new(registry.with_peers(Arc::clone(&peers))),
+        registry,
         peers,
+        content,
         pool: Pool::new(Arc::clone(&clock), settings.connect_timeout),
         counts,
         clock,
@@ -201,13 +216,10 @@
     };
     let (receiver, incoming) = (Arc::clone(app), Arc::clone(&socket));
     tokio::spawn(async move {
-        receiver
-            .peers
-            .receive_loop(&incoming, &*receiver.registry)
-            .await;
+        receiver.peers.receive_loop(&incoming, &*receiver).await;
     });
     let sender = Arc::clone(app);
-    tokio::spawn(async move { sender.peers.send_loop(&socket, &*sender.registry).await });
+    tokio::spawn(async move { sender.peers.send_loop(&socket, &*sender).await });
 }
 
 async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
@@ -229,6 +241,7 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         app.pool.sweep();
         app.registry.sweep(&app.config.current());
+        app.content.sweep();
     }
 }
 
--- a/src/cardamomtally/direct/exchange/peers.rs
+++ b/src/cardamomtally/direct/exchange/peers.rs
@@ -1,4 +1,5 @@
-//! Exchanges the entries' backlogs among the entries.
+//! Exchanges the entries' backlogs, and their evidence on content that ends backend
+//! servers, among the entries.
 //!
 //! One datagram holds all sums of an entry, see [`super::backlog`]. It is sent
 //! shortly after a change and repeated while work waits. UDP is used instead of
@@ -6,7 +7,7 @@
 //! again, and no connection to every other entry has to be kept open.
 
 use super::backlog::BacklogSums;
-use crate::{net::codec, prelude::*};
+use crate::{net::codec, prelude::*, quarantine::report::Report};
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, debug, warn};
@@ -25,6 +26,8 @@
 const RESEND_INTERVAL: Duration = Duration::from_millis(200);
 /// Largest number of sums in a message, so that it fits into one packet.
 const MAX_SUMS: usize = 96;
+/// Largest number of ends and items of evidence in a message, for the same reason.
+const MAX_EVIDENCE: usize = 40;
 /// Size of the receive buffer; longer messages are cut off and fail to decode.
 const MAX_MESSAGE_BYTES: usize = 2_048;
 
@@ -34,9 +37,13 @@
     /// Name of the sending entry.
     #[serde(rename = "n")]
     pub entry: Name,
-    /// All its sums. They replace those of its earlier messages.
-    #[serde(rename = "s")]
-    pub sums: BacklogSums,
+    /// All its sums, which replace those of its earlier messages.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub sums: Option<BacklogSums>,
+    /// Evidence on content that ends backend servers, which adds to that of earlier
+    /// messages.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub evidence: Report,
 }
 
 /// What an entry knows that the other entries can use.
@@ -47,6 +54,14 @@
     /// Returns this entry's own backlog as at most `max` sums, the largest
     /// first. Also drops outdated reports of other entries.
     fn own_sums(&self, max: usize) -> BacklogSums;
+
+    /// Adds another entry's evidence on content that ends backend servers.
+    fn merge(&self, _report: &Report) {}
+
+    /// Returns evidence that changed lately.
+    fn news(&self) -> Report {
+        Report::new()
+    }
 }
 
 /// Sends this entry's backlog to the other entries and receives theirs.
@@ -104,7 +119,7 @@
                 }
             };
             match codec::decode::<Message>(&bytes[..length]) {
-                Ok(message) => known.apply_peer_sums(&message.entry, message.sums),
+                Ok(message) => apply(known, message),
                 Err(_undecodable) => {
                     warn!(self.log, "peers: malformed datagram ignored"; "from" => %from);
                 }
@@ -119,29 +134,78 @@
         loop {
             let wait = tokio::time::timeout(RESEND_INTERVAL, self.changed.notified()).await;
             self.dirty.store(false, Ordering::Release);
+            let told = self.tell_news(socket, known.news()).await;
             let sums = known.own_sums(MAX_SUMS);
             let repeats = wait.is_err() && !sums.is_empty();
-            if sums == last && !repeats {
+            if sums != last || repeats {
+                self.broadcast(socket, sums.clone()).await;
+                last = sums;
+            } else if !told {
                 continue;
             }
-            self.broadcast(socket, sums.clone()).await;
-            last = sums;
             let gap = SEND_GAP_PER_PEER * self.addresses().len() as u32;
             tokio::time::sleep(gap.max(MIN_SEND_GAP)).await;
         }
     }
 
+    /// Sends evidence to all other entries, in as many messages as it needs. Returns
+    /// whether there was any.
+    async fn tell_news(&self, socket: &UdpSocket, news: Report) -> bool {
+        let told = !news.is_empty();
+        for evidence in split(news) {
+            let message = Message {
+                entry: Arc::clone(&self.entry),
+                sums: None,
+                evidence,
+            };
+            self.send(socket, &message).await;
+        }
+        told
+    }
+
     /// Sends sums to all other entries once.
     pub async fn broadcast(&self, socket: &UdpSocket, sums: BacklogSums) {
         let message = Message {
             entry: Arc::clone(&self.entry),
-            sums,
+            sums: Some(sums),
+            evidence: Report::new(),
         };
-        let bytes = codec::encode(&message);
+        self.send(socket, &message).await;
+    }
+
+    async fn send(&self, socket: &UdpSocket, message: &Message) {
+        let bytes = codec::encode(message);
         for address in self.addresses().iter() {
             if let Err(error) = socket.send_to(&bytes, *address).await {
-                debug!(self.log, "peers: sending backlog sums failed"; "to" => %address, "error" => %error);
+                debug!(self.log, "peers: sending a message failed"; "to" => %address, "error" => %error);
             }
         }
     }
 }
+
+fn apply(known: &dyn Knowledge, message: Message) {
+    if let Some(sums) = message.sums {
+        known.apply_peer_sums(&message.entry, sums);
+    }
+    if !message.evidence.is_empty() {
+        known.merge(&message.evidence);
+    }
+}
+
+/// Splits evidence so that each piece fits into one message.
+fn split(news: Report) -> Vec<Report> {
+    let mut pieces: Vec<Report> = Vec::new();
+    let mut size = MAX_EVIDENCE;
+    for item in news {
+        let needed = 1 + item.ends.len();
+        if size + needed > MAX_EVIDENCE {
+            pieces.push(Report::new());
+            size = 0;
+        }
+        size += needed;
+        if let Some(piece) = pieces.last_mut() {
+            piece.push(item);
+        }
+    }
+    pieces
+}
--- a/src/cardamomtally/direct/fleet/registry.rs
+++ b/src/cardamomtally/direct/fleet/registry.rs
@@ -84,6 +84,9 @@
     /// Backend servers that are excluded because this request was already sent
     /// there.
     pub tried: &'a [Name],
+    /// Whether the request goes where the fewest others run, since its content may end the
+    /// backend server.
+    pub careful: bool,
 }
 
 impl Requirements<'_> {
@@ -266,7 +269,14 @@
                 cached: is_home || prefix.is_some_and(|prefix| node.has_prefix(prefix, now)),
             };
             let estimate = placement::estimate(&wanted.prompt, speed, &candidate);
-            if best.is_none_or(|(_, _, least)| estimate.cost < least.cost) {
+            let better = |(_, other, least): &(&Backend, Candidate, Estimate)| {
+                if wanted.careful {
+                    in_flight < other.in_flight
+                } else {
+                    estimate.cost < least.cost
+                }
+            };
+            if best.as_ref().is_none_or(better) {
                 best = Some((backend, candidate, estimate));
             }
         }
@@ -317,6 +327,16 @@
         statement.leaving && node.withdrawal.leave()
     }
 
+    /// Records that a backend server has ended, so that nothing is sent there for a while.
+    pub fn record_ended(&self, key: ServerKey) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let found = state.nodes.values_mut().find(|node| node.key == key);
+        if let Some(node) = found.filter(|node| node.breaker.allows(now)) {
+            node.breaker.record_failure(CONNECT_BREAKER, now);
+        }
+    }
+
     fn notify_peers(&self, work: f64) {
         if let Some(peers) = self.peers.as_ref().filter(|_| work >= NOTIFY_MIN_MS) {
             peers.mark_changed();
--- a/src/cardamomtally/direct/link/attempt.rs
+++ b/src/cardamomtally/direct/link/attempt.rs
@@ -29,6 +29,9 @@
     /// The attempt failed in a way that leaves open whether the request has
     /// run.
     Unknown(&'static str),
+    /// The connection failed, which leaves open whether the request has run, and
+    /// whether the backend server has ended.
+    Broken(&'static str),
     /// No answer came within the time limit. The request may have run.
     Silent,
 }
@@ -41,7 +44,7 @@
             Self::Answered(answer) => format!("answered {}", answer.response.status().as_u16()),
             Self::NotSent(why) => format!("not sent: {why}"),
             Self::Rejected(why) => format!("rejected: {why}"),
-            Self::Unknown(why) => format!("unknown: {why}"),
+            Self::Broken(why) | Self::Unknown(why) => format!("unknown: {why}"),
             Self::Silent => "unknown: no answer within the time limit".to_owned(),
         }
     }
@@ -117,7 +120,7 @@
             return Outcome::Unknown("the answer is not valid HTTP");
         }
         Err(SendError::Broken(_)) => {
-            return Outcome::Unknown("the connection failed before an answer");
+            return Outcome::Broken("the connection failed before an answer");
         }
     };
     let (status, headers) = (answer.response.status(), answer.response.headers());
--- a/src/cardamomtally/direct/link/source.rs
+++ b/src/cardamomtally/direct/link/source.rs
@@ -25,6 +25,12 @@
     pub splitter: EventSplitter,
     /// Time for which the connection may stay idle afterwards.
     pub keep_alive: Option<Duration>,
+    /// When the request was sent.
+    pub sent: Mono,
+    /// When the head of the answer arrived.
+    pub began: Mono,
+    /// Whether the answer has gone on long enough to speak for its content.
+    pub vindicated: bool,
 }
 
 /// What the stream has produced.
@@ -34,8 +40,10 @@
     Events(Events),
     /// The proper end of the stream.
     End,
-    /// The stream broke off, for the given reason.
+    /// What arrived is no valid stream, for the given reason.
     Broken(&'static str),
+    /// The connection ended before the stream did, for the given reason.
+    Cut(&'static str),
     /// No event arrived for the given time, and the stream is to be resumed
     /// elsewhere.
     Silent(Duration),
@@ -70,13 +78,13 @@
         loop {
             let Some(frame) = self.body.frame().await else {
                 return if self.splitter.is_partial() {
-                    Next::Broken("the stream ended in the middle of an event")
+                    Next::Cut("the stream ended in the middle of an event")
                 } else {
                     Next::End
                 };
             };
             let Ok(frame) = frame else {
-                return Next::Broken("the connection failed during the stream");
+                return Next::Cut("the connection failed during the stream");
             };
             // Trailers are not forwarded.
             let Ok(bytes) = frame.into_data() else {
--- a/src/cardamomtally/direct/mod.rs
+++ b/src/cardamomtally/direct/mod.rs
@@ -6,14 +6,16 @@
 //! by its cost and the backlog that the entries [`exchange`], and sends the request over a
 //! [`link`], which decides whether the request may have run. A request is sent again only
 //! if it provably has not run, or if its route allows it to run more than once. All other
-//! requests therefore run at most once.
+//! requests therefore run at most once. Content that ends backend servers is not sent
+//! ([`content`]).
 //!
 //! The folders depend on each other in one direction: `serve` on [`app`], which all
-//! requests share, `app` on `link`, `fleet` and `config`, these on `exchange` and
-//! `request`.
+//! requests share, `app` on [`content`], this on `link`, `fleet` and `config`, and these on
+//! `exchange` and `request`.
 
 pub mod app;
 pub mod config;
+pub mod content;
 pub mod daemon;
 pub mod decisions;
 pub mod exchange;
--- a/src/cardamomtally/direct/request/call.rs
+++ b/src/cardamomtally/direct/request/call.rs
@@ -3,6 +3,7 @@
 use super::{names::HeaderNames, prompt::Prompt};
 use crate::{
     prelude::*,
+    quarantine::fingerprint::{Content, Fingerprint},
     routing::rendezvous,
     site::{
         document::{Route, Service},
@@ -75,6 +76,8 @@
     pub any_model: bool,
     /// The model that the caller has chosen, if any.
     pub model: Option<Name>,
+    /// Its content, as far as verdicts can be about it.
+    pub content: Content,
 }
 
 impl Call {
@@ -84,6 +87,17 @@
         self.deadline.since(now)
     }
 
+    /// Returns the fingerprints of the request and of its prompt's parts.
+    #[must_use]
+    pub fn fingerprints(&self) -> Vec<Fingerprint> {
+        let caller = self.content.caller;
+        let target = format!("{} {}", self.route.name, self.uri);
+        let compute = || Fingerprint::of_request(self.method.as_str(), &target, caller, &self.body);
+        let mut all = vec![self.content.whole(compute)];
+        all.extend(&self.content.parts);
+        all
+    }
+
     /// Returns the request id as text for the log, or `?` if it is not text.
     #[must_use]
     pub fn id_text(&self) -> &str {
--- a/src/cardamomtally/direct/serve/handler.rs
+++ b/src/cardamomtally/direct/serve/handler.rs
@@ -12,6 +12,7 @@
         },
     },
     prelude::*,
+    quarantine::fingerprint::{CallerKey, Content},
     routing::rendezvous,
     site::{
         document::{Class, Route},
@@ -219,8 +220,8 @@
         let detail = "the route's service is not known";
         return Err(Refusal::unavailable(detail, NO_LEASE_RETRY));
     };
-    let caller = header_number(&parts.headers, &names.deadline).map(Duration::from_millis);
-    let limit = caller.map_or(route.timeout, |caller| caller.min(route.timeout));
+    let given = header_number(&parts.headers, &names.deadline).map(Duration::from_millis);
+    let limit = given.map_or(route.timeout, |given| given.min(route.timeout));
     let mut shared =
         header_text(&parts.headers, &names.prefix).map_or_else(Vec::new, call::parse_parts);
     let own = shared.pop();
@@ -228,6 +229,7 @@
     let tokens = header_text(&parts.headers, &names.tokens).map_or((0, 0), call::parse_tokens);
     let model = header_text(&parts.headers, &names.model);
     let priority = workspace.as_ref().and_then(|h| h.priority);
+    let caller = CallerKey::of(workspace.as_ref().map(|owner| &*owner.name));
     Ok(Call {
         id: id.clone(),
         method: parts.method.clone(),
@@ -245,6 +247,7 @@
         service: Arc::clone(service),
         route,
         workspace,
+        content: Content::new(caller, std::iter::empty()),
     })
 }
 
--- a/src/cardamomtally/direct/serve/plain.rs
+++ b/src/cardamomtally/direct/serve/plain.rs
@@ -24,7 +24,7 @@
 };
 use bytes::Bytes;
 use http::Response;
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 
 /// Longest body that is buffered and forwarded. A longer answer counts as a
 /// failure.
@@ -83,12 +83,15 @@
     loop {
         let now = app.clock.now();
         let left = progress.retries.remaining(app, call)?;
+        let leave = app.content.admit(call);
+        let leave = leave.map_err(|hold| progress.retries.held_back(hold))?;
         let wanted = Requirements {
             service: &call.service,
             session: call.session,
             model: call.model.as_deref(),
             prompt: call.prompt,
             tried: &progress.retries.tried,
+            careful: leave.careful,
         };
         let choice = app.registry.choose(&app.config.current(), &wanted);
         let mut choice = choice.map_err(|why| progress.retries.no_backend(why))?;
@@ -114,7 +117,7 @@
                 progress.retries.refused += 1;
                 Cause::Rejected
             }
-            AttemptResult::Unknown(_) => {
+            AttemptResult::Broken(_) | AttemptResult::Unknown(_) => {
                 progress.retries.runs += 1;
                 Cause::Failed
             }
@@ -141,6 +144,7 @@
     Done(BufferedAnswer),
     NotSent(&'static str),
     Rejected(&'static str),
+    Broken(&'static str),
     Unknown(&'static str),
 }
 
@@ -150,7 +154,7 @@
             Self::Done(done) => format!("answered {}", done.parts.status.as_u16()),
             Self::NotSent(why) => format!("not sent: {why}"),
             Self::Rejected(why) => format!("rejected: {why}"),
-            Self::Unknown(why) => format!("unknown: {why}"),
+            Self::Broken(why) | Self::Unknown(why) => format!("unknown: {why}"),
         }
     }
 }
@@ -178,6 +182,7 @@
             Outcome::NotSent(why) => AttemptResult::NotSent(why),
             Outcome::Rejected(why) => AttemptResult::Rejected(why),
             Outcome::Unknown(why) => AttemptResult::Unknown(why),
+            Outcome::Broken(why) => AttemptResult::Broken(why),
             Outcome::Silent => AttemptResult::Unknown("no answer within the time limit"),
         }
     };
@@ -190,6 +195,7 @@
     match &tried {
         AttemptResult::Done(done) => {
             choice.record_success();
+            app.content.record_good(call);
             let good = !done.parts.status.is_server_error();
             if good {
                 app.count_start(call, choice, first);
@@ -198,18 +204,25 @@
         }
         AttemptResult::NotSent(_) => choice.record_unreachable(),
         AttemptResult::Rejected(_) => {}
-        AttemptResult::Unknown(_) => {
+        AttemptResult::Broken(_) | AttemptResult::Unknown(_) => {
             choice.record_failure();
             app.count_end(call, choice, false);
         }
     }
+    if matches!(tried, AttemptResult::Broken(_)) {
+        app.content.record_break(call, choice, since).await;
+    }
     tried
 }
 
 async fn read_answer(app: &App, choice: &Choice, answer: Answer) -> AttemptResult {
     let (parts, body, connection) = answer.split();
-    let Ok(body) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
-        return AttemptResult::Unknown("the answer's body broke off or is longer than 8 MiB");
+    let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+        Ok(body) => body,
+        Err(error) if error.is::<LengthLimitError>() => {
+            return AttemptResult::Unknown("the answer's body is longer than 8 MiB");
+        }
+        Err(_) => return AttemptResult::Broken("the answer's body broke off"),
     };
     let keep_alive = attempt::parse_keep_alive(&parts.headers);
     app.pool
--- a/src/cardamomtally/direct/serve/retry.rs
+++ b/src/cardamomtally/direct/serve/retry.rs
@@ -4,6 +4,7 @@
 use crate::{
     direct::{
         app::App,
+        content::guard::Hold,
         fleet::registry::NoChoice,
         request::{call::Call, refusal::Refusal},
     },
@@ -91,8 +92,8 @@
     /// # Errors
     ///
     /// Returns the final answer if the deadline is near, if the request may
-    /// have run and must not run twice, if the attempts are used up, or if the
-    /// retry budget is exhausted.
+    /// have run and must not run twice, if the attempts are used up, if too many
+    /// backend servers ended while they ran it, or if the retry budget is exhausted.
     pub fn allow_retry(&self, app: &App, call: &Call, cause: Cause) -> Result<(), Refusal> {
         self.remaining(app, call)?;
         if self.runs > 0 && !call.route.class.repeats() {
@@ -104,6 +105,10 @@
         if exhausted {
             return Err(self.final_refusal(StatusCode::BAD_GATEWAY, "no attempt is left"));
         }
+        if cause == Cause::Failed && !app.content.may_repeat(call) {
+            let detail = "backend servers ended while they ran it";
+            return Err(self.final_refusal(StatusCode::BAD_GATEWAY, detail));
+        }
         if !app.spend_retry(&call.service.name, cause) {
             return Err(self.final_refusal(StatusCode::BAD_GATEWAY, "the retry budget is spent"));
         }
@@ -129,6 +134,14 @@
         refusal
     }
 
+    /// Returns the final answer for a request that is held back because of its content.
+    #[must_use]
+    pub fn held_back(&self, hold: Hold) -> Refusal {
+        let mut refusal = self.final_refusal(StatusCode::BAD_GATEWAY, hold.detail);
+        refusal.retry_after = refusal.retry_after.and(Some(hold.retry_after));
+        refusal
+    }
+
     /// Returns the final answer with the given detail. If none of the attempts
     /// can have run, the answer is a 503 that says so and asks the caller to
     /// retry. Otherwise the answer has the given status and says that the
--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -15,6 +15,7 @@
 use crate::{
     direct::{
         app::App,
+        content::guard::Leave,
         fleet::registry::{Choice, NoChoice, Requirements},
         link::{
             attempt::{self, AttemptParams, Outcome},
@@ -60,6 +61,10 @@
 /// the first event.
 const FIRST_EVENT_EXPECTED_FACTOR: f64 = 3.0;
 
+/// Time from the head of an answer after which its content counts as harmless: content that
+/// ends backend servers does so when they begin to answer.
+const VINDICATION_TIME: Duration = Duration::from_secs(1);
+
 /// A stream that is forwarded from a backend server to the caller, with its
 /// state across attempts.
 struct StreamRelay {
@@ -71,6 +76,8 @@
     events: u32,
     timing: StreamTiming,
     source: Option<EventSource>,
+    /// Whether the current attempt may be sent, and how.
+    leave: Option<Leave>,
     /// The backend server for the next attempt, if it was chosen in advance and
     /// the retry was already taken from the budget.
     reserved: Option<Choice>,
@@ -88,6 +95,7 @@
         events: 0,
         timing: StreamTiming::default(),
         source: None,
+        leave: None,
         reserved: None,
     };
     match relay.open().await {
@@ -133,6 +141,9 @@
                     body,
                     splitter: EventSplitter::default(),
                     keep_alive: attempt::parse_keep_alive(&parts.headers),
+                    sent: since,
+                    began: self.app.clock.now(),
+                    vindicated: false,
                 });
                 return Ok(Opened::Stream(parts));
             }
@@ -175,7 +186,7 @@
         {
             return None;
         }
-        let choice = self.choose(model_index, &[]).ok()?;
+        let choice = self.choose(model_index, &[], false).ok()?;
         let passed = self.app.clock.now().since(self.call.received) + choice.expected_ttft();
         let used = passed.as_secs_f64() / self.call.route.target.as_secs_f64().max(0.001);
         let goes = escalate::should_escalate(confidence, used)
@@ -196,6 +207,14 @@
         self.app.count_end(&self.call, &choice, false);
     }
 
+    /// Records that the connection of an attempt that was sent at `sent` has failed.
+    async fn record_break(&self, choice: &Choice, sent: Mono) {
+        self.app
+            .content
+            .record_break(&self.call, choice, sent)
+            .await;
+    }
+
     async fn forward_failure(&self, parts: &Parts, body: Incoming) -> Response<Body> {
         // If the body of an error answer breaks off, its status is still
         // forwarded, with an empty body.
@@ -214,10 +233,16 @@
     async fn attempt(&mut self) -> Result<Option<(Choice, Answer)>, Refusal> {
         let now = self.app.clock.now();
         let left = self.retries.remaining(&self.app, &self.call)?;
+        // A trial that has ended must not hold up the next one.
+        self.leave = None;
+        let leave = self.app.content.admit(&self.call);
+        let leave = leave.map_err(|hold| self.retries.held_back(hold))?;
+        let careful = leave.careful;
+        self.leave = Some(leave);
         let choice = if let Some(choice) = self.reserved.take() {
             choice
         } else {
-            let chosen = self.choose(self.model_index, &self.retries.tried);
+            let chosen = self.choose(self.model_index, &self.retries.tried, careful);
             chosen.map_err(|why| self.retries.no_backend(why))?
         };
         let instance = Arc::clone(&choice.backend.instance);
@@ -242,6 +267,13 @@
                 self.allow_retry(Cause::Rejected)?;
                 Ok(None)
             }
+            Outcome::Broken(_) => {
+                self.retries.runs += 1;
+                self.record_break(&choice, now).await;
+                self.record_failure(choice);
+                self.allow_retry(Cause::Failed)?;
+                Ok(None)
+            }
             Outcome::Unknown(_) => {
                 self.retries.runs += 1;
                 self.record_failure(choice);
@@ -265,13 +297,19 @@
 
     /// Chooses a backend server for the model at the given place of the
     /// cascade.
-    fn choose(&self, model_index: usize, tried: &[Name]) -> Result<Choice, NoChoice> {
+    fn choose(
+        &self,
+        model_index: usize,
+        tried: &[Name],
+        careful: bool,
+    ) -> Result<Choice, NoChoice> {
         let wanted = Requirements {
             service: &self.call.service,
             session: self.call.session,
             model: self.model_at(model_index).or(self.call.model.as_deref()),
             prompt: self.call.prompt,
             tried,
+            careful,
         };
         let config = self.app.config.current();
         self.app.registry.choose(&config, &wanted)
@@ -372,6 +410,13 @@
                     self.finish();
                     return Ok(None);
                 }
+                Next::Cut(why) => {
+                    if let Some(source) = self.source.take() {
+                        self.record_break(&source.choice, source.sent).await;
+                        self.record_failure(source.choice);
+                    }
+                    self.resume(why).await?;
+                }
                 Next::Broken(why) => {
                     if let Some(source) = self.source.take() {
                         self.record_failure(source.choice);
@@ -404,10 +449,24 @@
         }
         self.last_event = events.last.or(self.last_event);
         self.events += 1;
+        self.vindicate();
         self.timing.record(self.call.received, self.app.clock.now());
         Ok(Some(events.bytes))
     }
 
+    /// Records that the content does not end its backend server, once the answer has gone
+    /// on for a while.
+    fn vindicate(&mut self) {
+        let now = self.app.clock.now();
+        let Some(source) = &mut self.source else {
+            return;
+        };
+        if !source.vindicated && now.since(source.began) >= VINDICATION_TIME {
+            source.vindicated = true;
+            self.app.content.record_good(&self.call);
+        }
+    }
+
     fn log_end(&self, why: &str) {
         self.app.log_end(
             &self.call,
@@ -423,6 +482,7 @@
             return;
         };
         source.choice.record_success();
+        self.app.content.record_good(&self.call);
         self.app.count_end(&self.call, &source.choice, true);
         let address = source.choice.backend.address;
         self.app
@@ -456,7 +516,8 @@
         if !allowed {
             return false;
         }
-        let choice = self.choose(self.model_index, &self.retries.tried).ok();
+        let tried = &self.retries.tried;
+        let choice = self.choose(self.model_index, tried, false).ok();
         let choice = choice.filter(|choice| choice.expected_ttft() <= within);
         self.reserved =
             choice.filter(|_| self.app.spend_retry(&self.call.service.name, Cause::Failed));
--- a/src/cardamomtally/lib.rs
+++ b/src/cardamomtally/lib.rs
@@ -27,6 +27,7 @@
 pub mod net;
 pub mod ops;
 pub mod prelude;
+pub mod quarantine;
 pub mod replica;
 pub mod routing;
 pub mod settings;
--- /dev/null
+++ b/src/cardamomtally/quarantine/report.rs
@@ -0,0 +1,78 @@
+//! Evidence as processes tell it to each other.
+//!
+//! Clocks of processes are not comparable, so times are told as ages. Whoever receives an
+//! item adds it to what it knows; an item that is lost, or comes twice or by several ways,
+//! does no harm.
+
+use super::{
+    evidence::{End, Evidence},
+    fingerprint::{Fingerprint, ServerKey},
+};
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// An end: the instance, the age of the run's beginning and that of the end, in
+/// milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldEnd(pub ServerKey, pub u32, pub u32);
+
+/// Evidence on one piece of content.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Item {
+    /// The content.
+    #[serde(rename = "f")]
+    pub content: Fingerprint,
+    /// Ends of backend servers while it ran there.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub ends: Vec<ToldEnd>,
+    /// Age of the latest answer in full, in milliseconds.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub good: Option<u32>,
+    /// Age of the latest trial, in milliseconds.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub trial: Option<u32>,
+}
+
+/// Evidence that one process tells another.
+pub type Report = Vec<Item>;
+
+impl Item {
+    /// Builds the item that tells evidence at a time.
+    #[must_use]
+    pub fn new(content: Fingerprint, evidence: &Evidence, now: Mono) -> Self {
+        let ends = evidence.ends().iter();
+        Self {
+            content,
+            ends: ends
+                .map(|end| ToldEnd(end.server, age(end.began, now), age(end.at, now)))
+                .collect(),
+            good: evidence.good().map(|at| age(at, now)),
+            trial: evidence.trial().map(|at| age(at, now)),
+        }
+    }
+
+    /// Adds the item to evidence. Returns whether it told anything new.
+    pub fn add_to(&self, evidence: &mut Evidence, now: Mono) -> bool {
+        let mut news = self
+            .good
+            .is_some_and(|age| evidence.add_good(ago(age, now)));
+        for ToldEnd(server, began, at) in &self.ends {
+            news |= evidence.add_end(End {
+                server: *server,
+                began: ago(*began, now),
+                at: ago(*at, now),
+            });
+        }
+        news | self
+            .trial
+            .is_some_and(|age| evidence.add_trial(ago(age, now)))
+    }
+}
+
+fn age(at: Mono, now: Mono) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+fn ago(age: u32, now: Mono) -> Mono {
+    now - Duration::from_millis(u64::from(age))
+}
--- a/src/cardamomtally/site/member/mod.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -20,6 +20,7 @@
     core::log::{Log, LogError},
     net::codec,
     prelude::*,
+    quarantine::review::Review,
     replica::host::{GroupSpec, Host, HostOptions, MemberStatus, Suffrage},
     settings::{
         control::{GroupSettings, MemberSettings},
@@ -142,6 +143,7 @@
 struct Shared {
     canaries: CanaryAnalysis,
     entries: Entries,
+    review: Review,
 }
 
 impl SiteMember {
@@ -310,6 +312,7 @@
                 continue;
             }
             self.step_rollouts().await;
+            self.review_content().await;
             let now = self.clock.now();
             if now.since(last_read) >= period {
                 last_read = now;
@@ -337,6 +340,20 @@
         }
     }
 
+    /// Proposes the verdicts on content that are due.
+    async fn review_content(&self) {
+        let verdicts = self.store.read(|state| Arc::clone(&state.verdicts));
+        let (wall, now) = (self.wall_ms(), self.clock.now());
+        let changes = self.shared().review.changes(&verdicts, wall, now);
+        if changes.is_empty() {
+            return;
+        }
+        info!(self.logger, "site: verdicts on content change"; "changes" => format!("{changes:?}"));
+        if let Err(error) = self.propose(&Command::Verdicts(changes)).await {
+            warn!(self.logger, "site: verdicts on content not committed"; "error" => %error);
+        }
+    }
+
     /// Reads the list of backend servers, and proposes it if it has changed.
     async fn update_backends(&self, inventory: &dyn Inventory) {
         let mut backends = match inventory.list().await {
--- a/src/cardamomtally/site/member/polls.rs
+++ b/src/cardamomtally/site/member/polls.rs
@@ -111,9 +111,10 @@
         let leader = self.log.leader(GroupId::CONFIG);
         let now = self.clock.now();
         let (entries, peers) = self.record_entry(now, &poll, leader.is_self);
-        let (current, fleet) = self
-            .store
-            .read(|state| (state.document.clone(), Arc::clone(&state.fleet)));
+        let (current, fleet, verdicts) = self.store.read(|state| {
+            let (fleet, verdicts) = (Arc::clone(&state.fleet), Arc::clone(&state.verdicts));
+            (state.document.clone(), fleet, verdicts)
+        });
         let inline = !poll.fleet_parts || fleet.backends.len() <= MAX_INLINE_BACKENDS;
         let sends_fleet = fleet.index != poll.fleet && inline;
         let mut reply = PollReply {
@@ -124,6 +125,7 @@
             members: self.members(),
             entries,
             peers,
+            verdicts: (verdicts.index != poll.verdicts).then(|| (*verdicts).clone()),
             ..PollReply::default()
         };
         if let Some((index, current)) = current {
@@ -146,6 +148,9 @@
         let mut shared = self.shared();
         shared.canaries.add(&rollouts, &poll.outcomes);
         shared.entries.record_poll(&poll.name, poll.exchange, now);
+        shared
+            .review
+            .record_poll(&poll.name, &poll.evidence, &poll.hits, now);
         let peers = shared.entries.peers_of(&poll.name);
         let changed = (poll::digest(&peers) != poll.peers).then_some(peers);
         (shared.entries.count(now), changed)
--- a/src/cardamomtally/site/poll.rs
+++ b/src/cardamomtally/site/poll.rs
@@ -1,7 +1,11 @@
 //! Messages between entries and the members that hold a site's document.
 
 use super::{document::Document, state::Fleet};
-use crate::{prelude::*, routing::rendezvous};
+use crate::{
+    prelude::*,
+    quarantine::{fingerprint::Fingerprint, report::Report, verdict::Verdicts},
+    routing::rendezvous,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -63,6 +67,16 @@
     /// a large one.
     #[serde(rename = "u", default)]
     pub fleet_parts: bool,
+    /// Log index of the verdicts on content that the process has.
+    #[serde(rename = "v", default)]
+    pub verdicts: Index,
+    /// Evidence on content that ends backend servers.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub evidence: Report,
+    /// Quarantined content that the process has refused since its last poll that reached
+    /// the leader.
+    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    pub hits: Vec<Fingerprint>,
 }
 
 /// The answer to a poll. It is sent after a quorum round that began when the poll had
@@ -100,6 +114,9 @@
     /// from the one that the poll gave the digest of. Only the leader sends them.
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub peers: Option<Vec<SocketAddr>>,
+    /// The verdicts on content that are in force, if the process has different ones.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub verdicts: Option<Verdicts>,
 }
 
 /// Returns the digest of a list of peers, which is 0 for an empty list.
--- a/src/cardamomtally/site/state.rs
+++ b/src/cardamomtally/site/state.rs
@@ -10,7 +10,11 @@
     document::Document,
     rollout::{Rollout, Stage, Step},
 };
-use crate::{prelude::*, replica::state_machine};
+use crate::{
+    prelude::*,
+    quarantine::verdict::{Change, Verdicts},
+    replica::state_machine,
+};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -71,6 +75,9 @@
     /// Replaces the list of backend servers by a changed one.
     #[serde(rename = "b")]
     Backends(Vec<Backend>),
+    /// Changes the verdicts on content that ends backend servers.
+    #[serde(rename = "q")]
+    Verdicts(Vec<Change>),
 }
 
 /// Reply of the state machine to a command.
@@ -113,6 +120,9 @@
     /// Backend servers, roll-outs and evacuations.
     #[serde(rename = "f")]
     pub fleet: Arc<Fleet>,
+    /// The verdicts on content that ends backend servers.
+    #[serde(rename = "q", default)]
+    pub verdicts: Arc<Verdicts>,
 }
 
 impl State {
@@ -139,7 +149,20 @@
                 fleet.backends = backends;
                 differs
             }),
+            Command::Verdicts(changes) => self.change_verdicts(index, changes),
+        }
+    }
+
+    /// Applies changes of the verdicts. Sets their index only if something has changed.
+    fn change_verdicts(&mut self, index: Index, changes: Vec<Change>) -> Reply {
+        let mut verdicts = Verdicts::clone(&self.verdicts);
+        let applied = changes.into_iter().filter(|c| verdicts.apply(c.clone()));
+        if applied.count() == 0 {
+            return Reply::Same;
         }
+        verdicts.index = index;
+        self.verdicts = Arc::new(verdicts);
+        Reply::Done
     }
 
     fn submit(&mut self, index: Index, submission: Submission) -> Reply {
--- a/tests/testsuite/direct/choice.rs
+++ b/tests/testsuite/direct/choice.rs
@@ -57,6 +57,7 @@
         model: None,
         prompt: Prompt::default(),
         tried,
+        careful: false,
     };
     registry.choose(config, &wanted)
 }
@@ -157,6 +158,7 @@
         model: None,
         prompt: Prompt::default(),
         tried: &[],
+        careful: false,
     };
 
     let first = registry.choose(&config, &wanted).map(drop);
@@ -220,6 +222,7 @@
             own: 0,
         },
         tried: &[],
+        careful: false,
     };
 
     let choices: Vec<_> = (0..16)
--- a/tests/testsuite/direct/peers.rs
+++ b/tests/testsuite/direct/peers.rs
@@ -60,6 +60,7 @@
         model: Some("large"),
         prompt: Prompt::default(),
         tried: &[],
+        careful: false,
     };
     let look = async {
         while !met(registry.choose(&config, &wanted).unwrap().backlog) {
@@ -81,6 +82,7 @@
         model: Some("large"),
         prompt: long_prompt(),
         tried: &[],
+        careful: false,
     };
 
     let mut choice = first.registry.choose(&config, &wanted).unwrap();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod path;
 mod ports;
 mod promises;
+mod quarantine;
 mod replica;
 mod routing;
 mod senders;
--- /dev/null
+++ b/tests/testsuite/quarantine/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of content that ends backend servers: evidence, verdicts and their end.
+
+pub mod fixtures;
+mod pool;
+mod review;
