Quarantine parts of prompts that end backend servers

Under requests that share one part of their prompts, and are otherwise all different, 60 backend servers ended; the models' requests were not served for seconds at a time.

Cause: only whole requests were looked at, and each such request is new.

Evidence now names the shared parts of the prompt too. A part needs ends with two different requests; ends at which a quarantined part was present say nothing against the rest; answers in full of the last minute, told among the entries, speak for a part. Callers name their parts themselves, so a verdict holds for the caller whose requests ended servers until another caller's did. Each caller has a share of the memory.

--- a/src/cardamomtally/direct/content/guard.rs
+++ b/src/cardamomtally/direct/content/guard.rs
@@ -16,7 +16,7 @@
     quarantine::{
         evidence::End,
         fingerprint::{Fingerprint, ServerKey},
-        pool::{Admission, Pool, QUIET_TIME},
+        pool::{Admission, Pool, QUIET_TIME, Run},
         report::{Report, ToldEnd},
         verdict::{Verdict, Verdicts},
     },
@@ -74,12 +74,12 @@
 #[derive(Debug)]
 struct Trial {
     guard: Arc<ContentGuard>,
-    content: Vec<Fingerprint>,
+    run: Run,
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        self.guard.lock().pool.end_trial(&self.content);
+        self.guard.lock().pool.end_trial(&self.run);
     }
 }
 
@@ -131,28 +131,28 @@
                 _trial: None,
             });
         }
-        let content = call.fingerprints();
+        let run = call.run();
         let (now, wall) = (self.clock.now(), self.clock.wall_micros() / 1_000);
-        let admission = state.pool.admit(&content, &self.entry, wall, now);
+        let admission = state.pool.admit(&run, &self.entry, wall, now);
         drop(state);
         match admission {
             Admission::Free | Admission::Careful => Ok(Leave {
                 careful: admission == Admission::Careful,
                 _trial: None,
             }),
-            Admission::Trial => Ok(self.begin_trial(call, content)),
+            Admission::Trial => Ok(self.begin_trial(call, run)),
             Admission::Busy(found) => Err(self.hold_back(call, found, false)),
             Admission::Quarantined(found) => Err(self.hold_back(call, found, true)),
         }
     }
 
-    fn begin_trial(self: &Arc<Self>, call: &Call, content: Vec<Fingerprint>) -> Leave {
+    fn begin_trial(self: &Arc<Self>, call: &Call, run: Run) -> Leave {
         info!(self.log, "content: trial"; "request" => call.id_text());
         self.peers.mark_changed();
         let guard = Arc::clone(self);
         Leave {
             careful: true,
-            _trial: Some(Trial { guard, content }),
+            _trial: Some(Trial { guard, run }),
         }
     }
 
@@ -179,51 +179,62 @@
     #[must_use]
     pub fn may_repeat(&self, call: &Call) -> bool {
         let state = self.lock();
-        state.pool.is_empty() || state.pool.may_repeat(&call.fingerprints())
+        state.pool.is_empty() || state.pool.may_repeat(&call.run())
     }
 
     /// Records that a request was answered in full.
     pub fn record_good(&self, call: &Call) {
+        let now = self.clock.now();
         let mut state = self.lock();
         if state.pool.is_empty() {
+            let content = &call.content;
+            state.pool.record_parts(content.caller, &content.parts, now);
             return;
         }
-        state
-            .pool
-            .record_good(&call.fingerprints(), self.clock.now());
+        let news = state.pool.record_good(&call.run(), now);
         drop(state);
-        self.peers.mark_changed();
+        if news {
+            self.peers.mark_changed();
+        }
     }
 
     /// Records that the connection of an attempt has failed, if that shows to be because
     /// the backend server has ended. The attempt was sent at `began`.
     pub async fn record_break(self: &Arc<Self>, call: &Call, choice: &Choice, began: Mono) {
         let guard = Arc::clone(self);
-        let (backend, content) = (choice.backend.clone(), call.fingerprints());
+        let (backend, run) = (choice.backend.clone(), call.run());
         let at = self.clock.now();
         let check = tokio::spawn(async move {
             if guard.checks.has_ended(&backend).await {
                 let server = ServerKey(rendezvous::seed(&backend.instance));
-                guard.record_end(&backend.instance, &content, End { server, began, at });
+                let end = End {
+                    server,
+                    caller: run.caller,
+                    request: run.whole.tag(),
+                    depth: 0,
+                    began,
+                    at,
+                };
+                guard.record_end(&backend.instance, &run, end);
             }
         });
         let _late = tokio::time::timeout(END_CHECK_WAIT, check).await;
     }
 
-    fn record_end(&self, instance: &Name, content: &[Fingerprint], end: End) {
+    fn record_end(&self, instance: &Name, run: &Run, end: End) {
         metrics::counter!("cardamomtally_direct_runs_ended_total").increment(1);
         info!(self.log, "content: backend server ended under it"; "instance" => &**instance,
-            "end" => format!("{:016x}", end.server.0), "content" => joined(content));
+            "end" => format!("{:016x}", end.server.0), "content" => run.to_string());
         self.registry.record_ended(end.server.0);
         let now = self.clock.now();
-        let decided = self.lock().pool.record_end(content, end, now);
+        let decided = self.lock().pool.record_end(run, end, now);
         self.log_verdicts(&decided);
         self.peers.mark_changed();
     }
 
     /// Adds the evidence of another entry.
     pub fn merge(&self, report: &Report) {
-        for ToldEnd(server, _, age) in report.iter().flat_map(|item| &item.ends) {
+        for ToldEnd(server, .., age) in report.iter().flat_map(|item| &item.ends) {
             if *age < RECENT_END_MS {
                 self.registry.record_ended(server.0);
             }
@@ -248,6 +259,7 @@
             metrics::counter!("cardamomtally_direct_content_quarantined_total").increment(1);
             let ends = verdict.ends.iter().map(|end| format!("{:016x}", end.0));
             warn!(self.log, "content: quarantined"; "content" => content.to_string(),
+                "scope" => format!("{:?}", verdict.scope),
                 "ends" => ends.collect::<Vec<_>>().join(","));
         }
     }
@@ -278,8 +290,3 @@
             "count" => verdicts.in_force.len());
     }
 }
-
-fn joined(content: &[Fingerprint]) -> String {
-    let texts: Vec<String> = content.iter().map(ToString::to_string).collect();
-    texts.join(",")
-}
--- a/src/cardamomtally/direct/request/call.rs
+++ b/src/cardamomtally/direct/request/call.rs
@@ -3,7 +3,10 @@
 use super::{names::HeaderNames, prompt::Prompt};
 use crate::{
     prelude::*,
-    quarantine::fingerprint::{Content, Fingerprint},
+    quarantine::{
+        fingerprint::{Content, Fingerprint},
+        pool::Run,
+    },
     routing::rendezvous,
     site::{
         document::{Route, Service},
@@ -87,15 +90,17 @@
         self.deadline.since(now)
     }
 
-    /// Returns the fingerprints of the request and of its prompt's parts.
+    /// Returns the request as evidence on its content names it.
     #[must_use]
-    pub fn fingerprints(&self) -> Vec<Fingerprint> {
+    pub fn run(&self) -> Run {
         let caller = self.content.caller;
         let target = format!("{} {}", self.route.name, self.uri);
         let compute = || Fingerprint::of_request(self.method.as_str(), &target, caller, &self.body);
-        let mut all = vec![self.content.whole(compute)];
-        all.extend(&self.content.parts);
-        all
+        Run {
+            caller,
+            whole: self.content.whole(compute),
+            parts: self.content.parts.clone(),
+        }
     }
 
     /// Returns the request id as text for the log, or `?` if it is not text.
--- a/src/cardamomtally/direct/serve/handler.rs
+++ b/src/cardamomtally/direct/serve/handler.rs
@@ -247,7 +247,7 @@
         service: Arc::clone(service),
         route,
         workspace,
-        content: Content::new(caller, std::iter::empty()),
+        content: Content::new(caller, shared.iter().map(|part| part.id)),
     })
 }
 
--- a/src/cardamomtally/quarantine/evidence.rs
+++ b/src/cardamomtally/quarantine/evidence.rs
@@ -1,12 +1,13 @@
 //! Evidence for and against one piece of content.
 //!
 //! Each run of the content either ended its backend server, or was answered in full, or
-//! says nothing. Ends count until an answer in full, which shows that the content can run.
+//! says nothing. Ends count until an answer in full to the same caller, which shows that
+//! the content can run.
 
-use super::fingerprint::ServerKey;
+use super::fingerprint::{CallerKey, ServerKey};
 use crate::prelude::*;
 
-/// Time after which an end no longer counts.
+/// Time after which evidence no longer counts.
 pub const EVIDENCE_TTL: Duration = Duration::from_mins(1);
 
 /// Ends that lie closer together than this are one event, such as the loss of a rack, unless
@@ -16,6 +17,9 @@
 /// Greatest number of ends that are kept for one piece of content.
 const MAX_ENDS: usize = 16;
 
+/// Greatest number of callers whose answers in full are kept for one piece of content.
+const MAX_CALLERS: usize = 16;
+
 /// Time after which a trial counts as ended if nothing else is known of it.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -24,6 +28,12 @@
 pub struct End {
     /// The instance that ended.
     pub server: ServerKey,
+    /// Who had sent the request.
+    pub caller: CallerKey,
+    /// Short hash of the whole request, which tells different requests apart.
+    pub request: u32,
+    /// Place of the content in the prompt; 0 for the first part and for whole requests.
+    pub depth: u8,
     /// When the run was sent there.
     pub began: Mono,
     /// When the instance ended.
@@ -33,10 +43,12 @@
 /// What is known of one piece of content.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
-    /// Ends in the order of their times, one for each instance.
+    /// Ends in the order of their times, one for each instance and caller.
     ends: Vec<End>,
-    /// When the latest answer in full ended.
-    good: Option<Mono>,
+    /// When the latest answer in full to each caller ended.
+    goods: Vec<(CallerKey, Mono)>,
+    /// Time until which no end counts.
+    excused: Option<Mono>,
     /// When the latest run began that was sent to find out about the content.
     trial: Option<Mono>,
     /// When the latest trial began that is known to have ended without an outcome.
@@ -47,8 +59,9 @@
     /// Records an end. Returns whether it is new; it is not if the same instance's end is
     /// known, or a later answer in full.
     pub fn add_end(&mut self, end: End) -> bool {
-        let known = self.ends.iter().any(|known| known.server == end.server);
-        if known || self.is_excused(&end) {
+        let same = |known: &End| known.server == end.server && known.caller == end.caller;
+        let excused = self.good(end.caller).max(self.excused) >= Some(end.at);
+        if excused || self.ends.iter().any(same) {
             return false;
         }
         let place = self.ends.partition_point(|known| known.at <= end.at);
@@ -59,17 +72,30 @@
         true
     }
 
-    /// Records an answer in full that ended at a time. Returns whether ends were known
-    /// that it excuses, or no answer was.
-    pub fn add_good(&mut self, at: Mono) -> bool {
-        let first = self.good.is_none();
-        self.good = self.good.max(Some(at));
+    /// Records an answer in full to a caller, which ended at a time. Returns whether ends
+    /// were known that it excuses, or no answer to the caller was.
+    pub fn add_good(&mut self, caller: CallerKey, at: Mono) -> bool {
+        let first = self.good(caller).is_none();
+        if first && self.goods.len() >= MAX_CALLERS {
+            return false;
+        }
+        if first {
+            self.goods.push((caller, at));
+        }
+        for (_, latest) in self.goods.iter_mut().filter(|(known, _)| *known == caller) {
+            *latest = at.max(*latest);
+        }
         let before = self.ends.len();
-        let good = self.good;
-        self.ends.retain(|end| Some(end.at) > good);
+        self.ends.retain(|end| end.caller != caller || end.at > at);
         first || self.ends.len() < before
     }
 
+    /// Records that ends until a time do not count, also if they are told later.
+    pub fn excuse(&mut self, at: Mono) {
+        self.excused = self.excused.max(Some(at));
+        self.ends.retain(|end| end.at > at);
+    }
+
     /// Records a run that was begun to find out about the content. Returns whether it is
     /// new.
     pub fn add_trial(&mut self, at: Mono) -> bool {
@@ -89,10 +115,17 @@
         &self.ends
     }
 
-    /// Returns when the latest answer in full ended.
+    /// Returns the latest answers in full, by caller.
+    #[must_use]
+    pub fn goods(&self) -> &[(CallerKey, Mono)] {
+        &self.goods
+    }
+
+    /// Returns when the latest answer in full to a caller ended.
     #[must_use]
-    pub const fn good(&self) -> Option<Mono> {
-        self.good
+    pub fn good(&self, caller: CallerKey) -> Option<Mono> {
+        let found = self.goods.iter().find(|(known, _)| *known == caller);
+        found.map(|(_, at)| *at)
     }
 
     /// Returns when the latest trial began.
@@ -110,20 +143,19 @@
         // Others tell the same trial with a slightly later time.
         let void = self.void.is_some_and(|void| begun <= void + SAME_EVENT);
         let ended = self.ends.last().is_some_and(|end| end.at > begun);
-        let answered = self.good.is_some_and(|at| at > begun);
+        let answered = self.goods.iter().any(|(_, at)| *at > begun);
         !void && !ended && !answered && now.since(begun) < TRIAL_TIMEOUT
     }
 
     /// Drops what is too old to count. Returns whether anything is left.
     pub fn expire(&mut self, now: Mono) -> bool {
-        self.ends.retain(|end| now.since(end.at) < EVIDENCE_TTL);
-        self.good = self.good.filter(|at| now.since(*at) < EVIDENCE_TTL);
-        self.trial = self.trial.filter(|at| now.since(*at) < EVIDENCE_TTL);
-        !self.ends.is_empty() || self.good.is_some() || self.trial.is_some()
-    }
-
-    fn is_excused(&self, end: &End) -> bool {
-        self.good.is_some_and(|good| end.at <= good)
+        let recent = |at: Mono| now.since(at) < EVIDENCE_TTL;
+        self.ends.retain(|end| recent(end.at));
+        self.goods.retain(|(_, at)| recent(*at));
+        self.trial = self.trial.filter(|at| recent(*at));
+        self.excused = self.excused.filter(|at| recent(*at));
+        let timed = self.trial.or(self.excused).is_some();
+        timed || !self.ends.is_empty() || !self.goods.is_empty()
     }
 }
 
--- a/src/cardamomtally/quarantine/fingerprint.rs
+++ b/src/cardamomtally/quarantine/fingerprint.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// Returns a short form of the hash.
+    #[must_use]
+    pub const fn tag(self) -> u32 {
+        self.hash as u32
+    }
+
     /// Returns the fingerprint of a whole request.
     #[must_use]
     pub fn of_request(method: &str, path: &str, caller: CallerKey, body: &[u8]) -> Self {
--- a/src/cardamomtally/quarantine/report.rs
+++ b/src/cardamomtally/quarantine/report.rs
@@ -6,15 +6,22 @@
 
 use super::{
     evidence::{End, Evidence},
-    fingerprint::{Fingerprint, ServerKey},
+    fingerprint::{CallerKey, Fingerprint, ServerKey},
 };
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 
-/// An end: the instance, the age of the run's beginning and that of the end, in
-/// milliseconds.
+/// An end: the instance, the caller, the hash of the request, the place of the content in
+/// the prompt, the age of the run's beginning and that of the end, in milliseconds.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ToldEnd(pub ServerKey, pub u32, pub u32);
+pub struct ToldEnd(
+    pub ServerKey,
+    pub CallerKey,
+    pub u32,
+    pub u8,
+    pub u32,
+    pub u32,
+);
 
 /// Evidence on one piece of content.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -25,9 +32,9 @@
     /// Ends of backend servers while it ran there.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub ends: Vec<ToldEnd>,
-    /// Age of the latest answer in full, in milliseconds.
-    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
-    pub good: Option<u32>,
+    /// Ages of the latest answers in full by caller, in milliseconds.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub goods: Vec<(CallerKey, u32)>,
     /// Age of the latest trial, in milliseconds.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub trial: Option<u32>,
@@ -36,32 +43,54 @@
 /// Evidence that one process tells another.
 pub type Report = Vec<Item>;
 
+impl ToldEnd {
+    fn new(end: &End, now: Mono) -> Self {
+        let ages = (age(end.began, now), age(end.at, now));
+        Self(
+            end.server,
+            end.caller,
+            end.request,
+            end.depth,
+            ages.0,
+            ages.1,
+        )
+    }
+
+    fn end(self, now: Mono) -> End {
+        let Self(server, caller, request, depth, began, at) = self;
+        End {
+            server,
+            caller,
+            request,
+            depth,
+            began: ago(began, now),
+            at: ago(at, now),
+        }
+    }
+}
+
 impl Item {
     /// Builds the item that tells evidence at a time.
     #[must_use]
     pub fn new(content: Fingerprint, evidence: &Evidence, now: Mono) -> Self {
         let ends = evidence.ends().iter();
+        let goods = evidence.goods().iter();
         Self {
             content,
-            ends: ends
-                .map(|end| ToldEnd(end.server, age(end.began, now), age(end.at, now)))
-                .collect(),
-            good: evidence.good().map(|at| age(at, now)),
+            ends: ends.map(|end| ToldEnd::new(end, now)).collect(),
+            goods: goods.map(|(caller, at)| (*caller, age(*at, now))).collect(),
             trial: evidence.trial().map(|at| age(at, now)),
         }
     }
 
     /// Adds the item to evidence. Returns whether it told anything new.
     pub fn add_to(&self, evidence: &mut Evidence, now: Mono) -> bool {
-        let mut news = self
-            .good
-            .is_some_and(|age| evidence.add_good(ago(age, now)));
-        for ToldEnd(server, began, at) in &self.ends {
-            news |= evidence.add_end(End {
-                server: *server,
-                began: ago(*began, now),
-                at: ago(*at, now),
-            });
+        let mut news = false;
+        for (caller, age) in &self.goods {
+            news |= evidence.add_good(*caller, ago(*age, now));
+        }
+        for told in &self.ends {
+            news |= evidence.add_end(told.end(now));
         }
         news | self
             .trial
--- a/src/cardamomtally/quarantine/review.rs
+++ b/src/cardamomtally/quarantine/review.rs
@@ -10,7 +10,7 @@
     fingerprint::Fingerprint,
     pool::{Pool, QUIET_TIME},
     report::Report,
-    verdict::{Change, Probe, Verdict, Verdicts},
+    verdict::{Change, Probe, Scope, Verdict, Verdicts},
 };
 use crate::prelude::*;
 use std::collections::BTreeMap;
@@ -79,16 +79,18 @@
     }
 
     fn new_verdicts(&self, verdicts: &Verdicts, wall: u64) -> Vec<Change> {
-        let decided = self.pool.verdicts();
-        let new = decided.filter(|(content, _)| !verdicts.in_force.contains_key(content));
-        let add = |(content, verdict): (&Fingerprint, &Verdict)| {
-            let verdict = Verdict {
-                wall,
-                ..verdict.clone()
+        let change = |(content, verdict): (&Fingerprint, &Verdict)| {
+            let Some(known) = verdicts.in_force.get(content) else {
+                let verdict = Verdict {
+                    wall,
+                    ..verdict.clone()
+                };
+                return Some(Change::Add(*content, verdict));
             };
-            Change::Add(*content, verdict)
+            let wider = verdict.scope == Scope::All && known.scope != Scope::All;
+            wider.then_some(Change::Widen(*content))
         };
-        new.map(add).collect()
+        self.pool.verdicts().filter_map(change).collect()
     }
 
     /// Returns the change that is due for a verdict in force.
@@ -123,6 +125,9 @@
     /// Tells whether a run with the content was answered in full after its verdict.
     fn is_answered(&self, content: &Fingerprint, seen: Mono) -> bool {
         let evidence = self.pool.evidence(content);
-        evidence.is_some_and(|e| e.ends().is_empty() && e.good() > Some(seen))
+        evidence.is_some_and(|e| {
+            let answered = e.goods().iter().any(|(_, at)| *at > seen);
+            answered && e.ends().is_empty()
+        })
     }
 }
--- a/src/cardamomtally/quarantine/verdict.rs
+++ b/src/cardamomtally/quarantine/verdict.rs
@@ -1,6 +1,6 @@
 //! Verdicts on content, as the control group replicates them.
 
-use super::fingerprint::{Fingerprint, ServerKey};
+use super::fingerprint::{CallerKey, Fingerprint, ServerKey};
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -8,6 +8,10 @@
 /// Greatest number of verdicts in force. The oldest gives way to a new one.
 const MAX_VERDICTS: usize = 256;
 
+/// Greatest number of verdicts on one caller's requests alone, so that they displace no
+/// others.
+const MAX_VERDICTS_PER_CALLER: usize = 64;
+
 /// A run of quarantined content that one entry may send, to find out whether the content
 /// still ends backend servers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -20,12 +24,39 @@
     pub wall: u64,
 }
 
+/// Whose requests a verdict is about.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Scope {
+    /// Those of all callers.
+    #[default]
+    #[serde(rename = "a")]
+    All,
+    /// Those of one caller. Callers name the parts of their prompts themselves, so that one
+    /// caller's requests say nothing about another's part of the same name.
+    #[serde(rename = "c")]
+    Caller(CallerKey),
+}
+
+impl Scope {
+    /// Tells whether a caller's requests belong to it.
+    #[must_use]
+    pub fn includes(&self, caller: CallerKey) -> bool {
+        match self {
+            Self::All => true,
+            Self::Caller(only) => *only == caller,
+        }
+    }
+}
+
 /// Why content is quarantined, and what became of it since.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Verdict {
     /// Wall time of the verdict, in milliseconds.
     #[serde(rename = "w")]
     pub wall: u64,
+    /// Whose requests with the content are refused.
+    #[serde(rename = "s", default)]
+    pub scope: Scope,
     /// The instances that ended while the content ran there.
     #[serde(rename = "e")]
     pub ends: Vec<ServerKey>,
@@ -43,6 +74,9 @@
     /// Puts a verdict in force, unless there is one on the content.
     #[serde(rename = "a")]
     Add(Fingerprint, Verdict),
+    /// Makes a verdict hold for all callers.
+    #[serde(rename = "w")]
+    Widen(Fingerprint),
     /// Grants a probe, unless one was granted since `probes` were.
     #[serde(rename = "p")]
     Grant {
@@ -90,6 +124,12 @@
                 verdict.probe = Some(probe);
                 true
             }
+            Change::Widen(content) => {
+                let found = self.in_force.get_mut(&content);
+                found.is_some_and(|verdict| {
+                    std::mem::replace(&mut verdict.scope, Scope::All) != Scope::All
+                })
+            }
             Change::Lift(content) => self.in_force.remove(&content).is_some(),
         }
     }
@@ -98,13 +138,25 @@
         if self.in_force.contains_key(&content) {
             return false;
         }
-        if self.in_force.len() >= MAX_VERDICTS {
-            let oldest = self.in_force.iter().min_by_key(|(_, v)| v.wall);
-            if let Some(oldest) = oldest.map(|(content, _)| *content) {
-                self.in_force.remove(&oldest);
-            }
+        let scope = verdict.scope.clone();
+        let alike = |known: &Verdict| scope != Scope::All && known.scope == scope;
+        let share = self.in_force.values().filter(|known| alike(known)).count();
+        if share >= MAX_VERDICTS_PER_CALLER {
+            self.remove_oldest(alike);
+        } else if self.in_force.len() >= MAX_VERDICTS {
+            self.remove_oldest(|_| true);
         }
         self.in_force.insert(content, verdict);
         true
     }
+
+    fn remove_oldest(&mut self, among: impl Fn(&Verdict) -> bool) {
+        let found = self.in_force.iter().filter(|(_, v)| among(v));
+        let oldest = found
+            .min_by_key(|(_, v)| v.wall)
+            .map(|(content, _)| *content);
+        if let Some(oldest) = oldest {
+            self.in_force.remove(&oldest);
+        }
+    }
 }
