--- a/tests/testsuite/direct/budget.rs
+++ b/tests/testsuite/direct/budget.rs
@@ -5,6 +5,7 @@
     routing::budget::{BudgetTerms, Cause, SharedBudget},
 };
 use proptest::prelude::*;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 
 const TERMS: BudgetTerms = BudgetTerms {
     ratio: 0.8,
@@ -61,6 +62,96 @@
     assert!(failures >= 5, "{failures}");
 }
 
+/// Length of the window in which retries are counted, in milliseconds.
+const WINDOW_MS: u64 = 10_000;
+/// Time between two steps of a simulation of many entries, in milliseconds.
+const STEP_MS: u64 = 20;
+/// Duration of such a simulation, in milliseconds.
+const DURATION_MS: u64 = 60_000;
+
+/// Times of requests and retries at one service, in milliseconds.
+#[derive(Default)]
+struct Arrivals {
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+}
+
+impl Arrivals {
+    /// Returns by how much retries exceed the bound in the worst window.
+    fn worst_excess(&self) -> f64 {
+        let within = |times: &[u64], from: u64| {
+            let first = times.partition_point(|at| *at < from);
+            let last = times.partition_point(|at| *at < from + WINDOW_MS);
+            (last - first) as f64
+        };
+        let starts = (0..DURATION_MS).step_by(100);
+        let excess = starts.map(|from| {
+            let earlier = [0, WINDOW_MS / 2, WINDOW_MS].map(|by| {
+                from.checked_sub(by)
+                    .map_or(0.0, |from| within(&self.requests, from))
+            });
+            let requests = earlier.into_iter().fold(0.0, f64::max);
+            within(&self.retries, from) - RETRY_BOUND.0 * requests - RETRY_BOUND.1
+        });
+        excess.fold(f64::NEG_INFINITY, f64::max)
+    }
+}
+
+/// Simulates entries that restart, join and leave at random times, and send a retry whenever
+/// the budget allows it in the phases in which the service fails.
+fn simulate_changes(seed: u64, most: u32, rate: f64) -> Arrivals {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let now = |ms: u64| Mono(1_000_000 + ms * 1_000);
+    let mut entries: Vec<SharedBudget> = (0..most)
+        .map(|_| SharedBudget::new(TERMS, most, now(0)))
+        .collect();
+    let mut arrivals = Arrivals::default();
+    for ms in (0..DURATION_MS).step_by(STEP_MS as usize) {
+        let count = entries.len() as u32;
+        let phase = ms / 7_000;
+        if rng.random_bool(0.002) {
+            // Many processes are killed at the same moment.
+            for budget in &mut entries {
+                *budget = SharedBudget::new(TERMS, count, now(ms));
+            }
+        } else if rng.random_bool(0.01) {
+            let at = rng.random_range(0..entries.len());
+            entries[at] = SharedBudget::new(TERMS, count, now(ms));
+        } else if rng.random_bool(0.004) && count > 2 {
+            entries.pop();
+        } else if rng.random_bool(0.004) && count < most {
+            entries.push(SharedBudget::new(TERMS, count + 1, now(ms)));
+        }
+        let quiet = phase % 3 == 2;
+        for budget in &mut entries {
+            let share = rate / f64::from(count) * STEP_MS as f64 / 1_000.0;
+            if rng.random_bool(if quiet { share / 20.0 } else { share }.min(1.0)) {
+                budget.earn(count, now(ms));
+                arrivals.requests.push(ms);
+            }
+            let fails = phase % 2 == 1;
+            if fails && rng.random_bool(0.5) && budget.spend(Cause::Failed) {
+                arrivals.retries.push(ms);
+            }
+        }
+    }
+    arrivals
+}
+
+#[test]
+fn entries_that_restart_join_and_leave_keep_the_retry_bound() {
+    let seeds = std::env::var("CARDAMOMTALLY_SEEDS").ok();
+    let seeds = seeds.and_then(|text| text.parse().ok()).unwrap_or(60);
+    for seed in 0..seeds {
+        let entries = 3 + (seed % 20) as u32;
+        let rate = 5.0 + (seed % 7) as f64 * 40.0;
+
+        let excess = simulate_changes(seed, entries, rate).worst_excess();
+
+        assert!(excess <= 0.0, "seed {seed}: {excess} retries too many");
+    }
+}
+
 proptest! {
     #[test]
     fn all_entries_together_keep_the_retry_bound(entries in 1_u32..40, every in 5_u64..2_000) {
