Let retry budgets begin empty

Cause: a process that starts held all the retries that may be saved up, however many it had spent before; and what was saved up outlived the requests that it was saved up for until the next one came.

A shared budget now begins empty and fills with requests, and its limit follows the recent requests whenever it is spent. In tests, SharedBudget::spend takes the time.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -96,13 +96,15 @@
     /// Takes a retry from the budget of a service. Returns whether the budget
     /// allowed it.
     pub fn spend_retry(&self, service: &Name, cause: Cause) -> bool {
-        self.budget(service, |budget| budget.spend(cause))
+        let now = self.clock.now();
+        self.budget(service, |budget| budget.spend(cause, now))
     }
 
     /// Takes an escalation to a larger model from the budget of a service.
     /// Returns whether enough was left for retries after failures.
     pub fn spend_escalation(&self, service: &Name) -> bool {
-        self.budget(service, |budget| budget.spend_optional(RETRY_RESERVE))
+        let now = self.clock.now();
+        self.budget(service, |budget| budget.spend_optional(RETRY_RESERVE, now))
     }
 
     /// Adds a new request's share to the retry budget of its service.
--- a/src/cardamomtally/routing/budget.rs
+++ b/src/cardamomtally/routing/budget.rs
@@ -74,6 +74,7 @@
     /// Sets how many retries may be saved up.
     fn set_burst(&mut self, burst: f64) {
         self.burst = burst;
+        self.tokens = self.tokens.min(burst);
     }
 
     /// Adds the tokens that a new request earns.
@@ -135,18 +136,20 @@
 pub struct SharedBudget {
     budget: Budget,
     terms: BudgetTerms,
+    processes: u32,
     recent: f64,
     updated: Mono,
 }
 
 impl SharedBudget {
-    /// Builds the part of one of `processes` processes, with all its tokens.
+    /// Builds the part of one of `processes` processes, without tokens: a process that has
+    /// restarted does not know how many it has spent before.
     #[must_use]
     pub fn new(terms: BudgetTerms, processes: u32, now: Mono) -> Self {
-        let burst = terms.base_burst / f64::from(processes.max(1));
         Self {
-            budget: Budget::with_burst(terms.ratio, burst),
+            budget: Budget::with_burst(terms.ratio, 0.0),
             terms,
+            processes,
             recent: 0.0,
             updated: now,
         }
@@ -155,22 +158,38 @@
     /// Adds the tokens that a new request earns, and adjusts how many may be saved up
     /// to the number of processes and to the recent requests of this one.
     pub fn earn(&mut self, processes: u32, now: Mono) {
-        let passed = now.since(self.updated).as_secs_f64() / REQUEST_DECAY.as_secs_f64();
-        self.recent = self.recent * (-passed).exp() + 1.0;
-        self.updated = now;
-        let base = self.terms.base_burst / f64::from(processes.max(1));
-        self.budget
-            .set_burst(base + self.terms.burst_ratio * self.recent);
+        self.processes = processes;
+        self.decay(now);
+        self.recent += 1.0;
+        self.limit();
         self.budget.earn();
     }
 
     /// Takes one token for an optional attempt; see [`Budget::spend_optional`].
-    pub fn spend_optional(&mut self, reserve: f64) -> bool {
+    pub fn spend_optional(&mut self, reserve: f64, now: Mono) -> bool {
+        self.decay(now);
+        self.limit();
         self.budget.spend_optional(reserve)
     }
 
     /// Takes the tokens for a retry, and tells whether the retry may be made.
-    pub fn spend(&mut self, cause: Cause) -> bool {
+    pub fn spend(&mut self, cause: Cause, now: Mono) -> bool {
+        self.decay(now);
+        self.limit();
         self.budget.spend(cause)
     }
+
+    /// Lets the count of recent requests decay until now.
+    fn decay(&mut self, now: Mono) {
+        let passed = now.since(self.updated).as_secs_f64() / REQUEST_DECAY.as_secs_f64();
+        self.recent *= (-passed).exp();
+        self.updated = now;
+    }
+
+    /// Lowers the number of tokens to what may be saved up now.
+    fn limit(&mut self) {
+        let base = self.terms.base_burst / f64::from(self.processes.max(1));
+        self.budget
+            .set_burst(base + self.terms.burst_ratio * self.recent);
+    }
 }
--- a/tests/testsuite/direct/budget.rs
+++ b/tests/testsuite/direct/budget.rs
@@ -22,7 +22,7 @@
 fn simulate(
     entries: u32,
     every: Duration,
-    retry: impl Fn(&mut SharedBudget) -> bool,
+    retry: impl Fn(&mut SharedBudget, Mono) -> bool,
 ) -> (u32, u32) {
     let mut budget = SharedBudget::new(TERMS, entries, Mono(0));
     let (mut requests, mut retries) = (0, 0);
@@ -32,14 +32,14 @@
         budget.earn(entries, now);
         let late = now > Mono(10_000_000);
         requests += u32::from(late);
-        retries += u32::from(retry(&mut budget) && late);
+        retries += u32::from(retry(&mut budget, now) && late);
     }
     (requests * entries, retries * entries)
 }
 
 #[test]
 fn escalation_share_does_not_depend_on_the_number_of_entries() {
-    let escalate = |budget: &mut SharedBudget| budget.spend_optional(0.5);
+    let escalate = |budget: &mut SharedBudget, now| budget.spend_optional(0.5, now);
 
     for entries in [1, 7, 27, 300] {
         let (requests, retries) = simulate(entries, Duration::from_millis(70), escalate);
@@ -55,9 +55,10 @@
     for second in 0..30 {
         budget.earn(7, Mono(second * 1_000_000));
     }
-    while budget.spend_optional(0.5) {}
+    let now = Mono(29_000_000);
+    while budget.spend_optional(0.5, now) {}
 
-    let failures = (0..20).filter(|_| budget.spend(Cause::Failed)).count();
+    let failures = (0..20).filter(|_| budget.spend(Cause::Failed, now)).count();
 
     assert!(failures >= 5, "{failures}");
 }
@@ -130,7 +131,7 @@
                 arrivals.requests.push(ms);
             }
             let fails = phase % 2 == 1;
-            if fails && rng.random_bool(0.5) && budget.spend(Cause::Failed) {
+            if fails && rng.random_bool(0.5) && budget.spend(Cause::Failed, now(ms)) {
                 arrivals.retries.push(ms);
             }
         }
@@ -155,7 +156,7 @@
 proptest! {
     #[test]
     fn all_entries_together_keep_the_retry_bound(entries in 1_u32..40, every in 5_u64..2_000) {
-        let all = |budget: &mut SharedBudget| budget.spend(Cause::Failed);
+        let all = |budget: &mut SharedBudget, now| budget.spend(Cause::Failed, now);
 
         let (requests, retries) = simulate(entries, Duration::from_millis(every), all);
 
