Hold few retries for a window after a start, then the whole part

A process now holds a twentieth of its part until the platform's window has passed since its start, when what it spent before has left the window, and its whole part from then on. The tests' entries count as started long ago (settle_time zero).

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -54,6 +54,8 @@
     pub clock: Arc<dyn Clock>,
     /// The root logger.
     pub log: Logger,
+    /// When the process started.
+    pub started: Mono,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
     /// Number of requests in flight.
@@ -121,7 +123,7 @@
         }
         let entries = sharing_entries(&self.config.current());
         let now = self.clock.now();
-        let budget = SharedBudget::new(self.retries, entries, now);
+        let budget = SharedBudget::new(self.retries, entries, self.started, now);
         act(budgets.entry(Arc::clone(service)).or_insert(budget))
     }
 
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -122,6 +122,7 @@
 pub fn build(settings: &DirectSettings, transport: Arc<dyn Transport>, parts: &Parts) -> Arc<App> {
     let counts = Arc::<OutcomeCounts>::default();
     let clock = Arc::clone(&parts.clock);
+    let started = clock.now();
     let name = Arc::clone(&settings.poller.name);
     let peers = Arc::new(Peers::new(name, parts.log.clone()));
     let poller = ConfigPoller::new(
@@ -155,6 +156,7 @@
         counts,
         clock,
         log: parts.log.clone(),
+        started,
         stopping: AtomicBool::new(false),
         running: AtomicU64::new(0),
         retries: settings.retry_budget,
--- a/src/cardamomtally/routing/budget.rs
+++ b/src/cardamomtally/routing/budget.rs
@@ -22,6 +22,9 @@
 /// Number of tokens that a budget of one process starts with and saves up at most.
 const BURST_RETRIES: f64 = 32.0;
 
+/// Share of its equal part of a shared budget that a process holds when it has started.
+const START_SHARE: f64 = 0.05;
+
 /// Tokens taken by a retry after a rejection by an agent. It is less than 1 because
 /// a rejected attempt used no time of a backend server.
 const REJECTION_COST: f64 = 0.25;
@@ -119,6 +122,10 @@
     /// Number of retries that all processes together may save up regardless of their
     /// requests, in equal parts.
     pub base_burst: f64,
+    /// Time after a process has started for which it holds few retries, since it does not
+    /// know how many it has spent before. At least as long as the window in which the
+    /// retries of all processes are limited.
+    pub settle_time: Duration,
 }
 
 impl Default for BudgetTerms {
@@ -127,6 +134,7 @@
             ratio: 0.8,
             burst_ratio: 0.07,
             base_burst: 56.0,
+            settle_time: Duration::from_secs(10),
         }
     }
 }
@@ -137,19 +145,22 @@
     budget: Budget,
     terms: BudgetTerms,
     processes: u32,
+    /// When the process holds its whole part, if it does not yet.
+    settles: Option<Mono>,
     recent: f64,
     updated: Mono,
 }
 
 impl SharedBudget {
-    /// Builds the part of one of `processes` processes, without tokens: a process that has
-    /// restarted does not know how many it has spent before.
+    /// Builds the part of one of `processes` processes, which has started at `started`.
     #[must_use]
-    pub fn new(terms: BudgetTerms, processes: u32, now: Mono) -> Self {
+    pub fn new(terms: BudgetTerms, processes: u32, started: Mono, now: Mono) -> Self {
+        let base = terms.base_burst / f64::from(processes.max(1));
         Self {
-            budget: Budget::with_burst(terms.ratio, 0.0),
+            budget: Budget::with_burst(terms.ratio, base * START_SHARE),
             terms,
             processes,
+            settles: Some(started + terms.settle_time),
             recent: 0.0,
             updated: now,
         }
@@ -188,7 +199,14 @@
 
     /// Lowers the number of tokens to what may be saved up now.
     fn limit(&mut self) {
-        let base = self.terms.base_burst / f64::from(self.processes.max(1));
+        let mut base = self.terms.base_burst / f64::from(self.processes.max(1));
+        if self.settles.is_some_and(|at| self.updated >= at) {
+            self.settles = None;
+            self.budget.tokens += base * (1.0 - START_SHARE);
+        }
+        if self.settles.is_some() {
+            base *= START_SHARE;
+        }
         self.budget
             .set_burst(base + self.terms.burst_ratio * self.recent);
     }
--- a/tests/testsuite/direct/budget.rs
+++ b/tests/testsuite/direct/budget.rs
@@ -11,6 +11,7 @@
     ratio: 0.8,
     burst_ratio: 0.07,
     base_burst: 84.0,
+    settle_time: Duration::from_millis(WINDOW_MS),
 };
 /// Bound on the retries of all entries: a number of retries per request, and a
 /// number of retries on top that does not depend on the requests.
@@ -24,7 +25,7 @@
     every: Duration,
     retry: impl Fn(&mut SharedBudget, Mono) -> bool,
 ) -> (u32, u32) {
-    let mut budget = SharedBudget::new(TERMS, entries, Mono(0));
+    let mut budget = SharedBudget::new(TERMS, entries, Mono(0), Mono(0));
     let (mut requests, mut retries) = (0, 0);
     let mut now = Mono(0);
     while now < Mono(20_000_000) {
@@ -51,7 +52,7 @@
 
 #[test]
 fn escalations_leave_budget_for_retries_after_failures() {
-    let mut budget = SharedBudget::new(TERMS, 7, Mono(0));
+    let mut budget = SharedBudget::new(TERMS, 7, Mono(0), Mono(0));
     for second in 0..30 {
         budget.earn(7, Mono(second * 1_000_000));
     }
@@ -104,7 +105,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let now = |ms: u64| Mono(1_000_000 + ms * 1_000);
     let mut entries: Vec<SharedBudget> = (0..most)
-        .map(|_| SharedBudget::new(TERMS, most, now(0)))
+        .map(|_| SharedBudget::new(TERMS, most, now(0), now(0)))
         .collect();
     let mut arrivals = Arrivals::default();
     for ms in (0..DURATION_MS).step_by(STEP_MS as usize) {
@@ -113,15 +114,15 @@
         if rng.random_bool(0.002) {
             // Many processes are killed at the same moment.
             for budget in &mut entries {
-                *budget = SharedBudget::new(TERMS, count, now(ms));
+                *budget = SharedBudget::new(TERMS, count, now(ms), now(ms));
             }
         } else if rng.random_bool(0.01) {
             let at = rng.random_range(0..entries.len());
-            entries[at] = SharedBudget::new(TERMS, count, now(ms));
+            entries[at] = SharedBudget::new(TERMS, count, now(ms), now(ms));
         } else if rng.random_bool(0.004) && count > 2 {
             entries.pop();
         } else if rng.random_bool(0.004) && count < most {
-            entries.push(SharedBudget::new(TERMS, count + 1, now(ms)));
+            entries.push(SharedBudget::new(TERMS, count + 1, now(ms), now(ms)));
         }
         let quiet = phase % 3 == 2;
         for budget in &mut entries {
--- a/tests/testsuite/direct/fixtures.rs
+++ b/tests/testsuite/direct/fixtures.rs
@@ -16,6 +16,7 @@
         wire::{Request, Response},
     },
     prelude::*,
+    routing::budget::BudgetTerms,
     site::{
         backend::Backend,
         document::{Class, Document},
@@ -108,6 +109,11 @@
                 lease,
                 ..PollerSettings::default()
             },
+            // Tests begin at once, as long after the start.
+            retry_budget: BudgetTerms {
+                settle_time: Duration::ZERO,
+                ..BudgetTerms::default()
+            },
             ..DirectSettings::default()
         };
         let parts = Parts {
@@ -250,6 +256,9 @@
     Send(String),
     /// Waits for a time.
     Wait(Duration),
+    /// Sends bytes again and again, with a pause between, until the entry closes the
+    /// connection, and counts that.
+    Repeat(String, Duration),
     /// Waits until the entry closes the connection, and counts that.
     AwaitClose,
     /// Closes the connection.
@@ -336,6 +345,13 @@
                     }
                 }
                 Action::Wait(time) => thread::sleep(time),
+                Action::Repeat(text, pause) => {
+                    while stream.write_all(text.as_bytes()).is_ok() {
+                        thread::sleep(pause);
+                    }
+                    observed.lock().unwrap().closed += 1;
+                    return;
+                }
                 Action::AwaitClose => {
                     // End of file and an error both mean that the peer has
                     // closed the connection.
