Bound what bytes without end cost

And the body of a stream's error answer was read without any limit, past the deadline.

All answers of an entry now share 24 MiB, beyond which only those below 64 KiB are read on; events end at 256 KiB, a connection's buffer at 64 KiB; a stream ends at its deadline also while events come; the body of an error answer has the request's time. An answer that ends with its connection never puts that back into the pool. JSON of agents, engines, the rater and lists is read up to 4 MiB. Heads, interim answers, chunk sizes, extensions, trailers and bodies without end were already given up within the request's time; tests keep that.

--- a/src/cardamomtally/agent/external.rs
+++ b/src/cardamomtally/agent/external.rs
@@ -1,8 +1,11 @@
 //! HTTP clients of the weight store and of the platform's list of VMs.
 
-use crate::core::{
-    platform::{Platform, Vm},
-    weights::{Permit, WeightStore},
+use crate::{
+    core::{
+        platform::{Platform, Vm},
+        weights::{Permit, WeightStore},
+    },
+    net::bounded,
 };
 use eyre::{WrapErr as _, bail};
 use futures::future::BoxFuture;
@@ -101,15 +104,15 @@
 impl Platform for HttpPlatform {
     fn vms(&self) -> BoxFuture<'_, eyre::Result<Vec<Vm>>> {
         Box::pin(async move {
-            self.client
+            let response = self
+                .client
                 .get(format!("{}/vms", self.url))
                 .timeout(Duration::from_secs(CALL_TIMEOUT_SECS))
                 .send()
                 .await
-                .wrap_err("failed to read the platform's list of VMs")?
-                .json()
-                .await
-                .wrap_err("failed to decode the platform's list of VMs")
+                .wrap_err("failed to read the platform's list of VMs")?;
+            let vms = bounded::read_json(response).await;
+            vms.wrap_err("failed to decode the platform's list of VMs")
         })
     }
 }
--- a/src/cardamomtally/agent/http_engine.rs
+++ b/src/cardamomtally/agent/http_engine.rs
@@ -1,9 +1,12 @@
 //! Engine adapter that speaks HTTP to the backend server.
 
-use crate::core::{
-    engine::{Engine, EngineAnswer, EngineCall, EngineError, EngineLoad},
-    id::RequestId,
-    order::Order,
+use crate::{
+    core::{
+        engine::{Engine, EngineAnswer, EngineCall, EngineError, EngineLoad},
+        id::RequestId,
+        order::Order,
+    },
+    net::bounded,
 };
 use eyre::WrapErr as _;
 use futures::{StreamExt as _, future::BoxFuture, stream::BoxStream};
@@ -250,10 +253,8 @@
 }
 
 async fn json<T: serde::de::DeserializeOwned>(response: Response) -> Result<T, EngineError> {
-    response
-        .json()
-        .await
-        .map_err(|error| classify_error(&error))
+    let read = bounded::read_json(response).await;
+    read.map_err(|error| EngineError::Broken(format!("{error:#}")))
 }
 
 /// Classifies an error by what it proves. Only a failure to connect, or to build
--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -12,7 +12,10 @@
         registry::{Choice, Registry},
         statement::Statement,
     },
-    link::pool::{Answer, Pool, SendError},
+    link::{
+        memory::AnswerMemory,
+        pool::{Answer, Pool, SendError},
+    },
     request::{call::Call, names::HeaderNames},
 };
 use crate::{
@@ -44,6 +47,8 @@
     pub registry: Arc<Registry>,
     /// Connections to the backend servers.
     pub pool: Pool,
+    /// Memory for answers that are being read.
+    pub memory: AnswerMemory,
     /// Exchange of backlog sums with the other entries.
     pub peers: Arc<Peers>,
     /// Keeps content that ends backend servers from being sent.
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -17,7 +17,7 @@
     content::guard::ContentGuard,
     exchange::peers::Peers,
     fleet::registry::Registry,
-    link::pool::Pool,
+    link::{memory::AnswerMemory, pool::Pool},
     listener,
     request::names::HeaderNames,
 };
@@ -152,6 +152,7 @@
         registry,
         peers,
         content,
+        memory: AnswerMemory::default(),
         pool: Pool::new(Arc::clone(&clock), settings.connect_timeout),
         counts,
         clock,
--- a/src/cardamomtally/direct/link/attempt.rs
+++ b/src/cardamomtally/direct/link/attempt.rs
@@ -154,6 +154,13 @@
         .ok()
 }
 
+/// Tells whether an answer's end shows by its length or its chunks. Otherwise it ends with
+/// its connection.
+#[must_use]
+pub fn is_delimited(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Reads the timeout of the `Keep-Alive` header and returns 70 % of it, at most
 /// 60 s. The margin makes the entry drop an idle connection before the backend
 /// server closes it.
--- a/src/cardamomtally/direct/link/mod.rs
+++ b/src/cardamomtally/direct/link/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to backend servers, and one attempt to be answered over them.
 
 pub mod attempt;
+pub mod memory;
 pub mod pool;
 pub mod source;
--- a/src/cardamomtally/direct/link/pool.rs
+++ b/src/cardamomtally/direct/link/pool.rs
@@ -33,6 +33,8 @@
 /// Time after which the kernel closes a connection whose sent bytes are not
 /// acknowledged.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Size of a connection's read buffer, which also bounds the head of an answer.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Largest number of idle connections per address.
 const MAX_IDLE_PER_BACKEND: usize = 64;
 
@@ -73,7 +75,10 @@
             Err(_elapsed) => return Err(SendError::NotSent("connection timed out")),
         };
         set_socket_options(&stream);
-        let shake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let mut builder = http1::Builder::new();
+        let shake = builder
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream));
         let Ok((sender, connection)) = shake.await else {
             return Err(SendError::NotSent("connection closed during the handshake"));
         };
--- a/src/cardamomtally/direct/link/source.rs
+++ b/src/cardamomtally/direct/link/source.rs
@@ -23,6 +23,9 @@
     pub body: Incoming,
     /// Splits the body at the ends of events.
     pub splitter: EventSplitter,
+    /// Whether the stream's end shows by its chunks or length, and not by that of its
+    /// connection.
+    pub delimited: bool,
     /// Time for which the connection may stay idle afterwards.
     pub keep_alive: Option<Duration>,
     /// When the request was sent.
@@ -96,7 +99,7 @@
                     return Next::End;
                 }
                 Ok(None) => {}
-                Err(_too_long) => return Next::Broken("an event is longer than 1 MiB"),
+                Err(_too_long) => return Next::Broken("an event is longer than 256 KiB"),
             }
         }
     }
--- a/src/cardamomtally/direct/request/events.rs
+++ b/src/cardamomtally/direct/request/events.rs
@@ -5,7 +5,7 @@
 
 /// Longest event. A stream whose event does not end within this number of bytes
 /// is treated as broken.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// One or more complete events.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
--- a/src/cardamomtally/direct/serve/plain.rs
+++ b/src/cardamomtally/direct/serve/plain.rs
@@ -10,6 +10,7 @@
         fleet::registry::{Choice, Requirements},
         link::{
             attempt::{self, AttemptParams, Outcome},
+            memory::ReadError,
             pool::Answer,
         },
         request::{
@@ -24,11 +25,7 @@
 };
 use bytes::Bytes;
 use http::Response;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 
-/// Longest body that is buffered and forwarded. A longer answer counts as a
-/// failure.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Limits on the attempts of a plain request.
 const RETRY_LIMITS: RetryLimits = RetryLimits {
     min_time: Duration::from_millis(5),
@@ -217,20 +214,24 @@
 
 async fn read_answer(app: &App, choice: &Choice, answer: Answer) -> AttemptResult {
     let (parts, body, connection) = answer.split();
-    let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+    let body = match app.memory.read(body).await {
         Ok(body) => body,
-        Err(error) if error.is::<LengthLimitError>() => {
-            return AttemptResult::Unknown("the answer's body is longer than 8 MiB");
+        Err(ReadError::TooLong) => {
+            return AttemptResult::Unknown("the answer's body is too long");
+        }
+        Err(ReadError::Broken(error)) if error.is_parse() => {
+            return AttemptResult::Unknown("the answer's body is not valid HTTP");
+        }
+        Err(ReadError::Broken(_)) => {
+            return AttemptResult::Broken("the answer's body broke off");
         }
-        Err(_) => return AttemptResult::Broken("the answer's body broke off"),
     };
-    let keep_alive = attempt::parse_keep_alive(&parts.headers);
-    app.pool
-        .put_idle(choice.backend.address, connection, keep_alive);
-    AttemptResult::Done(BufferedAnswer {
-        parts,
-        body: body.to_bytes(),
-    })
+    if attempt::is_delimited(&parts.headers) {
+        let keep_alive = attempt::parse_keep_alive(&parts.headers);
+        app.pool
+            .put_idle(choice.backend.address, connection, keep_alive);
+    }
+    AttemptResult::Done(BufferedAnswer { parts, body })
 }
 
 fn forward(app: &App, done: BufferedAnswer) -> Response<Body> {
--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -140,6 +140,7 @@
                     connection,
                     body,
                     splitter: EventSplitter::default(),
+                    delimited: attempt::is_delimited(&parts.headers),
                     keep_alive: attempt::parse_keep_alive(&parts.headers),
                     sent: since,
                     began: self.app.clock.now(),
@@ -216,13 +217,12 @@
     }
 
     async fn forward_failure(&self, parts: &Parts, body: Incoming) -> Response<Body> {
-        // If the body of an error answer breaks off, its status is still
+        // If the body of an error answer breaks off or is too long, its status is still
         // forwarded, with an empty body.
-        let body = body
-            .collect()
-            .await
-            .map(http_body_util::Collected::to_bytes);
-        let mut response = Response::new(full_body(body.unwrap_or_default()));
+        let left = self.call.remaining(self.app.clock.now());
+        let read = tokio::time::timeout(left, self.app.memory.read(body)).await;
+        let body = read.ok().and_then(Result::ok).unwrap_or_default();
+        let mut response = Response::new(full_body(body));
         *response.status_mut() = parts.status;
         *response.headers_mut() = call::response_headers(&self.app.names, &parts.headers);
         response
@@ -384,15 +384,15 @@
     async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
         loop {
             let left = self.call.remaining(self.app.clock.now());
+            if left.is_zero() {
+                return Err("the request's deadline has passed".into());
+            }
             let Some(source) = &mut self.source else {
                 return Err("no backend server is connected".into());
             };
             let stall_timeout = self.call.route.pause.mul_f64(STALL_SHARE).min(left);
             let next = match tokio::time::timeout(stall_timeout, source.next()).await {
                 Ok(next) => next,
-                Err(_elapsed) if left.is_zero() => {
-                    return Err("the request's deadline has passed".into());
-                }
                 Err(_elapsed) if self.reserve_after_stall(stall_timeout) => {
                     Next::Silent(stall_timeout)
                 }
@@ -484,10 +484,12 @@
         source.choice.record_success();
         self.app.content.record_good(&self.call);
         self.app.count_end(&self.call, &source.choice, true);
-        let address = source.choice.backend.address;
-        self.app
-            .pool
-            .put_idle(address, source.connection, source.keep_alive);
+        if source.delimited {
+            let address = source.choice.backend.address;
+            self.app
+                .pool
+                .put_idle(address, source.connection, source.keep_alive);
+        }
         self.log_end("complete");
     }
 
--- a/src/cardamomtally/entry/agents.rs
+++ b/src/cardamomtally/entry/agents.rs
@@ -12,9 +12,12 @@
         id::{AttemptId, Incarnation, Name},
         verdict::Verdict,
     },
-    net::run::{
-        ATTEMPT_HEADER, AttemptStatus, HEAD_HEADER, INCARNATION_HEADER, LOAD_HEADER, Load, Probe,
-        RunHead, VERDICT_HEADER,
+    net::{
+        bounded,
+        run::{
+            ATTEMPT_HEADER, AttemptStatus, HEAD_HEADER, INCARNATION_HEADER, LOAD_HEADER, Load,
+            Probe, RunHead, VERDICT_HEADER,
+        },
     },
     settings::entry::RetrySettings,
 };
@@ -306,10 +309,10 @@
 }
 
 async fn read_json<T: serde::de::DeserializeOwned>(response: Response) -> Result<T, CallError> {
-    let read = tokio::time::timeout(AGENT_REPLY_TIMEOUT, response.json()).await;
+    let read = tokio::time::timeout(AGENT_REPLY_TIMEOUT, bounded::read_json(response)).await;
     match read {
         Ok(Ok(value)) => Ok(value),
-        Ok(Err(error)) => Err(CallError::Ambiguous(error.to_string())),
+        Ok(Err(error)) => Err(CallError::Ambiguous(format!("{error:#}"))),
         Err(_elapsed) => Err(CallError::Ambiguous("no answer in time".to_owned())),
     }
 }
--- a/src/cardamomtally/entry/rating.rs
+++ b/src/cardamomtally/entry/rating.rs
@@ -8,6 +8,7 @@
 use super::{answer::CompleteAnswer, app::App, call::Call, health::VersionOutcome};
 use crate::{
     core::rater::{Rater, Sample},
+    net::bounded,
     routing::cascade::{self, RatedAnswer, Step},
     settings::entry::RatingSettings,
 };
@@ -158,7 +159,7 @@
             answer: String::from_utf8_lossy(&sample.answer),
         };
         let response = self.client.post(&self.url).json(&request).send().await?;
-        let rating: RatingResponse = response.error_for_status()?.json().await?;
+        let rating: RatingResponse = bounded::read_json(response.error_for_status()?).await?;
         eyre::ensure!(
             (0.0..=1.0).contains(&rating.score),
             "the score {} is not between 0 and 1",
--- a/src/cardamomtally/net/mod.rs
+++ b/src/cardamomtally/net/mod.rs
@@ -4,6 +4,7 @@
 //! ([`nng`]). An entry sends requests to an agent over HTTP, and the agent
 //! answers with a stream of frames ([`run`]).
 
+pub mod bounded;
 pub mod codec;
 pub mod compress;
 pub mod delta;
--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -5,6 +5,7 @@
 mod cascade;
 mod choice;
 mod config_lease;
+mod endless;
 mod fixtures;
 mod limit;
 mod once;
