Close nng sockets only after their receivers have ended

By the abort's stack, its expire thread cancelled a receive whose socket had been closed and freed meanwhile. Receivers now end by their own look, every 200 ms, and the socket is closed after they are joined.

--- a/src/cardamomtally/net/nng/mod.rs
+++ b/src/cardamomtally/net/nng/mod.rs
@@ -17,10 +17,9 @@
 pub use server::{Call, Server, bound_address};
 use std::time::Duration;
 
-/// Timeout of a receive call, after which a receiver thread checks whether its
-/// socket was closed. Without it, a receive call that begins while nng closes the
-/// socket may block forever.
-pub const RECEIVE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of a receive call, after which a receiver thread checks whether it is to end. A
+/// socket is closed only after that.
+pub const RECEIVE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Largest message that a client or server accepts, in bytes.
 const MESSAGE_LIMIT_BYTES: usize = 32 << 20;
--- a/src/cardamomtally/net/nng/server.rs
+++ b/src/cardamomtally/net/nng/server.rs
@@ -28,8 +28,8 @@
     received: AtomicU64,
 }
 
-/// Receives control requests. Dropping the server closes its socket and waits for
-/// the receiver thread.
+/// Receives control requests. Dropping the server waits for the receiver thread and closes
+/// its socket.
 pub struct Server {
     socket: Socket,
     bound: net::SocketAddr,
@@ -130,11 +130,16 @@
 impl Drop for Server {
     fn drop(&mut self) {
         self.closed.store(true, Ordering::Release);
-        self.socket.close();
+        let listener = self.listener.get_mut();
+        if let Some(listener) = listener.unwrap_or_else(PoisonError::into_inner).take() {
+            listener.close();
+        }
+        // nng may abort the process if a socket is closed while a receive waits on it.
         if let Some(thread) = self.thread.take() {
             // If the receiver panicked, its panic message is already printed.
             let _ignored = thread.join();
         }
+        self.socket.close();
     }
 }
 
--- a/src/cardamomtally/replica/peers/nng.rs
+++ b/src/cardamomtally/replica/peers/nng.rs
@@ -153,11 +153,12 @@
     fn stop(&mut self) {
         self.queue = None;
         self.closed.store(true, Ordering::Release);
-        self.socket.close();
+        // nng may abort the process if a socket is closed while a receive waits on it.
         for thread in self.threads.drain(..) {
             // The panic hook has already reported the panic.
             let _panicked = thread.join();
         }
+        self.socket.close();
     }
 }
 
