Tell evidence on by those alone who saw it, and measure it in the decisions bench

Found with the bench's new figures: each entry told on what it was told, so that one end set off datagrams in the square of the number of entries, and polls carried all evidence for a minute. Each entry now tells what it has seen itself: for 1 s by datagram, for 5 s with polls, and what its own verdict rests on until control has put that in force. A part that only one request had at its ends holds back no other request.

--- a/benches/decisions/main.rs
+++ b/benches/decisions/main.rs
@@ -8,6 +8,7 @@
 mod cascade;
 mod choice;
 mod claims;
+mod content;
 mod delay;
 mod frames;
 mod health;
@@ -34,6 +35,13 @@
     ttft_p99_over_least_load: Option<f64>,
     poison_crashes: Option<f64>,
     poison_bystanders_failed: Option<f64>,
+    part_ends_max: Option<f64>,
+    part_ends_p50: Option<f64>,
+    part_reached_max: Option<f64>,
+    part_verdict_p99_ms: Option<f64>,
+    sound_refused_share: Option<f64>,
+    false_verdicts: Option<f64>,
+    request_ends_max: Option<f64>,
     frames_per_core_s: Option<f64>,
 }
 
@@ -56,6 +64,15 @@
     figures.ttft_p99_over_least_load = Some(delays.tracker / delays.least_load);
     figures.bad_served = Some(health::bad_served());
     figures.false_suspensions = Some(health::false_suspensions());
+    let content = content::measure();
+    eprintln!("content: {content:?}");
+    figures.part_ends_max = Some(content.part_ends_max);
+    figures.part_ends_p50 = Some(content.part_ends_p50);
+    figures.part_reached_max = Some(content.part_reached_max);
+    figures.part_verdict_p99_ms = Some(content.part_verdict_p99_ms);
+    figures.sound_refused_share = Some(content.sound_refused_share);
+    figures.false_verdicts = Some(content.false_verdicts);
+    figures.request_ends_max = Some(content.request_ends_max);
     match frames::tokens_per_s() {
         Ok(rate) => figures.frames_per_core_s = Some(rate),
         Err(error) => eprintln!("frames: not measured: {error:#}"),
--- a/src/cardamomtally/quarantine/evidence.rs
+++ b/src/cardamomtally/quarantine/evidence.rs
@@ -96,12 +96,9 @@
         self.ends.retain(|end| end.at > at);
     }
 
-    /// Records a run that was begun to find out about the content. Returns whether it is
-    /// new.
-    pub fn add_trial(&mut self, at: Mono) -> bool {
-        let new = self.trial.is_none_or(|known| known + SAME_EVENT < at);
+    /// Records a run that was begun to find out about the content.
+    pub fn add_trial(&mut self, at: Mono) {
         self.trial = self.trial.max(Some(at));
-        new
     }
 
     /// Records that the latest trial has ended without an outcome.
--- a/src/cardamomtally/quarantine/pool.rs
+++ b/src/cardamomtally/quarantine/pool.rs
@@ -41,6 +41,10 @@
 /// may be lost.
 const TELL_TIME: Duration = Duration::from_secs(1);
 
+/// Time for which evidence is reported to control again and again, since a poll may not
+/// reach the leader.
+const REPORT_TIME: Duration = Duration::from_secs(5);
+
 /// Greatest number of pieces of content on which evidence is kept, and of those that one
 /// caller sent first. The oldest gives way.
 const MAX_CONTENT: usize = 2_048;
@@ -61,7 +65,8 @@
     hit: Mono,
 }
 
-/// What is known of one piece of content, and when that last changed.
+/// What is known of one piece of content, and when this process last added to it. What
+/// others have told is not told on: each tells what it has seen itself.
 #[derive(Clone, Debug, Default)]
 struct Record {
     /// The caller that the record is charged to.
@@ -235,13 +240,12 @@
             .filter_map(|c| Some((c, self.goods.latest(c, &item.content, now)?)))
             .collect();
         let record = self.record(item.content, owner);
-        let mut news = item.add_to(&mut record.evidence, now);
+        item.add_to(&mut record.evidence, now);
         for (caller, at) in goods {
             // What this process knows of the content the others may not.
-            news |= record.evidence.add_good(caller, at);
-        }
-        if news {
-            record.changed = now;
+            if record.evidence.add_good(caller, at) {
+                record.changed = now;
+            }
         }
         if !item.goods.is_empty() {
             self.lift_own(&item.content);
@@ -270,17 +274,21 @@
         self.explain();
     }
 
-    /// Returns the evidence on at most `max` pieces of content, that with the most ends
-    /// first.
+    /// Returns the evidence to report to control, on at most `max` pieces of content, that
+    /// with the most ends first: what this process has seen lately, and what its own
+    /// verdicts rest on until control has put them in force.
     #[must_use]
     pub fn report(&self, max: usize, now: Mono) -> Report {
-        self.items(max, now, |_| true)
+        self.items(max, now, |content, record| {
+            let own = self.held.get(content).is_some_and(|held| !held.confirmed);
+            own || now.since(record.changed) < REPORT_TIME
+        })
     }
 
-    /// Returns the evidence that changed lately, to tell it to other entries.
+    /// Returns what this process has seen lately, to tell it to other entries.
     #[must_use]
     pub fn news(&self, max: usize, now: Mono) -> Report {
-        self.items(max, now, |record| now.since(record.changed) < TELL_TIME)
+        self.items(max, now, |_, record| now.since(record.changed) < TELL_TIME)
     }
 
     /// Returns the content that was refused since the last call.
@@ -348,7 +356,18 @@
         if content.kind == Kind::Part && good.is_some() {
             return 0;
         }
-        separate(self.unexplained(content))
+        let count = separate(self.unexplained(content));
+        if content.kind == Kind::Part && self.requests(content) < REQUESTS_OF_PART {
+            // One request that ended several servers is held back as a whole.
+            return count.min(1);
+        }
+        count
+    }
+
+    /// Returns the number of different requests at the ends that speak against content.
+    fn requests(&self, content: &Fingerprint) -> usize {
+        let requests = self.unexplained(content).map(|end| end.request);
+        requests.collect::<FastSet<u32>>().len()
     }
 
     fn in_trial(&self, content: &Fingerprint, now: Mono) -> bool {
@@ -413,8 +432,7 @@
         } else {
             ENDS_TO_QUARANTINE
         };
-        let requests: FastSet<u32> = ends.iter().map(|end| end.request).collect();
-        let enough = content.kind == Kind::Request || requests.len() >= REQUESTS_OF_PART;
+        let enough = content.kind == Kind::Request || self.requests(content) >= REQUESTS_OF_PART;
         let depth = ends.iter().map(|end| end.depth).max().unwrap_or(0);
         (enough && count >= needed).then_some((count, content.kind, depth))
     }
@@ -512,8 +530,11 @@
         }
     }
 
-    fn items(&self, max: usize, now: Mono, told: impl Fn(&Record) -> bool) -> Report {
-        let told = self.records.iter().filter(|(_, record)| told(record));
+    fn items(&self, max: usize, now: Mono, told: impl Fn(&Fingerprint, &Record) -> bool) -> Report {
+        let told = self
+            .records
+            .iter()
+            .filter(|(content, record)| told(content, record));
         let mut found: Vec<(&Fingerprint, &Record)> = told.collect();
         found.sort_unstable_by_key(|(content, record)| {
             let ends = record.evidence.ends().len();
--- a/src/cardamomtally/quarantine/report.rs
+++ b/src/cardamomtally/quarantine/report.rs
@@ -83,18 +83,17 @@
         }
     }
 
-    /// Adds the item to evidence. Returns whether it told anything new.
-    pub fn add_to(&self, evidence: &mut Evidence, now: Mono) -> bool {
-        let mut news = false;
+    /// Adds the item to evidence.
+    pub fn add_to(&self, evidence: &mut Evidence, now: Mono) {
         for (caller, age) in &self.goods {
-            news |= evidence.add_good(*caller, ago(*age, now));
+            evidence.add_good(*caller, ago(*age, now));
         }
         for told in &self.ends {
-            news |= evidence.add_end(told.end(now));
+            evidence.add_end(told.end(now));
+        }
+        if let Some(age) = self.trial {
+            evidence.add_trial(ago(age, now));
         }
-        news | self
-            .trial
-            .is_some_and(|age| evidence.add_trial(ago(age, now)))
     }
 }
 
