Count an end when it was first seen, and answers to any caller

Many servers ended at one moment; entries with little processor time saw it 0.1 to 0.8 s later, and requests sent meanwhile on kept connections failed at once.

An instance's end now has the time at which the first entry saw it. A run that was sent later, or that lasted less than 10 ms, says nothing. Against the ends of several callers an answer to any caller counts; against those of one caller only its own. Two tests: the first failed before.

--- a/benches/decisions/content.rs
+++ b/benches/decisions/content.rs
@@ -54,6 +54,8 @@
 const LOSS_SHARE: f64 = 0.05;
 /// Time after the fifth end from which runs with the culprit count, in milliseconds.
 const CONTACT_MS: u64 = 3_000;
+/// Time from the first end before which no probe is granted, in milliseconds.
+const PROBE_MS: u64 = 25_000;
 /// Greatest number of backend servers that one request is sent to.
 const ATTEMPTS: u32 = 3;
 /// Number of requests without a culprit.
@@ -443,11 +445,11 @@
     pub request_ends_max: f64,
 }
 
-/// Returns the number of ends before the fleet refuses the content: those within
-/// [`CONTACT_MS`] of the first.
+/// Returns the number of ends before the fleet refuses the content: those before the first
+/// probe may be granted.
 fn first_ends(outcome: &Outcome) -> usize {
     let first = outcome.ends.first().copied().unwrap_or(0);
-    let soon = |at: &&u64| **at < first + 4 * CONTACT_MS;
+    let soon = |at: &&u64| **at < first + PROBE_MS;
     outcome.ends.iter().filter(soon).count()
 }
 
--- a/src/cardamomtally/quarantine/pool.rs
+++ b/src/cardamomtally/quarantine/pool.rs
@@ -11,9 +11,9 @@
 //! time.
 
 use super::{
-    evidence::{End, Evidence, separate},
+    evidence::{EVIDENCE_TTL, End, Evidence, separate},
     explain::Explanations,
-    fingerprint::{CallerKey, Fingerprint, Kind},
+    fingerprint::{CallerKey, Fingerprint, Kind, ServerKey},
     goods::Goods,
     report::{Item, Report},
     verdict::{Scope, Verdict, Verdicts},
@@ -45,6 +45,10 @@
 /// reach the leader.
 const REPORT_TIME: Duration = Duration::from_secs(5);
 
+/// Shortest run that can have ended its backend server. A request that is sent on a kept
+/// connection to one that has ended fails sooner.
+const MIN_RUN: Duration = Duration::from_millis(10);
+
 /// Greatest number of pieces of content on which evidence is kept, and of those that one
 /// caller sent first. The oldest gives way.
 const MAX_CONTENT: usize = 2_048;
@@ -123,6 +127,8 @@
     goods: Goods,
     held: FastMap<Fingerprint, Held>,
     explanations: Explanations,
+    /// When each instance ended, by the first who saw it.
+    server_ends: FastMap<ServerKey, Mono>,
     /// Content that was refused since the hits were last taken.
     hits: FastSet<Fingerprint>,
     /// Probes of this process that were sent, by content, with the time of their grant.
@@ -180,6 +186,10 @@
     /// Records that a backend server ended under a run. `end` need not name the run's
     /// caller, request and place. Returns verdicts that follow.
     pub fn record_end(&mut self, run: &Run, end: End, now: Mono) -> Vec<(Fingerprint, Verdict)> {
+        if end.at.since(end.began) < MIN_RUN {
+            return Vec::new();
+        }
+        self.note_server(&end);
         for (depth, found) in run.content() {
             let good = self.goods.latest(run.caller, &found, now);
             let record = self.record(found, run.caller);
@@ -239,6 +249,9 @@
         let goods: Vec<(CallerKey, Mono)> = callers
             .filter_map(|c| Some((c, self.goods.latest(c, &item.content, now)?)))
             .collect();
+        for told in &item.ends {
+            self.note_server(&told.end(now));
+        }
         let record = self.record(item.content, owner);
         item.add_to(&mut record.evidence, now);
         for (caller, at) in goods {
@@ -325,6 +338,8 @@
     pub fn sweep(&mut self, now: Mono) {
         self.records.retain(|_, record| record.evidence.expire(now));
         self.goods.sweep(now);
+        self.server_ends
+            .retain(|_, at| now.since(*at) < EVIDENCE_TTL);
         self.held
             .retain(|_, held| held.confirmed || now.since(held.hit) < QUIET_TIME);
         let held = &self.held;
@@ -332,6 +347,32 @@
         self.explain();
     }
 
+    /// Notes when an instance ended.
+    fn note_server(&mut self, end: &End) {
+        let first = self.server_ends.entry(end.server).or_insert(end.at);
+        *first = end.at.min(*first);
+    }
+
+    /// Tells whether a run was sent before its instance had ended, by what all have seen.
+    fn ran(&self, end: &End) -> bool {
+        let ended = self.server_ends.get(&end.server);
+        ended.is_none_or(|at| end.began + MIN_RUN <= *at)
+    }
+
+    /// Returns the number of separate events among ends that are in the order of their
+    /// times. The first who saw an instance end tells its time.
+    fn events<'e>(&self, ends: impl Iterator<Item = &'e End>) -> usize {
+        let first = |end: &End| self.server_ends.get(&end.server).copied().unwrap_or(end.at);
+        let mut ends: Vec<End> = ends
+            .map(|end| End {
+                at: first(end),
+                ..*end
+            })
+            .collect();
+        ends.sort_unstable_by_key(|end| end.at);
+        separate(ends.iter())
+    }
+
     /// Returns the quarantined content of a run, if it has any.
     fn quarantined(&self, run: &Run) -> Option<Fingerprint> {
         let mut content = run.content().map(|(_, found)| found);
@@ -346,7 +387,7 @@
     fn unexplained<'p>(&'p self, content: &'p Fingerprint) -> impl Iterator<Item = &'p End> {
         let ends = self.evidence(content).map_or(&[][..], Evidence::ends);
         ends.iter()
-            .filter(|end| !self.explanations.covers(content, end))
+            .filter(|end| self.ran(end) && !self.explanations.covers(content, end))
     }
 
     /// Returns the number of separate ends that make a caller's next run with the content
@@ -356,7 +397,7 @@
         if content.kind == Kind::Part && good.is_some() {
             return 0;
         }
-        let count = separate(self.unexplained(content));
+        let count = self.events(self.unexplained(content));
         if content.kind == Kind::Part && self.requests(content) < REQUESTS_OF_PART {
             // One request that ended several servers is held back as a whole.
             return count.min(1);
@@ -412,7 +453,7 @@
         let free = self.records.keys().filter(|c| !self.held.contains_key(c));
         let rated = free.filter_map(|content| Some((self.rate(content)?, content)));
         let (_, content) = rated.max()?;
-        let ends: Vec<&End> = self.unexplained(content).collect();
+        let (_, ends) = self.damning(content)?;
         let verdict = Verdict {
             scope: scope(content, &ends),
             ends: ends.iter().map(|end| end.server).collect(),
@@ -421,10 +462,25 @@
         Some((*content, verdict))
     }
 
+    /// Returns the ends that speak most against content, with the number of separate events:
+    /// those of all callers since the latest answer in full to any of them, or those of one
+    /// caller, whom answers to others do not excuse.
+    fn damning<'p>(&'p self, content: &'p Fingerprint) -> Option<(usize, Vec<&'p End>)> {
+        let ends: Vec<&End> = self.unexplained(content).collect();
+        let goods = self.evidence(content)?.goods();
+        let good = goods.iter().map(|(_, at)| *at).max();
+        let since: Vec<&End> = ends.iter().filter(|e| Some(e.at) > good).copied().collect();
+        let callers: FastSet<CallerKey> = ends.iter().map(|end| end.caller).collect();
+        let of = |caller: CallerKey| ends.iter().filter(move |e| e.caller == caller).copied();
+        let single = callers.into_iter().map(|caller| of(caller).collect());
+        let all = single.chain(std::iter::once(since));
+        let rated = all.map(|ends: Vec<&End>| (self.events(ends.iter().copied()), ends));
+        rated.max_by_key(|(count, _)| *count)
+    }
+
     /// Returns how much speaks against content, or none if that is too little for a verdict.
     fn rate(&self, content: &Fingerprint) -> Option<(usize, Kind, u8)> {
-        let ends: Vec<&End> = self.unexplained(content).collect();
-        let count = separate(ends.iter().copied());
+        let (count, ends) = self.damning(content)?;
         let evidence = self.evidence(content)?;
         let known_good = ends.iter().any(|end| evidence.good(end.caller).is_some());
         let needed = if known_good {
--- a/src/cardamomtally/quarantine/report.rs
+++ b/src/cardamomtally/quarantine/report.rs
@@ -56,7 +56,9 @@
         )
     }
 
-    fn end(self, now: Mono) -> End {
+    /// Returns the end, with its times on the clock of the process that was told it.
+    #[must_use]
+    pub fn end(self, now: Mono) -> End {
         let Self(server, caller, request, depth, began, at) = self;
         End {
             server,
--- a/tests/testsuite/quarantine/parts.rs
+++ b/tests/testsuite/quarantine/parts.rs
@@ -200,6 +200,44 @@
     assert_eq!(admit(&mut seer, &next, 1_500), Admission::Free);
 }
 
+#[test]
+fn servers_lost_at_once_bring_no_popular_part_under_a_verdict_at_slow_entries() {
+    let mut pool = Pool::default();
+    for (n, name) in (0..).zip(["a", "b", "c", "d", "e", "f"]) {
+        let run = run_of(name, &format!("r-{n}"), &[FIRST]);
+        pool.record_good(&run, at(n));
+        // The server ended at 2 s; a slow entry sees the end of the same run later.
+        pool.record_end(&run, end(n, 1_500, 2_000), at(2_000));
+        let slow = run_of(&format!("slow-{name}"), &format!("s-{n}"), &[FIRST]);
+        pool.record_end(&slow, end(n, 1_500, 2_100 + n * 200), at(2_100 + n * 200));
+        // A third one sends on a kept connection, which fails at once.
+        let stale = run_of(&format!("stale-{name}"), &format!("t-{n}"), &[FIRST]);
+        let sent = 2_050 + n * 200;
+        pool.record_end(&stale, end(n, sent, sent + 2), at(sent + 2));
+    }
+
+    assert_eq!(in_force(&pool), []);
+}
+
+#[test]
+fn answer_to_any_caller_speaks_for_a_part_at_whose_ends_many_callers_were() {
+    let mut pool = Pool::default();
+    let names = ["a", "b", "c", "d", "e", "f", "g"];
+    for (n, name) in (0..).zip(names) {
+        let sound = run_of("other", &format!("s-{n}"), &[FIRST]);
+        end_under(
+            &mut pool,
+            &run_of(name, &format!("r-{n}"), &[FIRST]),
+            1_000 + n * 300,
+        );
+        if n % 2 == 0 {
+            pool.record_good(&sound, at(1_010 + n * 300));
+        }
+    }
+
+    assert_eq!(in_force(&pool), []);
+}
+
 #[test]
 fn caller_with_ever_new_parts_displaces_no_evidence_of_another() {
     let mut pool = Pool::default();
