State what overload control has to do, and lay out its module

Cause: two deployments have more demand than capacity at times, and entries place and send each request as if there was room.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -22,6 +22,7 @@
     prelude::*,
     quarantine::report::Report,
     routing::budget::{BudgetTerms, Cause, SharedBudget},
+    scheduling::settings::SchedulingSettings,
 };
 use slog::Logger;
 use std::sync::{
@@ -68,6 +69,8 @@
     /// Terms of the retry budget that all entries together share for each
     /// service.
     pub retries: BudgetTerms,
+    /// Settings of overload control; `None` if the deployment does not ask for it.
+    pub scheduling: Option<SchedulingSettings>,
     /// This entry's part of the retry budgets, by service.
     pub budgets: Mutex<FastMap<Name, SharedBudget>>,
     /// When the next ignored value of a backend server's answer may be logged.
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -25,6 +25,7 @@
     net::{nng::Client, transport::Transport},
     prelude::*,
     routing::budget::BudgetTerms,
+    scheduling::settings::SchedulingSettings,
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -79,6 +80,8 @@
     /// Terms of the retry budget that all entries together share for each
     /// service.
     pub retry_budget: BudgetTerms,
+    /// Settings of overload control; `None` if the deployment does not ask for it.
+    pub scheduling: Option<SchedulingSettings>,
 }
 
 impl Default for DirectSettings {
@@ -97,6 +100,7 @@
             drain_timeout: Duration::from_secs(8),
             connect_timeout: Duration::from_millis(300),
             retry_budget: BudgetTerms::default(),
+            scheduling: None,
         }
     }
 }
@@ -132,8 +136,10 @@
         Arc::clone(&clock),
         parts.log.clone(),
     );
-    let registry = Registry::new(Arc::clone(&clock), Arc::clone(&settings.centre));
-    let registry = Arc::new(registry.with_peers(Arc::clone(&peers)));
+    let registry = Registry::new(Arc::clone(&clock), Arc::clone(&settings.centre))
+        .with_peers(Arc::clone(&peers))
+        .with_scheduling(settings.scheduling);
+    let registry = Arc::new(registry);
     let content = Arc::new(ContentGuard::new(
         Arc::clone(&settings.poller.name),
         Arc::clone(&registry),
@@ -161,6 +167,7 @@
         stopping: AtomicBool::new(false),
         running: AtomicU64::new(0),
         retries: settings.retry_budget,
+        scheduling: settings.scheduling,
         budgets: Mutex::default(),
         ignored_log: Mutex::default(),
     })
--- a/src/cardamomtally/direct/fleet/registry.rs
+++ b/src/cardamomtally/direct/fleet/registry.rs
@@ -29,6 +29,10 @@
         breaker::{Breaker, BreakerSettings},
         rendezvous,
     },
+    scheduling::{
+        outlook::Outlook,
+        settings::{Mode, SchedulingSettings},
+    },
     site::{backend::Backend, document::Service},
 };
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -137,6 +141,7 @@
     clock: Arc<dyn Clock>,
     centre: Name,
     peers: Option<Arc<Peers>>,
+    scheduling: Option<SchedulingSettings>,
 }
 
 /// A backend server chosen for a request. The request counts as in flight there
@@ -182,6 +187,7 @@
             clock,
             centre,
             peers: None,
+            scheduling: None,
         }
     }
 
@@ -195,6 +201,12 @@
         }
     }
 
+    /// Returns the registry with settings of overload control.
+    #[must_use]
+    pub fn with_scheduling(self, scheduling: Option<SchedulingSettings>) -> Self {
+        Self { scheduling, ..self }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -243,6 +255,27 @@
         })
     }
 
+    /// Returns what a request would meet if it was sent now, without sending it; `None` if no
+    /// backend server may be chosen.
+    pub fn outlook(&self, config: &ConfigSnapshot, wanted: &Requirements<'_>) -> Option<Outlook> {
+        let mut state = self.lock();
+        let allowed = allowed(config, wanted, &state);
+        let untried = |b: &&Backend| !wanted.tried.contains(&b.instance);
+        let untried: Vec<&Backend> = allowed.into_iter().filter(untried).collect();
+        state.ensure_known(&untried);
+        let (_, candidate, estimate) = self.best(&state, config, wanted, &untried)?;
+        let nodes = untried.iter().filter_map(|b| state.nodes.get(&b.instance));
+        let waits: f64 = nodes.map(|node| state.backlog.total_ms(node.key)).sum();
+        let mode = self.scheduling.map_or(Mode::Off, |settings| settings.mode);
+        Some(Outlook {
+            wait: candidate.backlog,
+            first: estimate.ttft,
+            prefill: estimate.prefill,
+            mean_wait: waits / untried.len() as f64,
+            active: mode == Mode::On,
+        })
+    }
+
     /// Returns the backend server with the lowest cost, with what was known
     /// about it and its estimate.
     fn best<'b>(
--- a/src/cardamomtally/lib.rs
+++ b/src/cardamomtally/lib.rs
@@ -30,6 +30,7 @@
 pub mod quarantine;
 pub mod replica;
 pub mod routing;
+pub mod scheduling;
 pub mod settings;
 pub mod site;
 pub mod timeline;
