Bound the bytes that evidence on content takes on an entry's link

Cause: each entry told each other one up to 48 pieces of evidence again every 50 ms for a second after each change. After the loss of 25 backend servers that is 30 Mbit/s an entry, on links of 10 Mbit/s: all streams were late, also those of servers that ran on. Ruled out: processor time (the same without charge), the resumption itself (pauses of 0.3 to 0.6 s). Change: 60 kB a second for all receivers together, and unchanged evidence only every 250 ms.

--- a/src/cardamomtally/direct/exchange/peers.rs
+++ b/src/cardamomtally/direct/exchange/peers.rs
@@ -6,8 +6,11 @@
 //! nng: a sum that arrives late is worthless, so nothing needs to be sent
 //! again, and no connection to every other entry has to be kept open.
 
-use super::backlog::{BacklogSums, ServerKey};
-use crate::{net::codec, prelude::*, quarantine::report::Report};
+use super::{
+    allowance::Allowance,
+    backlog::{BacklogSums, ServerKey},
+};
+use crate::{core::clock::SystemClock, net::codec, prelude::*, quarantine::report::Report};
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
 use slog::{Logger, debug, warn};
@@ -28,6 +31,12 @@
 const MAX_SUMS: usize = 96;
 /// Largest number of ends and items of evidence in a message, for the same reason.
 const MAX_EVIDENCE: usize = 40;
+/// Bytes of evidence per second that an entry sends to all others together, a twentieth of a
+/// link of 10 Mbit/s. Without a bound, the loss of half of the backend servers made 29
+/// entries fill such links for a second, and all streams were late.
+const EVIDENCE_BYTES_PER_S: f64 = 60_000.0;
+/// Bytes of evidence that are sent at once.
+const EVIDENCE_BURST_BYTES: f64 = 60_000.0;
 /// Largest number of replaced backend servers in a message, for the same reason.
 const MAX_REPLACED: usize = 100;
 /// Size of the receive buffer; longer messages are cut off and fail to decode.
@@ -145,12 +154,19 @@
     /// waits, until the task is aborted.
     pub async fn send_loop(&self, socket: &UdpSocket, known: &dyn Knowledge) {
         let mut last = BacklogSums::new();
+        let clock = SystemClock::default();
+        let mut allowance = Allowance::new(EVIDENCE_BYTES_PER_S, EVIDENCE_BURST_BYTES, clock.now());
         loop {
             let wait = tokio::time::timeout(RESEND_INTERVAL, self.changed.notified()).await;
             self.dirty.store(false, Ordering::Release);
             let replaced = known.replaced(MAX_REPLACED);
             let told = self.tell_replaced(socket, replaced).await;
-            let told = self.tell_news(socket, known.news()).await || told;
+            let told = if allowance.is_open(clock.now()) {
+                let (news, left) = (known.news(), &mut allowance);
+                self.tell_news(socket, news, &clock, left).await || told
+            } else {
+                told
+            };
             let sums = known.own_sums(MAX_SUMS);
             let repeats = wait.is_err() && !sums.is_empty();
             if sums != last || repeats {
@@ -179,17 +195,29 @@
         true
     }
 
-    /// Sends evidence to all other entries, in as many messages as it needs. Returns
-    /// whether there was any.
-    async fn tell_news(&self, socket: &UdpSocket, news: Report) -> bool {
+    /// Sends evidence to all other entries, in as many messages as it needs and the
+    /// allowance lasts for. What is not sent is left to a later call. Returns whether there
+    /// was any.
+    async fn tell_news(
+        &self,
+        socket: &UdpSocket,
+        news: Report,
+        clock: &dyn Clock,
+        allowance: &mut Allowance,
+    ) -> bool {
         let told = !news.is_empty();
         for evidence in split(news) {
+            if !allowance.is_open(clock.now()) {
+                metrics::counter!("cardamomtally_direct_evidence_deferred_total").increment(1);
+                break;
+            }
             let message = Message {
                 entry: Arc::clone(&self.entry),
                 evidence,
                 ..Message::default()
             };
-            self.send(socket, &message).await;
+            let bytes = self.send(socket, &message).await;
+            allowance.take(bytes);
         }
         told
     }
@@ -204,13 +232,16 @@
         self.send(socket, &message).await;
     }
 
-    async fn send(&self, socket: &UdpSocket, message: &Message) {
+    /// Sends a message to all other entries. Returns the bytes of all datagrams.
+    async fn send(&self, socket: &UdpSocket, message: &Message) -> usize {
         let bytes = codec::encode(message);
-        for address in self.addresses().iter() {
+        let addresses = self.addresses();
+        for address in addresses.iter() {
             if let Err(error) = socket.send_to(&bytes, *address).await {
                 debug!(self.log, "peers: sending a message failed"; "to" => %address, "error" => %error);
             }
         }
+        bytes.len() * addresses.len()
     }
 }
 
--- a/src/cardamomtally/quarantine/pool.rs
+++ b/src/cardamomtally/quarantine/pool.rs
@@ -41,6 +41,9 @@
 /// may be lost.
 const TELL_TIME: Duration = Duration::from_secs(1);
 
+/// Time after which unchanged evidence is told to other entries again.
+const REPEAT_TIME: Duration = Duration::from_millis(250);
+
 /// Time for which evidence is reported to control again and again, since a poll may not
 /// reach the leader.
 const REPORT_TIME: Duration = Duration::from_secs(5);
@@ -79,6 +82,8 @@
     owner: CallerKey,
     evidence: Evidence,
     changed: Mono,
+    /// When it was last told to other entries.
+    told: Option<Mono>,
 }
 
 /// How a run with some content is to be sent.
@@ -305,10 +310,21 @@
         })
     }
 
-    /// Returns what this process has seen lately, to tell it to other entries.
+    /// Returns what this process has seen lately and has not told other entries since, or
+    /// not for [`REPEAT_TIME`].
     #[must_use]
-    pub fn news(&self, max: usize, now: Mono) -> Report {
-        self.items(max, now, |_, record| now.since(record.changed) < TELL_TIME)
+    pub fn news(&mut self, max: usize, now: Mono) -> Report {
+        let due = |_: &Fingerprint, record: &Record| {
+            let untold = |told: Mono| told < record.changed || now.since(told) >= REPEAT_TIME;
+            now.since(record.changed) < TELL_TIME && record.told.is_none_or(untold)
+        };
+        let news = self.items(max, now, due);
+        for item in &news {
+            if let Some(record) = self.records.get_mut(&item.content) {
+                record.told = Some(now);
+            }
+        }
+        news
     }
 
     /// Returns the content that was refused since the last call.
--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod config_lease;
 mod endless;
+mod evidence_rate;
 mod fixtures;
 mod limit;
 mod malformed;
