Deny escalations that gain less than the work they displace is worth

Cause: the entry escalated a third of the streams whatever waited at the backend servers. With half of the servers lost, escalations needed 70 server-seconds per second and first answers 25, where 25 were available; most came from long prompts of low priority.

Change: where overload control is active, an escalation is made if its gain (doubt times the value weight of the priority) is at least the price of its prefill work. The price is 0 while the mean wait is below a tenth of the shortest target latency of the service's routes, and in proportion to the wait above that. It is the level of overload times the mean value per millisecond of first answers, which the entry learns for each service. It rises at once and falls with a time constant of 150 ms. At a price above 0, a larger model whose first event is expected after the target is not asked. At price 0, or without overload control, the decision is as before.

The cascade log line has the price, the displaced time and the verdict; a metric counts denied escalations.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -22,7 +22,11 @@
     prelude::*,
     quarantine::report::Report,
     routing::budget::{BudgetTerms, Cause, SharedBudget},
-    scheduling::settings::SchedulingSettings,
+    scheduling::{
+        escalation::{self, Escalation, EscalationPrice, Verdict},
+        outlook::Outlook,
+        settings::SchedulingSettings,
+    },
 };
 use slog::Logger;
 use std::sync::{
@@ -37,6 +41,24 @@
 /// larger model must leave for retries after failures.
 const RETRY_RESERVE: f64 = 0.5;
 
+/// This entry's part of the retry budget of a service, and the price of escalations there.
+#[derive(Debug)]
+pub struct ServiceBudget {
+    retries: SharedBudget,
+    price: EscalationPrice,
+}
+
+/// What an escalation costs while overload control is active, and whether it is worth that.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quote {
+    /// Price of a millisecond of work, in value of answers.
+    pub price: f64,
+    /// Work that the escalation displaces, in milliseconds.
+    pub displaced: f64,
+    /// Whether the escalation is worth its work.
+    pub verdict: Verdict,
+}
+
 /// The state that all requests of an entry share.
 #[derive(Debug)]
 pub struct App {
@@ -72,7 +94,7 @@
     /// Settings of overload control; `None` if the deployment does not ask for it.
     pub scheduling: Option<SchedulingSettings>,
     /// This entry's part of the retry budgets, by service.
-    pub budgets: Mutex<FastMap<Name, SharedBudget>>,
+    pub budgets: Mutex<FastMap<Name, ServiceBudget>>,
     /// When the next ignored value of a backend server's answer may be logged.
     pub ignored_log: Mutex<Mono>,
 }
@@ -107,31 +129,87 @@
     /// allowed it.
     pub fn spend_retry(&self, service: &Name, cause: Cause) -> bool {
         let now = self.clock.now();
-        self.budget(service, |budget| budget.spend(cause, now))
+        self.budget(service, |budget| budget.retries.spend(cause, now))
     }
 
     /// Takes an escalation to a larger model from the budget of a service.
     /// Returns whether enough was left for retries after failures.
     pub fn spend_escalation(&self, service: &Name) -> bool {
         let now = self.clock.now();
-        self.budget(service, |budget| budget.spend_optional(RETRY_RESERVE, now))
+        self.budget(service, |budget| {
+            budget.retries.spend_optional(RETRY_RESERVE, now)
+        })
+    }
+
+    /// Learns what the work on first answers is worth, from an answer that has begun. `work`
+    /// is the time that the backend server has spent on the prompt, in milliseconds.
+    pub fn record_first_answer(&self, call: &Call, confidence: Option<f64>, work: f64) {
+        let Some(settings) = &self.scheduling else {
+            return;
+        };
+        let weight = escalation::value_weight(call.priority, settings.priority_ratio);
+        let value = weight * escalation::answer_share(confidence);
+        let now = self.clock.now();
+        self.budget(&call.service.name, |budget| {
+            budget.price.record_first(value, work, now);
+        });
+    }
+
+    /// Decides whether an escalation is worth the work that it displaces. Returns `None` if
+    /// overload control is not active for the service.
+    pub fn quote_escalation(
+        &self,
+        call: &Call,
+        confidence: Option<f64>,
+        outlook: &Outlook,
+    ) -> Option<Quote> {
+        let settings = self.scheduling.as_ref().filter(|_| outlook.active)?;
+        let now = self.clock.now();
+        let config = self.config.current();
+        let table = config.table.as_ref();
+        let shortest = table.and_then(|table| table.shortest_target(&call.service.name));
+        let target = shortest.unwrap_or(call.route.target);
+        let weight = escalation::value_weight(call.priority, settings.priority_ratio);
+        let passed = now.since(call.received).as_secs_f64() * 1e3;
+        let escalation = Escalation {
+            gain: weight * (1.0 - escalation::answer_share(confidence)),
+            work: outlook.prefill,
+            in_time: passed + outlook.first <= call.route.target.as_secs_f64() * 1e3,
+        };
+        let price = self.budget(&call.service.name, |budget| {
+            budget.price.observe(outlook.mean_wait, target, now)
+        });
+        let verdict = escalation::decide(price, &escalation);
+        if verdict != Verdict::Allowed {
+            metrics::counter!("cardamomtally_direct_escalations_denied_total",
+                "why" => verdict.as_str())
+            .increment(1);
+        }
+        Some(Quote {
+            price,
+            displaced: outlook.prefill,
+            verdict,
+        })
     }
 
     /// Adds a new request's share to the retry budget of its service.
     pub fn count_request(&self, service: &Name) {
         let entries = sharing_entries(&self.config.current());
         let now = self.clock.now();
-        self.budget(service, |budget| budget.earn(entries, now));
+        self.budget(service, |budget| budget.retries.earn(entries, now));
     }
 
-    fn budget<T>(&self, service: &Name, act: impl FnOnce(&mut SharedBudget) -> T) -> T {
+    fn budget<T>(&self, service: &Name, act: impl FnOnce(&mut ServiceBudget) -> T) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(budget) = budgets.get_mut(service) {
             return act(budget);
         }
         let entries = sharing_entries(&self.config.current());
         let now = self.clock.now();
-        let budget = SharedBudget::new(self.retries, entries, self.started, now);
+        let budget = ServiceBudget {
+            retries: SharedBudget::new(self.retries, entries, self.started, now),
+            price: EscalationPrice::default(),
+        };
         act(budgets.entry(Arc::clone(service)).or_insert(budget))
     }
 
--- a/src/cardamomtally/direct/decisions.rs
+++ b/src/cardamomtally/direct/decisions.rs
@@ -4,7 +4,7 @@
 //! `refuse`, `statement` and `stream`.
 
 use super::{
-    app::App,
+    app::{App, Quote},
     fleet::{registry::Choice, statement::Statement},
     link::source::StreamTiming,
     request::{call::Call, refusal::Refusal},
@@ -73,17 +73,26 @@
     }
 
     /// Logs the confidence of a model's answer, and whether the next model of
-    /// the cascade is asked.
+    /// the cascade is asked; if overload control is active, also what that costs.
     pub fn log_confidence(
         &self,
         call: &Call,
         model_index: usize,
         confidence: Option<f64>,
         next: Option<usize>,
+        quote: Option<Quote>,
     ) {
-        info!(self.log, "cascade: {}", if next.is_some() { "escalated" } else { "kept" };
+        let what = if next.is_some() { "escalated" } else { "kept" };
+        let Some(quote) = quote else {
+            info!(self.log, "cascade: {}", what;
+                "request" => call.id_text(), "model" => model_index, "confidence" => confidence,
+                "tokens" => call.tokens.0);
+            return;
+        };
+        info!(self.log, "cascade: {}", what;
             "request" => call.id_text(), "model" => model_index, "confidence" => confidence,
-            "tokens" => call.tokens.0);
+            "tokens" => call.tokens.0, "verdict" => quote.verdict.as_str(),
+            "price_per_ms" => quote.price, "displaced_ms" => quote.displaced);
     }
 
     /// Logs and counts a request that ends with an answer of the entry's own
--- a/tests/testsuite/direct/cascade.rs
+++ b/tests/testsuite/direct/cascade.rs
@@ -1,12 +1,17 @@
 //! Tests of escalation to a larger model by an answer's confidence.
 
 use super::fixtures::{
-    Action, Entry, Server, dechunk, events, header, request, stream_end, stream_head,
+    Action, Entry, Server, dechunk, events, header, reply, request, stream_end, stream_head,
 };
 use crate::site::fixtures::document;
 use cardamomtally::{
-    direct::serve::escalate,
-    routing::budget::{Budget, Cause},
+    direct::{exchange::peers::Knowledge as _, serve::escalate},
+    prelude::*,
+    routing::{
+        budget::{Budget, Cause},
+        rendezvous,
+    },
+    scheduling::settings::{Mode, SchedulingSettings},
     site::document::{Class, Document},
 };
 use proptest::prelude::*;
@@ -90,6 +95,56 @@
     assert_eq!(models(&server), ["small"]);
 }
 
+/// Returns the models that are asked for a prompt with a doubtful answer, after some short
+/// ones, while other entries report `wait` milliseconds of work at the backend server.
+fn models_under_load(mode: Option<Mode>, wait: u32, tokens: u32) -> Vec<String> {
+    let server = server("40");
+    let entry = Entry::with_settings(Duration::from_mins(1), |settings| {
+        settings.scheduling = mode.map(|mode| SchedulingSettings {
+            mode,
+            ..SchedulingSettings::default()
+        });
+    });
+    let mut document = cascade();
+    document.routes[0].target = Duration::from_secs(4);
+    entry.publish(reply(1, document, vec![server.backend()]));
+    let ask = |id: &str, model: &str, tokens: u32| {
+        let headers =
+            format!("Cardamomtally-Model: {model}\r\nCardamomtally-Tokens: {tokens},50\r\n");
+        entry.ask(&request(id, &headers, ""));
+    };
+    let shorts = 8;
+    for number in 0..shorts {
+        ask(&format!("s-{number}"), "small", 800);
+    }
+    let key = rendezvous::seed("i-1");
+    entry
+        .app
+        .apply_peer_sums(&"entry-2".into(), vec![(key, wait)]);
+    ask("a-1", "*", tokens);
+    models(&server).split_off(shorts)
+}
+
+/// Guards against escalations of long prompts that delay first answers during a burst.
+#[test]
+fn escalation_that_displaces_more_than_it_gains_is_denied_under_load() {
+    assert_eq!(models_under_load(Some(Mode::On), 2_000, 12_000), ["small"]);
+    assert_eq!(
+        models_under_load(Some(Mode::On), 2_000, 800),
+        ["small", "large"]
+    );
+}
+
+/// Guards against denied escalations where there is room, or where overload control is off.
+#[test]
+fn escalation_is_decided_as_before_with_room_or_without_overload_control() {
+    let escalated = ["small", "large"];
+    assert_eq!(models_under_load(Some(Mode::On), 0, 12_000), escalated);
+    assert_eq!(models_under_load(Some(Mode::On), 300, 12_000), escalated);
+    assert_eq!(models_under_load(Some(Mode::Off), 2_000, 12_000), escalated);
+    assert_eq!(models_under_load(None, 2_000, 12_000), escalated);
+}
+
 #[test]
 fn escalations_leave_part_of_the_budget_for_failures() {
     let mut budget = Budget::with_burst(0.0, 8.0);
--- a/tests/testsuite/direct/fixtures.rs
+++ b/tests/testsuite/direct/fixtures.rs
@@ -95,12 +95,17 @@
 impl Entry {
     /// Starts an entry without a configuration.
     pub fn without_document(lease: Duration) -> Self {
+        Self::with_settings(lease, |_| {})
+    }
+
+    /// Starts an entry without a configuration, with settings that the test has changed.
+    pub fn with_settings(lease: Duration, change: impl FnOnce(&mut DirectSettings)) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
             .build()
             .unwrap();
-        let settings = DirectSettings {
+        let mut settings = DirectSettings {
             centre: "north".into(),
             poller: PollerSettings {
                 name: "entry-1".into(),
@@ -116,6 +121,7 @@
             },
             ..DirectSettings::default()
         };
+        change(&mut settings);
         let parts = Parts {
             log: log::discard(),
             clock: Arc::new(SystemClock::default()),
--- /dev/null
+++ b/tests/testsuite/scheduling/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of decisions about capacity.
+
+mod escalation;
