Spend a short retry budget on what is nearest to its end

Retries were made in order of arrival, and a retry was taken from the budget also if no backend server was left to send it to.

Change: where overload control is active, each process reserves part of its own tokens by the standing of a request. An answer that has begun goes before one that has not, by the share of its length that the caller has and by its value. Attempts that were not sent stay free, and attempts whose bytes were handed to a socket cost a token; both have tests now. Reserves only withhold tokens, so the bound over all entries is unchanged, and the existing properties hold. A metric counts denied retries by rank.

A test shows that a call goes to another backend server after a 500.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -21,7 +21,7 @@
 use crate::{
     prelude::*,
     quarantine::report::Report,
-    routing::budget::{BudgetTerms, Cause, SharedBudget},
+    routing::budget::{BudgetTerms, Cause, SharedBudget, Standing},
     scheduling::{
         escalation::{self, Escalation, EscalationPrice, Verdict},
         outlook::Outlook,
@@ -126,10 +126,20 @@
     }
 
     /// Takes a retry from the budget of a service. Returns whether the budget
-    /// allowed it.
-    pub fn spend_retry(&self, service: &Name, cause: Cause) -> bool {
+    /// allowed it. With a standing, the retry leaves tokens for those with a
+    /// higher one.
+    pub fn spend_retry(&self, service: &Name, cause: Cause, standing: Option<Standing>) -> bool {
         let now = self.clock.now();
-        self.budget(service, |budget| budget.retries.spend(cause, now))
+        let reserve = standing.map_or(0.0, |standing| standing.reserve());
+        let allowed = self.budget(service, |budget| {
+            budget.retries.spend_above(cause, reserve, now)
+        });
+        if !allowed {
+            let rank = standing.map_or("none", |standing| standing.rank());
+            metrics::counter!("cardamomtally_direct_retries_denied_total", "rank" => rank)
+                .increment(1);
+        }
+        allowed
     }
 
     /// Takes an escalation to a larger model from the budget of a service.
--- a/src/cardamomtally/direct/serve/retry.rs
+++ b/src/cardamomtally/direct/serve/retry.rs
@@ -5,11 +5,12 @@
     direct::{
         app::App,
         content::guard::Hold,
-        fleet::registry::NoChoice,
+        fleet::registry::{NoChoice, Requirements},
         request::{call::Call, refusal::Refusal},
     },
     prelude::*,
-    routing::budget::Cause,
+    routing::budget::{Cause, Standing},
+    scheduling::escalation::value_weight,
 };
 use http::StatusCode;
 use rand::Rng as _;
@@ -44,6 +45,16 @@
     most.mul_f64(rand::rng().random())
 }
 
+/// Returns the share of an answer's expected length that the caller has, by the id of the
+/// last event, one for each token, and the limit of answer tokens. Without a limit, the
+/// answer counts as half done.
+fn progress(last: u64, limit: u32) -> f64 {
+    if limit == 0 {
+        return 0.5;
+    }
+    (last as f64 / f64::from(limit)).min(1.0)
+}
+
 /// The attempts of a request so far.
 #[derive(Debug)]
 pub struct RetryState {
@@ -94,7 +105,25 @@
     /// Returns the final answer if the deadline is near, if the request may
     /// have run and must not run twice, if the attempts are used up, if too many
     /// backend servers ended while they ran it, or if the retry budget is exhausted.
+    /// While overload control is active, also if no backend server is left that it may
+    /// be sent to; the budget is not used then.
     pub fn allow_retry(&self, app: &App, call: &Call, cause: Cause) -> Result<(), Refusal> {
+        self.allow_resume(app, call, cause, None)
+    }
+
+    /// Does the same as [`RetryState::allow_retry`] for a stream. `last` is the id of the
+    /// last event that the caller has.
+    ///
+    /// # Errors
+    ///
+    /// The same as those of [`RetryState::allow_retry`].
+    pub fn allow_resume(
+        &self,
+        app: &App,
+        call: &Call,
+        cause: Cause,
+        last: Option<u64>,
+    ) -> Result<(), Refusal> {
         self.remaining(app, call)?;
         if self.runs > 0 && !call.route.class.repeats() {
             return Err(self.final_refusal(StatusCode::BAD_GATEWAY, "the backend server failed"));
@@ -109,12 +138,57 @@
             let detail = "backend servers ended while they ran it";
             return Err(self.final_refusal(StatusCode::BAD_GATEWAY, detail));
         }
-        if !app.spend_retry(&call.service.name, cause) {
+        if cause != Cause::NotSent && app.scheduling.is_some() {
+            self.check_candidates(app, call)?;
+        }
+        if !self.spend(app, call, cause, last) {
             return Err(self.final_refusal(StatusCode::BAD_GATEWAY, "the retry budget is spent"));
         }
         Ok(())
     }
 
+    /// Takes a retry from the service's retry budget and returns whether it may be made.
+    /// While overload control is active, it leaves tokens for requests that are nearer to
+    /// their end or more urgent.
+    #[must_use]
+    pub fn spend(&self, app: &App, call: &Call, cause: Cause, last: Option<u64>) -> bool {
+        let standing = app.scheduling.as_ref().and_then(|settings| {
+            let outlook = app
+                .registry
+                .outlook(&app.config.current(), &self.wanted(call))?;
+            outlook.active.then(|| Standing {
+                progress: last.map(|last| progress(last, call.tokens.1)),
+                weight: value_weight(call.priority, settings.priority_ratio),
+            })
+        });
+        app.spend_retry(&call.service.name, cause, standing)
+    }
+
+    /// Checks that there is a backend server to which the request may be sent. Otherwise the
+    /// retry would be taken from the budget and not be made.
+    fn check_candidates(&self, app: &App, call: &Call) -> Result<(), Refusal> {
+        let (config, wanted) = (app.config.current(), self.wanted(call));
+        if app.registry.outlook(&config, &wanted).is_some() {
+            return Ok(());
+        }
+        // A backend server that has become available meanwhile is given back at once.
+        let chosen = app.registry.choose(&config, &wanted);
+        chosen.map(drop).map_err(|why| self.no_backend(why))
+    }
+
+    /// Returns what the next attempt requires, apart from the model that the entry chooses,
+    /// which does not change where it may be sent.
+    fn wanted<'a>(&'a self, call: &'a Call) -> Requirements<'a> {
+        Requirements {
+            service: &call.service,
+            session: call.session,
+            model: call.model.as_deref(),
+            prompt: call.prompt,
+            tried: &self.tried,
+            careful: false,
+        }
+    }
+
     /// Returns the final answer for a request that no backend server was chosen
     /// for.
     #[must_use]
--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -330,7 +330,8 @@
     }
 
     fn allow_retry(&self, cause: Cause) -> Result<(), Refusal> {
-        self.retries.allow_retry(&self.app, &self.call, cause)
+        self.retries
+            .allow_resume(&self.app, &self.call, cause, self.last_event)
     }
 
     /// Chooses a backend server for the model at the given place of the
@@ -568,8 +569,10 @@
         let tried = &self.retries.tried;
         let choice = self.choose(self.model_index, tried, false).ok();
         let choice = choice.filter(|choice| choice.expected_ttft() <= within);
-        self.reserved =
-            choice.filter(|_| self.app.spend_retry(&self.call.service.name, Cause::Failed));
+        self.reserved = choice.filter(|_| {
+            self.retries
+                .spend(&self.app, &self.call, Cause::Failed, self.last_event)
+        });
         self.reserved.is_some()
     }
 
--- a/src/cardamomtally/routing/budget.rs
+++ b/src/cardamomtally/routing/budget.rs
@@ -11,6 +11,10 @@
 //!
 //! Several processes may share one budget. Each process then holds an equal part
 //! of the tokens that may be saved up, and more while it receives more requests.
+//!
+//! While a budget is short, part of its tokens is reserved for retries with a higher
+//! [`Standing`]. Each process reserves within its own part, so this needs no messages, and
+//! all processes together never spend more than without it.
 
 use crate::core::clock::Mono;
 use std::time::Duration;
@@ -28,6 +32,25 @@
 /// Number of tokens of a full budget that optional attempts may use whatever is reserved.
 const UNRESERVED_RETRIES: f64 = 2.5;
 
+/// Share of the tokens that a budget can save up which the retry with the lowest standing
+/// must leave for others. Below the share that escalations must leave, since retries go
+/// before them.
+const MAX_RETRY_RESERVE: f64 = 0.48;
+
+/// Score of an answer that has just begun and has the least value, where 1 reserves nothing
+/// and 0 reserves [`MAX_RETRY_RESERVE`].
+const BEGUN_SCORE: f64 = 0.6;
+
+/// Score of an answer that has not begun and has the greatest value.
+const UNBEGUN_SCORE: f64 = 0.2;
+
+/// Number of tokens of a full budget that a retry may use whatever its standing. Where many
+/// processes share a budget, the part of one is hardly more than this.
+const UNRESERVED_BY_STANDING: f64 = 1.0;
+
+/// Share of its expected length from which on an answer counts as near its end in metrics.
+const NEAR_END: f64 = 0.5;
+
 /// Tokens taken by a retry after a rejection by an agent. It is less than 1 because
 /// a rejected attempt used no time of a backend server.
 const REJECTION_COST: f64 = 0.25;
@@ -43,6 +66,49 @@
     Failed,
 }
 
+/// How much is lost if a request is not retried.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// Share of the answer's expected length that the caller has; `None` if it has nothing
+    /// yet.
+    pub progress: Option<f64>,
+    /// Value of the request by its priority, from 0 to 1.
+    pub weight: f64,
+}
+
+impl Standing {
+    /// Returns the share of the tokens that a budget can save up which a retry of this
+    /// request must leave for others. Each answer that has begun goes before each one that
+    /// has not, since the caller loses what it has and the remaining work is the least.
+    #[must_use]
+    pub fn reserve(&self) -> f64 {
+        let share = |value: f64| {
+            if value.is_nan() {
+                0.0
+            } else {
+                value.clamp(0.0, 1.0)
+            }
+        };
+        let weight = share(self.weight);
+        let score = match self.progress {
+            Some(progress) => BEGUN_SCORE + (1.0 - BEGUN_SCORE) * 0.5 * (share(progress) + weight),
+            None => UNBEGUN_SCORE * weight,
+        };
+        MAX_RETRY_RESERVE * (1.0 - score)
+    }
+
+    /// Returns the rank for metrics: `near_end`, `begun`, `urgent` or `other`.
+    #[must_use]
+    pub fn rank(&self) -> &'static str {
+        match self.progress {
+            Some(progress) if progress >= NEAR_END => "near_end",
+            Some(_) => "begun",
+            None if self.weight >= 1.0 => "urgent",
+            None => "other",
+        }
+    }
+}
+
 /// The retry budget of one process, as a token bucket.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
@@ -105,12 +171,21 @@
 
     /// Takes the tokens for a retry, and tells whether the retry may be made.
     pub fn spend(&mut self, cause: Cause) -> bool {
+        self.spend_above(cause, 0.0)
+    }
+
+    /// Takes the tokens for a retry, and tells whether the retry may be made. It may not if
+    /// fewer than the share `reserve` of the burst would remain. A retry that is free may
+    /// always be made.
+    pub fn spend_above(&mut self, cause: Cause, reserve: f64) -> bool {
         let cost = match cause {
-            Cause::NotSent => 0.0,
+            Cause::NotSent => return true,
             Cause::Rejected => self.rejection_cost,
             Cause::Failed => 1.0,
         };
-        if self.tokens < cost {
+        let free = (self.burst - UNRESERVED_BY_STANDING).max(0.0);
+        let reserved = (self.burst * reserve).min(free);
+        if self.tokens < reserved + cost {
             return false;
         }
         self.tokens -= cost;
@@ -192,9 +267,15 @@
 
     /// Takes the tokens for a retry, and tells whether the retry may be made.
     pub fn spend(&mut self, cause: Cause, now: Mono) -> bool {
+        self.spend_above(cause, 0.0, now)
+    }
+
+    /// Takes the tokens for a retry that leaves the share `reserve` for others; see
+    /// [`Budget::spend_above`].
+    pub fn spend_above(&mut self, cause: Cause, reserve: f64, now: Mono) -> bool {
         self.decay(now);
         self.limit();
-        self.budget.spend(cause)
+        self.budget.spend_above(cause, reserve)
     }
 
     /// Lets the count of recent requests decay until now.
--- a/tests/testsuite/direct/budget.rs
+++ b/tests/testsuite/direct/budget.rs
@@ -1,8 +1,13 @@
 //! Tests of a retry budget that several entries share.
 
+use super::fixtures::{Action, Entry, Server, answer, reply, request};
+use crate::site::fixtures::{backend, document};
 use cardamomtally::{
     prelude::*,
-    routing::budget::{BudgetTerms, Cause, SharedBudget},
+    routing::budget::{BudgetTerms, Cause, SharedBudget, Standing},
+    scheduling::settings::{Mode, SchedulingSettings},
+    site::{backend::Backend, document::Class},
+    util::ports::ReservedPorts,
 };
 use proptest::prelude::*;
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
@@ -201,4 +206,177 @@
         let most = RETRY_BOUND.0 * f64::from(requests) + RETRY_BOUND.1;
         prop_assert!(f64::from(retries) <= most, "{retries} retries, {most} allowed");
     }
+
+    /// Guards against reserves that let the entries spend more than the terms allow.
+    #[test]
+    fn reserves_by_standing_keep_the_retry_bound(entries in 1_u32..40, every in 5_u64..2_000, reserve in 0.0..1.0_f64) {
+        let all = |budget: &mut SharedBudget, now| budget.spend_above(Cause::Failed, reserve, now);
+
+        let (requests, retries) = simulate(entries, Duration::from_millis(every), all);
+
+        let most = RETRY_BOUND.0 * f64::from(requests) + RETRY_BOUND.1;
+        prop_assert!(f64::from(retries) <= most, "{retries} retries, {most} allowed");
+    }
+
+    /// Guards against a retry that is allowed while one with more progress or value is denied.
+    #[test]
+    fn higher_standing_never_leaves_more(
+        progress in proptest::option::of(0.0..1.0_f64),
+        more in 0.0..1.0_f64,
+        weight in 0.0..1.0_f64,
+        heavier in 0.0..1.0_f64,
+    ) {
+        let standing = Standing { progress, weight };
+        let further = Standing { progress: Some(progress.unwrap_or(0.0) + more), weight };
+        let valued = Standing { progress, weight: weight + heavier };
+
+        prop_assert!(further.reserve() <= standing.reserve());
+        prop_assert!(valued.reserve() <= standing.reserve());
+        prop_assert!((0.0..0.5).contains(&standing.reserve()));
+    }
+}
+
+/// Simulates the loss of half of the servers: an entry's streams break at once, in random
+/// order. Returns how many of those with events, and of the others, are retried.
+fn retried_after_loss(seed: u64, ranked: bool) -> (u32, u32) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut budget = SharedBudget::new(TERMS, 29, Mono(0), Mono(0));
+    let mut now = Mono(0);
+    for _ in 0..400 {
+        now = now + Duration::from_millis(66);
+        budget.earn(29, now);
+    }
+    let (mut begun, mut others) = (0, 0);
+    for _ in 0..40 {
+        let has_events = rng.random_bool(0.4);
+        let standing = Standing {
+            progress: has_events.then(|| rng.random()),
+            weight: [1.0, 0.5, 0.25][rng.random_range(0..3)],
+        };
+        let reserve = if ranked { standing.reserve() } else { 0.0 };
+        let retried = u32::from(budget.spend_above(Cause::Failed, reserve, now));
+        if has_events {
+            begun += retried;
+        } else {
+            others += retried;
+        }
+    }
+    (begun, others)
+}
+
+/// Guards against streams that lose their last attempt to requests of which callers have
+/// nothing yet.
+#[test]
+fn budget_that_is_short_goes_to_what_is_nearest_to_its_end() {
+    let sums = |ranked| {
+        let all = (0..50).map(|seed| retried_after_loss(seed, ranked));
+        all.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+    };
+    let (plain, ranked) = (sums(false), sums(true));
+
+    let share = |(begun, others): (u32, u32)| f64::from(begun) / f64::from(begun + others);
+    assert!(share(plain) < 0.45, "{plain:?}");
+    assert!(share(ranked) > 0.65, "{ranked:?}");
+    assert!(ranked.0 + ranked.1 >= plain.0 + plain.1 - 50, "{ranked:?}");
+}
+
+/// Guards against costs of attempts that never left the entry, also where nothing is left.
+#[test]
+fn retry_of_an_attempt_that_was_not_sent_is_free() {
+    let terms = BudgetTerms {
+        base_burst: 0.0,
+        burst_ratio: 0.0,
+        ..TERMS
+    };
+    let mut budget = SharedBudget::new(terms, 1, Mono(0), Mono(0));
+
+    assert!((0..100).all(|_| budget.spend_above(Cause::NotSent, 1.0, Mono(0))));
+    assert!(!budget.spend_above(Cause::Rejected, 0.0, Mono(0)));
+    assert!(!budget.spend_above(Cause::Failed, 0.0, Mono(0)));
+}
+
+/// Starts an entry whose retry budget holds `tokens` retries and earns none.
+fn entry_with_budget(tokens: f64, scheduling: bool, backends: Vec<Backend>) -> Entry {
+    let entry = Entry::with_settings(Duration::from_mins(1), |settings| {
+        settings.retry_budget = BudgetTerms {
+            ratio: 0.0,
+            burst_ratio: 0.0,
+            base_burst: tokens,
+            settle_time: Duration::ZERO,
+        };
+        settings.scheduling = scheduling.then(|| SchedulingSettings {
+            mode: Mode::On,
+            ..SchedulingSettings::default()
+        });
+    });
+    entry.publish(reply(1, document(1, Class::Repeatable), backends));
+    entry
+}
+
+/// Guards against retries that are spent on addresses where nothing listens any more.
+#[test]
+fn addresses_that_are_gone_cost_no_retry() {
+    let server = Server::start("i-9", |seen, _| vec![answer(seen, "200 OK", "", "done")]);
+    let ports = ReservedPorts::reserve(5).unwrap();
+    let numbers = ports.numbers().unwrap();
+    let gone = |port: &u16| backend(&format!("gone-{port}"), ([127, 0, 0, 1], *port).into());
+    let mut backends: Vec<Backend> = numbers.iter().map(gone).collect();
+    backends.push(server.backend());
+    let entry = entry_with_budget(0.0, true, backends);
+
+    for number in 0..3 {
+        let got = entry.ask(&request(&format!("a-{number}"), "", ""));
+        assert_eq!(got.status, 200, "{got:?}");
+    }
+}
+
+/// Guards against a free retry of a request whose bytes were handed to a socket.
+#[test]
+fn request_that_was_written_to_a_socket_costs_a_retry() {
+    for (tokens, sent) in [(0.0, 1), (1.0, 2)] {
+        let servers = ["i-1", "i-2", "i-3"].map(|i| Server::start(i, |_, _| vec![Action::Close]));
+        let backends = servers.iter().map(Server::backend).collect();
+        let entry = entry_with_budget(tokens, true, backends);
+
+        let got = entry.ask(&request("a-1", "", ""));
+
+        assert_eq!(got.status, 502, "{got:?}");
+        let seen: usize = servers.iter().map(|server| server.seen().len()).sum();
+        assert_eq!(seen, sent, "with {tokens} tokens");
+    }
+}
+
+/// Guards against retries that are taken from the budget though no backend server is left.
+#[test]
+fn retry_without_a_backend_server_is_not_taken_from_the_budget() {
+    for scheduling in [false, true] {
+        let server = Server::start("i-1", |_, _| vec![Action::Close]);
+        let entry = entry_with_budget(1.0, scheduling, vec![server.backend()]);
+
+        let got = entry.ask(&request("a-1", "", ""));
+
+        assert_eq!(got.status, 502, "{got:?}");
+        let service = "drafts".into();
+        let left = entry.app.spend_retry(&service, Cause::Failed, None);
+        assert_eq!(left, scheduling, "overload control: {scheduling}");
+    }
+}
+
+/// Guards against a second attempt at the backend server that has just answered 500.
+#[test]
+fn repeated_call_goes_to_another_backend_server_after_a_500() {
+    let servers = ["i-1", "i-2", "i-3"].map(|i| {
+        Server::start(i, |seen, _| {
+            vec![answer(seen, "500 Internal Server Error", "", "failed")]
+        })
+    });
+    let backends = servers.iter().map(Server::backend).collect();
+    let entry = entry_with_budget(1.0, false, backends);
+
+    let got = entry.ask(&request("a-1", "", ""));
+
+    assert_eq!(got.status, 500, "{got:?}");
+    let mut seen = servers.each_ref().map(|server| server.seen().len());
+    seen.sort_unstable();
+    assert_eq!(seen, [0, 1, 1]);
 }
