Add forecasts, learned times, spread choices and memory in use as pure decisions

An entry's estimate of the time to first event was wrong by a factor of 1.3 to 1.9 under load: it knew no pace of a backend server and no quadratic part of a prompt. These modules compute the forecast from both; nothing uses them yet. The document now tells the memory and the slots of a service's backend servers.

--- a/src/cardamomtally/scheduling/mod.rs
+++ b/src/cardamomtally/scheduling/mod.rs
@@ -6,5 +6,10 @@
 //! the work that is already waiting, so that an entry keeps excess work in its own queue. All
 //! of them are pure: the time, random numbers and evidence are inputs.
 
+pub mod forecast;
+pub mod memory;
 pub mod outlook;
 pub mod settings;
+pub mod speed;
+pub mod spread;
+pub mod work;
--- a/src/cardamomtally/site/document.rs
+++ b/src/cardamomtally/site/document.rs
@@ -109,6 +109,14 @@
     pub cold_rate: f64,
     /// Models that its engines offer; empty for a plain service.
     pub models: Vec<Model>,
+    /// Tokens of memory of each of its backend servers, which running requests and cached
+    /// parts share; 0 if it is not known. Documents of a former build lack it.
+    #[serde(default)]
+    pub memory: u64,
+    /// Number of requests that each of its backend servers runs at once; 0 if it is not
+    /// known. Documents of a former build lack it.
+    #[serde(default)]
+    pub slots: u32,
 }
 
 /// Limits on the size and duration of callers' requests.
--- /dev/null
+++ b/tests/testsuite/scheduling/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the decisions about capacity.
+
+mod forecast;
--- a/tests/testsuite/site/document.rs
+++ b/tests/testsuite/site/document.rs
@@ -2,9 +2,10 @@
 
 use super::fixtures::{document, route, share};
 use cardamomtally::{
+    net::codec,
     prelude::*,
     site::{
-        document::{Class, Document, Route, Workspace},
+        document::{Class, Document, Route, Service, Workspace},
         table::{Denial, Table},
     },
 };
@@ -127,3 +128,27 @@
     assert_eq!(table.key_owner(&private, Some("key-2")), Err(Denial::NoKey));
     assert_eq!(table.key_owner(&public, None), Ok(None));
 }
+
+/// Guards against control members of a former build whose documents could not be decoded.
+#[test]
+fn service_of_a_former_build_is_decoded_without_memory_and_slots() {
+    #[derive(serde::Serialize)]
+    struct Former {
+        name: Name,
+        connections: u32,
+        cold: Duration,
+        cold_rate: f64,
+        models: Vec<()>,
+    }
+    let former = Former {
+        name: "s".into(),
+        connections: 4,
+        cold: Duration::ZERO,
+        cold_rate: 0.0,
+        models: Vec::new(),
+    };
+
+    let service: Service = codec::decode(&codec::encode(&former)).unwrap();
+
+    assert_eq!((service.memory, service.slots), (0, 0));
+}
