Choose backend servers by forecast, pace and memory where overload control is active

Load reports are read with slots and pace; a malformed or out-of-range optional figure is ignored and counted, and the two counts are kept. Waiting requests of load reports count as work, choices are spread by what other entries may send, and no server is given more tokens than its memory holds.

--- a/src/cardamomtally/direct/fleet/candidates.rs
+++ b/src/cardamomtally/direct/fleet/candidates.rs
@@ -2,7 +2,8 @@
 
 use super::{
     pacing::Turns,
-    registry::{NoChoice, Requirements, State},
+    requirements::{NoChoice, Requirements},
+    state::State,
 };
 use crate::{
     direct::{config::snapshot::ConfigSnapshot, exchange::backlog::ServerKey},
--- a/src/cardamomtally/direct/fleet/node.rs
+++ b/src/cardamomtally/direct/fleet/node.rs
@@ -5,6 +5,7 @@
     direct::exchange::backlog::ServerKey,
     prelude::*,
     routing::{breaker::Breaker, rendezvous},
+    scheduling::speed::{DeclaredPace, Factor, bounded_factor},
 };
 
 /// Time for which a backend server is assumed to keep a prefix in its cache
@@ -13,14 +14,31 @@
 /// Age from which a load report is ignored. The load is then estimated from
 /// this entry's own requests.
 const LOAD_REPORT_TTL: Duration = Duration::from_secs(2);
+/// Time in milliseconds by which a first event must be late to count as a sign that the
+/// backend server has become slower.
+const OVERDUE_ALLOWANCE_MS: f64 = 100.0;
+/// Age from which the account's sum of the other entries' memory is ignored.
+const ACCOUNT_TTL: Duration = Duration::from_secs(1);
 
 /// A load report of a backend server, and this entry's own requests there when
 /// it arrived.
 #[derive(Clone, Copy, Debug)]
 struct LoadReport {
     in_flight: u32,
+    waiting: u32,
+    slots: Option<u32>,
     at: Mono,
     own_in_flight: u32,
+    own_waiting: usize,
+}
+
+/// A request of this entry that has produced no event yet.
+#[derive(Clone, Copy, Debug)]
+struct Prefilling {
+    id: u64,
+    at: Mono,
+    /// Expected time to first event in milliseconds.
+    first: f64,
 }
 
 /// What the registry keeps about one backend server.
@@ -40,6 +58,16 @@
     /// Prefixes that this entry has sent there, by cache key, with the time of
     /// the last request.
     sent_prefixes: FastMap<u64, Mono>,
+    /// Tokens of memory that this entry's requests use there at their ends.
+    pub own_tokens: f64,
+    /// Such tokens of the other entries, as an account tells them.
+    other_tokens: Option<(f64, Mono)>,
+    /// How much longer prompts take there than its declared pace says.
+    pub prompt_factor: Factor,
+    /// How much longer output tokens take there than its declared pace says.
+    pub step_factor: Factor,
+    pace: Option<DeclaredPace>,
+    prefilling: Vec<Prefilling>,
 }
 
 impl Node {
@@ -86,14 +114,106 @@
     }
 
     /// Records a load report.
-    pub const fn report(&mut self, now: Mono, load: Load) {
+    pub fn report(&mut self, now: Mono, load: Load) {
         self.report = Some(LoadReport {
             in_flight: load.running.saturating_add(load.waiting),
+            waiting: load.waiting,
+            slots: load.slots,
             at: now,
             own_in_flight: self.own_in_flight,
+            own_waiting: self.prefilling.len(),
         });
     }
 
+    /// Records a declared pace.
+    pub fn declare_pace(&mut self, now: Mono, pace: f64) {
+        self.pace = Some(DeclaredPace::update(self.pace, pace, now));
+    }
+
+    /// Records a request with a forecast that is sent now.
+    pub fn begin_prefill(&mut self, id: u64, now: Mono, first: f64) {
+        self.prefilling.push(Prefilling { id, at: now, first });
+    }
+
+    /// Records that a request with a forecast has produced its first event or ended.
+    pub fn end_prefill(&mut self, id: u64) {
+        self.prefilling.retain(|prefilling| prefilling.id != id);
+    }
+
+    /// Replaces the tokens of memory that the other entries' requests use, as an account
+    /// tells them.
+    pub const fn set_other_tokens(&mut self, now: Mono, tokens: f64) {
+        self.other_tokens = Some((tokens, now));
+    }
+
+    /// Returns the tokens of the other entries, if an account has told them lately.
+    #[must_use]
+    pub fn other_tokens(&self, now: Mono) -> Option<f64> {
+        let recent = |(_, at): &(f64, Mono)| now.since(*at) < ACCOUNT_TTL;
+        self.other_tokens.filter(recent).map(|(tokens, _)| tokens)
+    }
+
+    /// Returns how much longer than usual prompts take there: by its declared pace, by the
+    /// learned factor, and by the requests whose first event is overdue.
+    #[must_use]
+    pub fn prompt_pace(&self, now: Mono) -> f64 {
+        let declared = self.pace.map_or(1.0, |pace| pace.get(now));
+        declared * bounded_factor(self.prompt_factor.get(now) * self.overdue(now))
+    }
+
+    /// Returns how much longer than usual output tokens take there.
+    #[must_use]
+    pub fn step_pace(&self, now: Mono) -> f64 {
+        let declared = self.pace.map_or(1.0, |pace| pace.get(now));
+        declared * self.step_factor.get(now)
+    }
+
+    /// Returns how much longer than usual prompts take there on average. It changes more
+    /// slowly than [`Node::prompt_pace`].
+    #[must_use]
+    pub fn mean_pace(&self, now: Mono) -> f64 {
+        self.pace.map_or(1.0, |pace| pace.mean(now)) * self.prompt_factor.get(now)
+    }
+
+    /// Returns by which factor the most overdue first event exceeds its forecast, at least 1.
+    fn overdue(&self, now: Mono) -> f64 {
+        let ratio = |waiting: &Prefilling| {
+            let passed = now.since(waiting.at).as_secs_f64() * 1e3;
+            let late = passed > waiting.first + OVERDUE_ALLOWANCE_MS;
+            if late {
+                passed / waiting.first.max(1.0)
+            } else {
+                1.0
+            }
+        };
+        self.prefilling.iter().map(ratio).fold(1.0, f64::max)
+    }
+
+    /// Returns the age of a recent load report.
+    #[must_use]
+    pub fn report_age(&self, now: Mono) -> Option<Duration> {
+        let age = self.report.map(|report| now.since(report.at));
+        age.filter(|age| *age < LOAD_REPORT_TTL)
+    }
+
+    /// Estimates the requests that have produced no event yet: those of a recent report,
+    /// with the change in this entry's own since, and at least this entry's own.
+    #[must_use]
+    pub fn estimated_waiting(&self, now: Mono) -> f64 {
+        let own = self.prefilling.len() as f64;
+        let recent = self.report.filter(|_| self.report_age(now).is_some());
+        recent.map_or(own, |report| {
+            let change = own - report.own_waiting as f64;
+            (f64::from(report.waiting) + change).max(own)
+        })
+    }
+
+    /// Returns the number of slots that the latest report told.
+    #[must_use]
+    pub fn reported_slots(&self) -> Option<u32> {
+        self.report.and_then(|report| report.slots)
+    }
+
     /// Drops prefixes that are no longer assumed to be cached.
     pub fn sweep(&mut self, now: Mono) {
         let cached = |at: &Mono| now.since(*at) < PREFIX_CACHE_TTL;
--- a/src/cardamomtally/direct/fleet/placement.rs
+++ b/src/cardamomtally/direct/fleet/placement.rs
@@ -16,11 +16,11 @@
 //! long ones while other backend servers are free.
 
 use super::speed::Speed;
-use crate::direct::request::prompt::Prompt;
+use crate::{direct::request::prompt::Prompt, scheduling::forecast::Forecast};
 
 /// Cost in milliseconds of a backend server whose slots are all taken. It grows
 /// in proportion to the load.
-const FULL_LOAD_COST_MS: f64 = 500.0;
+pub(super) const FULL_LOAD_COST_MS: f64 = 500.0;
 /// Cost in milliseconds of sending a request to another data centre.
 const REMOTE_COST_MS: f64 = 30.0;
 /// Cost in milliseconds of each shared token that has to be processed again
@@ -87,3 +87,30 @@
         tokens,
     }
 }
+
+/// Returns the cost and the times of a request by its forecast, for overload control. Apart
+/// from the wait and the prefill time, the cost has the same parts as in [`estimate`].
+/// `shared` are the tokens of the shared prefix, and `missing` those that are processed.
+pub(super) fn of_forecast(
+    forecast: &Forecast,
+    shared: f64,
+    missing: f64,
+    candidate: &Candidate,
+) -> Estimate {
+    let again = if candidate.cached { 0.0 } else { shared };
+    let distance = if candidate.remote {
+        REMOTE_COST_MS
+    } else {
+        0.0
+    };
+    Estimate {
+        cost: forecast.first
+            + forecast.prefill * candidate.in_flight * PREFILL_INTERFERENCE
+            + again * CACHE_MISS_COST_MS
+            + candidate.load * FULL_LOAD_COST_MS
+            + distance,
+        prefill: forecast.prefill,
+        ttft: forecast.first,
+        tokens: missing,
+    }
+}
--- a/src/cardamomtally/direct/fleet/statement.rs
+++ b/src/cardamomtally/direct/fleet/statement.rs
@@ -14,13 +14,20 @@
 /// Longest pause that counts, in seconds.
 const MAX_PAUSE_S: f64 = 3_600.0;
 
-/// Requests that run and that wait at a backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Greatest pace that counts, in percent of the usual time.
+const MAX_PACE_PERCENT: f64 = 10_000.0;
+
+/// A backend server's report of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     /// Number of running requests.
     pub running: u32,
-    /// Number of waiting requests.
+    /// Number of waiting requests: those whose prompt has produced no event yet.
     pub waiting: u32,
+    /// Number of requests that it runs at once, if it tells it.
+    pub slots: Option<u32>,
+    /// How long work takes there now, as a multiple of the usual time, if it tells it.
+    pub pace: Option<f64>,
 }
 
 /// What a backend server says of itself in an answer.
@@ -87,8 +94,11 @@
         };
         let turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
         let pause = turned_away.then(|| reader.read(&header::RETRY_AFTER, "pause", parse_pause));
+        let mut ignored = None;
+        let load = reader.read(&names.load, "load", |text| parse_load(text, &mut ignored));
+        reader.ignored = reader.ignored.or(ignored);
         Some(Self {
-            load: reader.read(&names.load, "load", parse_load),
+            load,
             limit: reader.read(&names.limit, "limit", parse_rate),
             leaving: reader.read(&names.leaving, "leaving", parse_flag) == Some(true),
             pause: pause.flatten(),
@@ -97,13 +107,39 @@
     }
 }
 
-/// Parses `running,waiting,slots`.
-fn parse_load(text: &str) -> Option<Load> {
-    let mut numbers = text.split(',').map(|n| n.trim().parse().ok());
-    Some(Load {
-        running: numbers.next()??,
-        waiting: numbers.next()??,
-    })
+/// Parses `running,waiting,slots,pace`. The slots and the pace may be missing. If one of them
+/// is malformed or out of range, it is ignored, counted and named in `ignored`.
+fn parse_load(text: &str, ignored: &mut Option<&'static str>) -> Option<Load> {
+    let mut figures = text.split(',').map(str::trim);
+    let mut load = Load {
+        running: figures.next()?.parse().ok()?,
+        waiting: figures.next()?.parse().ok()?,
+        ..Load::default()
+    };
+    let mut ignore = |figure: &'static str| {
+        metrics::counter!("cardamomtally_direct_ignored_figures_total", "figure" => figure)
+            .increment(1);
+        *ignored = Some(figure);
+    };
+    if let Some(text) = figures.next() {
+        load.slots = text.parse().ok().filter(|slots| *slots > 0);
+        if load.slots.is_none() {
+            ignore("slots");
+        }
+    }
+    if let Some(text) = figures.next() {
+        load.pace = parse_pace(text);
+        if load.pace.is_none() {
+            ignore("pace");
+        }
+    }
+    Some(load)
+}
+
+/// Parses a pace in percent.
+fn parse_pace(text: &str) -> Option<f64> {
+    let percent: f64 = text.parse().ok()?;
+    (percent > 0.0 && percent <= MAX_PACE_PERCENT).then_some(percent / 100.0)
 }
 
 /// Parses a rate above 0.
--- a/src/cardamomtally/direct/request/call.rs
+++ b/src/cardamomtally/direct/request/call.rs
@@ -180,6 +180,7 @@
         prefix: shared.last().map(|part| part.id),
         shared: sum,
         own: tokens.saturating_sub(sum),
+        output: 0,
     }
 }
 
--- a/src/cardamomtally/direct/request/prompt.rs
+++ b/src/cardamomtally/direct/request/prompt.rs
@@ -10,4 +10,14 @@
     pub shared: u32,
     /// Number of tokens after the shared prefix.
     pub own: u32,
+    /// Expected number of output tokens; 0 if it is not known.
+    pub output: u32,
+}
+
+impl Prompt {
+    /// Returns the prompt with an expected number of output tokens.
+    #[must_use]
+    pub const fn with_output(self, output: u32) -> Self {
+        Self { output, ..self }
+    }
 }
--- a/tests/testsuite/direct/choice.rs
+++ b/tests/testsuite/direct/choice.rs
@@ -228,6 +228,7 @@
             prefix: Some(77),
             shared: 4_000,
             own: 0,
+            output: 0,
         },
         tried: &[],
         careful: false,
--- a/tests/testsuite/direct/malformed.rs
+++ b/tests/testsuite/direct/malformed.rs
@@ -3,12 +3,16 @@
 use super::{
     choice::{config, fleet, service},
     fixtures::{Entry, Server, answer, request},
+    unscheduled::report,
 };
 use cardamomtally::{
     core::clock::SystemClock,
     direct::{
         config::{cold::ColdTimes, snapshot::ConfigSnapshot},
-        fleet::registry::{Registry, Requirements},
+        fleet::{
+            registry::{Registry, Requirements},
+            statement::Load,
+        },
         request::prompt::Prompt,
     },
     prelude::*,
@@ -66,3 +70,38 @@
         let _choice = registry.choose(&config, &wanted);
     }
 }
+
+/// Guards against the loss of a whole load report, or against absurd times, because of an
+/// optional figure.
+#[test]
+fn absurd_optional_figure_of_a_load_report_is_ignored_and_the_counts_are_kept() {
+    for (figures, slots, pace, ignored) in [
+        ("3,2,96", Some(96), None, None),
+        ("3,2,96,100", Some(96), Some(1.0), None),
+        ("3,2,96,250", Some(96), Some(2.5), None),
+        ("3,2,96,10000", Some(96), Some(100.0), None),
+        ("3,2,0,100", None, Some(1.0), Some("slots")),
+        ("3,2,x,55", None, Some(0.55), Some("slots")),
+        ("3,2,,55", None, Some(0.55), Some("slots")),
+        ("3,2,96,0", Some(96), None, Some("pace")),
+        ("3,2,96,-5", Some(96), None, Some("pace")),
+        ("3,2,96,10001", Some(96), None, Some("pace")),
+        ("3,2,96,NaN", Some(96), None, Some("pace")),
+        ("3,2,96,inf", Some(96), None, Some("pace")),
+        ("3,2,96,", Some(96), None, Some("pace")),
+        ("3,2", None, None, None),
+    ] {
+        let statement = report(figures);
+
+        let load = Load {
+            running: 3,
+            waiting: 2,
+            slots,
+            pace,
+        };
+        assert_eq!(statement.load, Some(load), "{figures}");
+        assert_eq!(statement.ignored, ignored, "{figures}");
+    }
+    assert_eq!(report("3,x,96,100").load, None);
+    assert_eq!(report("3,x,96,100").ignored, Some("load"));
+}
--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -3,7 +3,7 @@
 mod budget;
 mod callers;
 mod cascade;
-mod choice;
+pub mod choice;
 mod cold;
 mod config_lease;
 mod endless;
@@ -17,4 +17,5 @@
 mod replaced;
 mod slow_links;
 mod streams;
+pub mod unscheduled;
 mod withdrawal;
--- a/tests/testsuite/direct/peers.rs
+++ b/tests/testsuite/direct/peers.rs
@@ -47,6 +47,7 @@
         prefix: None,
         shared: 0,
         own: 40_000,
+        output: 0,
     }
 }
 
--- a/tests/testsuite/direct/placement.rs
+++ b/tests/testsuite/direct/placement.rs
@@ -34,6 +34,7 @@
         prefix: Some(7),
         shared,
         own,
+        output: 0,
     }
 }
 
--- a/tests/testsuite/scheduling/mod.rs
+++ b/tests/testsuite/scheduling/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of the decisions about capacity.
 
 mod forecast;
+mod speed;
