--- a/src/cardamomtally/direct/decisions.rs
+++ b/src/cardamomtally/direct/decisions.rs
@@ -11,12 +11,29 @@
 };
 use crate::prelude::*;
 use http::HeaderValue;
-use slog::{info, warn};
+use slog::{KV, Record, Serializer, info, warn};
 use std::sync::PoisonError;
 
 /// Time between two log lines about ignored values of backend servers' answers.
 const IGNORED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Fields with the forecast of the time to first event, in milliseconds, and the time that has
+/// passed. There are none without overload control.
+struct ForecastFields {
+    forecast: Option<f64>,
+    actual: Duration,
+}
+
+impl KV for ForecastFields {
+    fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        let Some(forecast) = self.forecast else {
+            return Ok(());
+        };
+        serializer.emit_u64("forecast_ms", forecast as u64)?;
+        serializer.emit_u64("actual_ms", self.actual.as_millis() as u64)
+    }
+}
+
 impl App {
     /// Logs what changes where requests go. `leaves` tells whether the backend server
     /// leaves, and had not said so before.
@@ -64,12 +81,16 @@
     ) {
         let now = self.clock.now();
         info!(self.log, "dispatch: {}", label; "request" => call.id_text(),
-            "route" => &*call.route.name, "instance" => &*choice.backend.instance,
-            "version" => &*choice.backend.version, "load" => choice.load,
-            "backlog_ms" => choice.backlog as u64, "expected_ms" => choice.estimate.ttft as u64,
-            "session" => call.session, "model" => model,
-            "left_ms" => call.remaining(since).as_millis() as u64,
-            "ms" => now.since(since).as_millis() as u64);
+        "route" => &*call.route.name, "instance" => &*choice.backend.instance,
+        "version" => &*choice.backend.version, "load" => choice.load,
+        "backlog_ms" => choice.backlog as u64, "expected_ms" => choice.estimate.ttft as u64,
+        "session" => call.session, "model" => model,
+        "left_ms" => call.remaining(since).as_millis() as u64,
+        "ms" => now.since(since).as_millis() as u64,
+        ForecastFields {
+            forecast: choice.forecast_first(),
+            actual: now.since(since),
+        });
     }
 
     /// Logs the confidence of a model's answer, and whether the next model of
--- a/src/cardamomtally/direct/fleet/choice.rs
+++ b/src/cardamomtally/direct/fleet/choice.rs
@@ -88,8 +88,6 @@
     pub(super) step_pace: f64,
     /// Whether part of the prompt was assumed to be cached.
     pub(super) cached: bool,
-    /// Actual time to first event in milliseconds, once it is known.
-    pub(super) first: Option<f64>,
 }
 
 impl Choice {
@@ -105,7 +103,12 @@
     /// backlog of a slow backend server.
     #[must_use]
     pub fn idle_ttft(&self) -> Duration {
-        Duration::from_secs_f64((self.estimate.ttft - self.backlog).max(0.0) / 1e3)
+        // With overload control it is the time at the usual speed. A version that is slower
+        // than the others must not be compared with its own pace.
+        let usual = |e: &Expected| e.work.times.fixed_ms + e.work.prefill();
+        let forecast = self.expected.as_ref().map(usual);
+        let idle = forecast.unwrap_or(self.estimate.ttft - self.backlog);
+        Duration::from_secs_f64(idle.max(0.0) / 1e3)
     }
 
     /// Tells whether waiting prompts explain that the backend server has sent
@@ -152,10 +155,9 @@
     /// Learns from the time to first event, in milliseconds. The longer the prompt was
     /// expected to wait, the less the time says about its own work.
     fn learn(&mut self, state: &mut State, ttft: f64, now: Mono) {
-        let Some(expected) = &mut self.expected else {
+        let Some(expected) = &self.expected else {
             return;
         };
-        expected.first = Some(ttft);
         let (work, forecast) = (&expected.work, &expected.forecast);
         metrics::histogram!("cardamomtally_direct_forecast_error")
             .record(forecast_error(ttft, forecast.first));
@@ -193,12 +195,11 @@
         }
     }
 
-    /// Returns the forecast and the actual time to first event in milliseconds, if overload
-    /// control is active. The actual time is missing until the answer has begun.
+    /// Returns the forecast of the time to first event in milliseconds, if overload control
+    /// is active.
     #[must_use]
-    pub fn forecast(&self) -> Option<(f64, Option<f64>)> {
-        let expected = self.expected.as_ref()?;
-        Some((expected.forecast.first, expected.first))
+    pub fn forecast_first(&self) -> Option<f64> {
+        self.expected.as_ref().map(|e| e.forecast.first)
     }
 
     /// Returns the prefill work that counts towards the backlog, in milliseconds. With
@@ -259,9 +260,12 @@
             self.end_prefill(&mut state);
         }
         if let Some(expected) = &self.expected {
-            let hold = now.since(self.chosen_at).as_secs_f64() * 1e3;
-            let demand = state.demand.entry(Arc::clone(&self.backend.service));
-            demand.or_default().end(hold);
+            // A request that was never answered, or never sent, tells nothing of slots.
+            if !self.prefilling {
+                let hold = now.since(self.chosen_at).as_secs_f64() * 1e3;
+                let demand = state.demand.entry(Arc::clone(&self.backend.service));
+                demand.or_default().end(hold);
+            }
             if let Some(node) = state.nodes.get_mut(&self.backend.instance) {
                 node.own_tokens = (node.own_tokens - expected.work.memory).max(0.0);
             }
--- a/src/cardamomtally/direct/fleet/registry.rs
+++ b/src/cardamomtally/direct/fleet/registry.rs
@@ -130,7 +130,6 @@
             forecast: scheduled.forecast,
             step_pace: scheduled.step_pace,
             cached: scheduled.cached,
-            first: None,
         });
         let instance = &best.backend.instance;
         let node = state.nodes.entry(Arc::clone(instance)).or_default();
--- a/tests/testsuite/direct/choice.rs
+++ b/tests/testsuite/direct/choice.rs
@@ -1,22 +1,33 @@
 //! Tests of the choice among backend servers.
 
-use crate::site::fixtures::{SERVICE, backend};
+use super::fixtures::FakeControl;
+use crate::site::fixtures::{SERVICE, backend, route};
+use bytes::Bytes;
 use cardamomtally::{
     core::clock::SystemClock,
     direct::{
         config::{cold::ColdTimes, snapshot::ConfigSnapshot},
+        daemon::{self, DirectSettings, Parts},
         fleet::registry::{Choice, NoChoice, Registry, Requirements},
-        request::prompt::Prompt,
+        request::{call::Call, prompt::Prompt},
     },
     prelude::*,
+    quarantine::fingerprint::{CallerKey, Content},
     routing::rendezvous,
+    scheduling::settings::{Mode, SchedulingSettings},
     site::{
         backend::Backend,
-        document::Service,
+        document::{Class, Service},
         rollout::{Rollout, Stage},
         state::Fleet,
     },
 };
+use http::{HeaderMap, HeaderValue, Method, Uri};
+use slog::{KV as _, OwnedKVList, Record, Serializer};
+use std::{
+    fmt::{self, Write as _},
+    sync::Mutex,
+};
 
 fn registry() -> Arc<Registry> {
     let clock = Arc::new(SystemClock::default());
@@ -243,3 +254,101 @@
     assert!(choices[..8].iter().all(|c| at_home(&c)));
     assert!(!choices[8..].iter().all(|c| at_home(&c)));
 }
+
+/// Collects the fields of log lines.
+#[derive(Clone, Debug, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl slog::Drain for Lines {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, _values: &OwnedKVList) -> Result<(), slog::Never> {
+        let mut fields = Fields(String::new());
+        record.kv().serialize(record, &mut fields).unwrap();
+        self.0.lock().unwrap().push(fields.0);
+        Ok(())
+    }
+}
+
+struct Fields(String);
+
+impl Serializer for Fields {
+    fn emit_arguments(&mut self, key: slog::Key, value: &fmt::Arguments<'_>) -> slog::Result {
+        write!(self.0, "{key}={value} ").map_err(slog::Error::from)
+    }
+}
+
+/// Returns the fields of the line about an attempt with these settings.
+fn dispatch_line(scheduling: Option<SchedulingSettings>) -> String {
+    let lines = Lines::default();
+    let settings = DirectSettings {
+        centre: "north".into(),
+        scheduling,
+        ..DirectSettings::default()
+    };
+    let parts = Parts {
+        log: slog::Logger::root(lines.clone(), slog::o!()),
+        clock: Arc::new(SystemClock::default()),
+        render: Arc::new(String::new),
+    };
+    let control = Arc::<FakeControl>::default();
+    let app = daemon::build(&settings, control, &parts);
+    let service = service();
+    let wanted = Requirements {
+        service: &service,
+        session: 1,
+        model: Some("large"),
+        prompt: Prompt::default(),
+        tried: &[],
+        careful: false,
+    };
+    let choice = app.registry.choose(&config(fleet(&["i-1"])), &wanted);
+    let call = Call {
+        id: HeaderValue::from_static("a-1"),
+        method: Method::GET,
+        uri: Uri::default(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        route: Arc::new(route(Class::Repeatable)),
+        service: Arc::new(service.clone()),
+        workspace: None,
+        received: Mono(0),
+        deadline: Mono(9_000_000),
+        priority: 0,
+        prompt: Prompt::default(),
+        tokens: (0, 0),
+        session: 1,
+        any_model: false,
+        model: None,
+        content: Content::new(CallerKey::of(None), std::iter::empty()),
+    };
+    let since = parts.clock.now();
+    app.log_attempt(&call, &choice.unwrap(), None, "answered", since);
+    let lines = lines.0.lock().unwrap();
+    lines
+        .iter()
+        .find(|line| line.contains("backlog_ms"))
+        .cloned()
+        .unwrap()
+}
+
+/// Guards against a changed log line where no overload control is asked for.
+#[test]
+fn line_about_an_attempt_tells_the_forecast_only_with_overload_control() {
+    let on = SchedulingSettings {
+        mode: Mode::On,
+        ..SchedulingSettings::default()
+    };
+
+    let (plain, active) = (dispatch_line(None), dispatch_line(Some(on)));
+
+    assert!(
+        !plain.contains("forecast_ms") && !plain.contains("actual_ms"),
+        "{plain}"
+    );
+    assert!(
+        active.contains("forecast_ms=40") && active.contains("actual_ms="),
+        "{active}"
+    );
+}
