Let the test of prefix homes fail when homes ignore the speed

The request avoided the slow server by its cost alone, so the test passed with homes by hash only. It now also requires that the new server counts as home.

--- a/tests/testsuite/direct/choice.rs
+++ b/tests/testsuite/direct/choice.rs
@@ -274,8 +274,8 @@
 struct Fields(String);
 
 impl Serializer for Fields {
-    fn emit_arguments(&mut self, key: slog::Key, value: &fmt::Arguments<'_>) -> slog::Result {
-        write!(self.0, "{key}={value} ").map_err(slog::Error::from)
+    fn emit_arguments(&mut self, key: slog::Key, val: &fmt::Arguments<'_>) -> slog::Result {
+        write!(self.0, "{key}={val} ").map_err(slog::Error::from)
     }
 }
 
--- a/tests/testsuite/scheduling/speed.rs
+++ b/tests/testsuite/scheduling/speed.rs
@@ -392,5 +392,7 @@
     clock.pass(Duration::from_secs(1));
     let after = home(7);
 
+    // The new home counts as holding the shared 4,000 tokens.
     assert_ne!(after.backend.instance, instance);
+    assert!(after.estimate.tokens < 100.0, "{:?}", after.estimate);
 }
