--- a/src/cardamomtally/scheduling/mod.rs
+++ b/src/cardamomtally/scheduling/mod.rs
@@ -7,5 +7,10 @@
 //! of them are pure: the time, random numbers and evidence are inputs.
 
 pub mod escalation;
+pub mod forecast;
+pub mod memory;
 pub mod outlook;
 pub mod settings;
+pub mod speed;
+pub mod spread;
+pub mod work;
--- a/tests/testsuite/scheduling/mod.rs
+++ b/tests/testsuite/scheduling/mod.rs
@@ -1,3 +1,5 @@
 //! Tests of decisions about capacity.
 
 mod escalation;
+mod forecast;
+mod speed;
