Hold requests at an entry while servers have too much work waiting

What is held, sent or rejected is decided by pure functions (order, level, held). Without active overload control an entry sends at once as before.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -17,6 +17,7 @@
         pool::{Answer, Pool, SendError},
     },
     request::{call::Call, names::HeaderNames},
+    serve::queue::HoldQueue,
 };
 use crate::{
     prelude::*,
@@ -71,6 +72,8 @@
     pub retries: BudgetTerms,
     /// Settings of overload control; `None` if the deployment does not ask for it.
     pub scheduling: Option<SchedulingSettings>,
+    /// Requests that are held while backend servers have too much work waiting.
+    pub queue: HoldQueue,
     /// This entry's part of the retry budgets, by service.
     pub budgets: Mutex<FastMap<Name, SharedBudget>>,
     /// When the next ignored value of a backend server's answer may be logged.
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -20,6 +20,7 @@
     link::{memory::AnswerMemory, pool::Pool},
     listener,
     request::names::HeaderNames,
+    serve::queue::HoldQueue,
 };
 use crate::{
     net::{nng::Client, transport::Transport},
@@ -168,6 +169,7 @@
         running: AtomicU64::new(0),
         retries: settings.retry_budget,
         scheduling: settings.scheduling,
+        queue: HoldQueue::default(),
         budgets: Mutex::default(),
         ignored_log: Mutex::default(),
     })
@@ -177,13 +179,16 @@
 ///
 /// # Errors
 ///
-/// Returns an error if an address for callers or for health checks cannot be
-/// bound.
+/// Returns an error if a setting of overload control is out of its range, or if an
+/// address for callers or for health checks cannot be bound.
 pub async fn run(
     settings: DirectSettings,
     parts: Parts,
     reload: watch::Receiver<Vec<Name>>,
 ) -> eyre::Result<()> {
+    if let Some(scheduling) = &settings.scheduling {
+        scheduling.check().map_err(|fault| eyre::eyre!(fault))?;
+    }
     let app = build(&settings, Arc::new(Client::default()), &parts);
     let front = bind(settings.front).await?;
     let health = bind(settings.health).await?;
@@ -252,6 +257,7 @@
         app.pool.sweep();
         app.registry.sweep(&app.config.current());
         app.content.sweep();
+        app.queue.sweep(app.clock.now());
     }
 }
 
@@ -269,6 +275,7 @@
     }
     let begun = app.clock.now();
     app.stopping.store(true, Ordering::Release);
+    app.queue.close();
     let running = || app.running.load(Ordering::Acquire);
     info!(app.log, "stop: draining"; "in_flight" => running());
     tokio::time::sleep(settings.drain_delay).await;
--- a/src/cardamomtally/direct/serve/handler.rs
+++ b/src/cardamomtally/direct/serve/handler.rs
@@ -1,7 +1,7 @@
 //! Handles a caller's request: checks the configuration's lease, the route, the
 //! key and the limits, then forwards it to a backend server.
 
-use super::{plain, stream};
+use super::{plain, queue, stream};
 use crate::{
     direct::{
         app::App,
@@ -103,8 +103,7 @@
     let body = read_body(app, table, body).await?;
     // The lease may have ended while the body was received, for example because
     // the VM was suspended.
-    let config = app.config.current();
-    if workspace.is_some() && !config.is_valid(app.clock.now()) {
+    if workspace.is_some() && !has_lease(app) {
         return Err(no_lease);
     }
     let admitted = Admitted {
@@ -114,8 +113,17 @@
         workspace,
     };
     let call = build(app, admitted, &parts, body)?;
-    app.count_request(&call.service.name);
     let last = header_number(&parts.headers, &app.names.last_event);
+    // A stream that the caller resumes goes before new work.
+    if last.is_none() {
+        match queue::admit(app, &call).await {
+            // The lease may have ended while the request was held.
+            Ok(true) if call.workspace.is_some() && !has_lease(app) => return Err(no_lease),
+            Ok(_) => {}
+            Err(refusal) => return Ok(refusal.response()),
+        }
+    }
+    app.count_request(&call.service.name);
     Ok(match call.route.class {
         Class::Stream | Class::Resumable => stream::serve(app, call, last).await,
         Class::Repeatable => plain::serve(app, call).await,
@@ -123,6 +131,10 @@
     })
 }
 
+fn has_lease(app: &App) -> bool {
+    app.config.current().is_valid(app.clock.now())
+}
+
 /// Runs a request in a task of its own, so that it continues when the caller
 /// disconnects. Used for requests that run at most once: closing the connection
 /// would cancel them at the backend server halfway.
--- a/src/cardamomtally/direct/serve/mod.rs
+++ b/src/cardamomtally/direct/serve/mod.rs
@@ -3,5 +3,6 @@
 pub mod escalate;
 pub mod handler;
 pub mod plain;
+pub mod queue;
 pub mod retry;
 pub mod stream;
--- a/src/cardamomtally/scheduling/mod.rs
+++ b/src/cardamomtally/scheduling/mod.rs
@@ -6,5 +6,8 @@
 //! the work that is already waiting, so that an entry keeps excess work in its own queue. All
 //! of them are pure: the time, random numbers and evidence are inputs.
 
+pub mod held;
+pub mod level;
+pub mod order;
 pub mod outlook;
 pub mod settings;
--- a/src/cardamomtally/scheduling/settings.rs
+++ b/src/cardamomtally/scheduling/settings.rs
@@ -32,6 +32,10 @@
     pub short_wait: Duration,
     /// Longest time for which a request is held, as a share of the time to its deadline.
     pub hold_share: f64,
+    /// Greatest number of requests that are held at a time.
+    pub max_held: usize,
+    /// Greatest number of bytes that the held requests take.
+    pub max_held_bytes: usize,
 }
 
 impl Default for SchedulingSettings {
@@ -43,6 +47,39 @@
             urgent_share: 0.25,
             short_wait: Duration::from_millis(60),
             hold_share: 0.3,
+            max_held: 256,
+            max_held_bytes: 8 << 20,
         }
     }
 }
+
+impl SchedulingSettings {
+    /// Checks that all values are within their ranges.
+    ///
+    /// # Errors
+    ///
+    /// Returns a sentence that names the first value that is out of its range.
+    pub fn check(&self) -> Result<(), String> {
+        let share = |name: &str, value: f64| within(name, value, 0.0, 1.0);
+        within("priority_ratio", self.priority_ratio, 1.0, 100.0)?;
+        share("late_value", self.late_value)?;
+        share("urgent_share", self.urgent_share)?;
+        share("hold_share", self.hold_share)?;
+        let short = self.short_wait.as_secs_f64() * 1e3;
+        within("short_wait in ms", short, 1.0, 10_000.0)?;
+        within("max_held", self.max_held as f64, 1.0, 1e6)?;
+        // The least is the size of the largest body that documents allow by default.
+        let most = (1_u64 << 40) as f64;
+        let bytes = self.max_held_bytes as f64;
+        within("max_held_bytes", bytes, f64::from(4 << 20), most)
+    }
+}
+
+fn within(name: &str, value: f64, least: f64, most: f64) -> Result<(), String> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(format!(
+        "`scheduling.{name}` is {value}; it must be from {least} to {most}"
+    ))
+}
--- a/src/cardamomtally/site/table.rs
+++ b/src/cardamomtally/site/table.rs
@@ -23,6 +23,8 @@
     pub limits: Limits,
     hosts: FastMap<Name, BTreeMap<Name, Arc<Route>>>,
     services: FastMap<Name, Arc<Service>>,
+    /// Shortest target latency of the routes of each service.
+    targets: FastMap<Name, Duration>,
     keys: FastMap<Name, Arc<KeyOwner>>,
     /// Whether requests need a key, since the document has workspaces.
     needs_key: bool,
@@ -50,6 +52,11 @@
         for route in &document.routes {
             let host = table.hosts.entry(Arc::clone(&route.host)).or_default();
             host.insert(Arc::clone(&route.prefix), Arc::new(route.clone()));
+            for share in route.shares.iter().filter(|share| share.weight > 0) {
+                let name = Arc::clone(&share.service);
+                let shortest = table.targets.entry(name).or_insert(route.target);
+                *shortest = route.target.min(*shortest);
+            }
         }
         for service in &document.services {
             let name = Arc::clone(&service.name);
@@ -104,4 +111,10 @@
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
     }
+
+    /// Returns the shortest target latency of the routes that a service answers.
+    #[must_use]
+    pub fn shortest_target(&self, service: &str) -> Option<Duration> {
+        self.targets.get(service).copied()
+    }
 }
