--- a/tests/testsuite/direct/fixtures.rs
+++ b/tests/testsuite/direct/fixtures.rs
@@ -17,6 +17,7 @@
     },
     prelude::*,
     routing::budget::BudgetTerms,
+    scheduling::settings::SchedulingSettings,
     site::{
         backend::Backend,
         document::{Class, Document},
@@ -95,6 +96,11 @@
 impl Entry {
     /// Starts an entry without a configuration.
     pub fn without_document(lease: Duration) -> Self {
+        Self::with_scheduling(lease, None)
+    }
+
+    /// Starts an entry without a configuration and with settings of overload control.
+    pub fn with_scheduling(lease: Duration, scheduling: Option<SchedulingSettings>) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
@@ -114,6 +120,7 @@
                 settle_time: Duration::ZERO,
                 ..BudgetTerms::default()
             },
+            scheduling,
             ..DirectSettings::default()
         };
         let parts = Parts {
--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -14,6 +14,7 @@
 mod parts;
 mod peers;
 mod placement;
+mod queue;
 mod replaced;
 mod slow_links;
 mod streams;
--- /dev/null
+++ b/tests/testsuite/scheduling/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the decisions about capacity.
+
+mod held;
+mod level;
+mod order;
