--- a/src/cardamomtally/scheduling/mod.rs
+++ b/src/cardamomtally/scheduling/mod.rs
@@ -8,7 +8,10 @@
 
 pub mod escalation;
 pub mod forecast;
+pub mod held;
+pub mod level;
 pub mod memory;
+pub mod order;
 pub mod outlook;
 pub mod settings;
 pub mod speed;
--- a/tests/testsuite/direct/fixtures.rs
+++ b/tests/testsuite/direct/fixtures.rs
@@ -17,6 +17,7 @@
     },
     prelude::*,
     routing::budget::BudgetTerms,
+    scheduling::settings::SchedulingSettings,
     site::{
         backend::Backend,
         document::{Class, Document},
@@ -98,6 +99,11 @@
         Self::with_settings(lease, |_| {})
     }
 
+    /// Starts an entry without a configuration and with settings of overload control.
+    pub fn with_scheduling(lease: Duration, scheduling: Option<SchedulingSettings>) -> Self {
+        Self::with_settings(lease, |settings| settings.scheduling = scheduling)
+    }
+
     /// Starts an entry without a configuration, with settings that the test has changed.
     pub fn with_settings(lease: Duration, change: impl FnOnce(&mut DirectSettings)) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/tests/testsuite/scheduling/mod.rs
+++ b/tests/testsuite/scheduling/mod.rs
@@ -2,4 +2,7 @@
 
 mod escalation;
 mod forecast;
+mod held;
+mod level;
+mod order;
 mod speed;
