Divide insufficient capacity among workspaces by the work they offer

A pure account for one service: offered and started work by workspace, as decaying rates that entries exchange. The started work of all is divided among the workspaces that offer work, by weight, and unused shares go to the others. A workspace that offers more than its share has an excess, by which its requests can be ordered behind those of others. Nothing yields at level 0 or while all get what they offer. Nothing calls it yet: the exchange and the queue are separate parts. Weights are an input with 1 for all, since tickets have none.

--- a/src/cardamomtally/scheduling/mod.rs
+++ b/src/cardamomtally/scheduling/mod.rs
@@ -7,5 +7,6 @@
 //! of them are pure: the time, random numbers and evidence are inputs.
 
 pub mod escalation;
+pub mod fairness;
 pub mod outlook;
 pub mod settings;
--- a/tests/testsuite/scheduling/mod.rs
+++ b/tests/testsuite/scheduling/mod.rs
@@ -1,3 +1,4 @@
 //! Tests of decisions about capacity.
 
 mod escalation;
+mod fairness;
