--- a/tests/testsuite/scheduling/escalation.rs
+++ b/tests/testsuite/scheduling/escalation.rs
@@ -12,6 +12,7 @@
     },
 };
 use proptest::prelude::*;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 
 const TARGET: Duration = Duration::from_secs(1);
 
@@ -153,6 +154,126 @@
     assert_eq!(table.shortest_target("other"), None);
 }
 
+/// Number of entries of the simulated fleet.
+const ENTRIES: usize = 29;
+/// Length of a step of the simulation, in milliseconds.
+const STEP_MS: u64 = 10;
+/// Age of the mean wait that entries know, in steps.
+const DELAY_STEPS: usize = 20;
+/// When half of the servers are lost while the long route sends 2.6 times its usual
+/// demand, and when that ends, in milliseconds.
+const LOSS_MS: (u64, u64) = (5_000, 10_000);
+/// Duration of the simulation in milliseconds.
+const DURATION_MS: u64 = 20_000;
+
+/// A route of the simulation.
+struct SimRoute {
+    priority: u8,
+    /// Requests per second.
+    rate: f64,
+    /// Prefill time on the smallest and on the largest model, in milliseconds.
+    work: [f64; 2],
+}
+
+const ROUTES: [SimRoute; 3] = [
+    SimRoute {
+        priority: 2,
+        rate: 110.0,
+        work: [54.0, 300.0],
+    },
+    SimRoute {
+        priority: 0,
+        rate: 200.0,
+        work: [3.7, 16.0],
+    },
+    SimRoute {
+        priority: 1,
+        rate: 130.0,
+        work: [11.0, 60.0],
+    },
+];
+
+/// What happened in a simulation.
+#[derive(Debug, Default)]
+struct Trace {
+    /// Longest mean wait in milliseconds.
+    longest: f64,
+    /// Escalations that were wanted and made outside the loss and the second after it.
+    calm: (u32, u32),
+    /// Those of the short route during the loss.
+    urgent: (u32, u32),
+}
+
+/// Simulates 50 servers as one queue, before entries that know its wait 200 ms late. A third
+/// of the answers has a confidence at which an escalation is considered.
+fn simulate(seed: u64, with_price: bool) -> Trace {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut prices = [EscalationPrice::default(); ENTRIES];
+    let mut waits = std::collections::VecDeque::from(vec![0.0; DELAY_STEPS]);
+    let mut backlog = 0.0_f64;
+    let mut trace = Trace::default();
+    for ms in (0..DURATION_MS).step_by(STEP_MS as usize) {
+        let now = Mono(1_000_000 + ms * 1_000);
+        let loss = (LOSS_MS.0..LOSS_MS.1).contains(&ms);
+        let calm = ms < LOSS_MS.0 || ms >= LOSS_MS.1 + 1_000;
+        let servers = if loss { 25.0 } else { 50.0 };
+        let known = waits.pop_front().unwrap();
+        for (at, route) in ROUTES.iter().enumerate() {
+            let factor = if loss && at == 0 { 2.6 } else { 1.0 };
+            let mut expected = route.rate * factor * STEP_MS as f64 / 1e3;
+            while rng.random::<f64>() < expected {
+                expected -= 1.0;
+                let confidence = rng.random_range(30.0..100.0);
+                let weight = value_weight(route.priority, 2.0);
+                let price = &mut prices[rng.random_range(0..ENTRIES)];
+                let share = answer_share(Some(confidence));
+                price.record_first(weight * share, route.work[0], now);
+                backlog += route.work[0];
+                if confidence >= 53.0 {
+                    continue;
+                }
+                let price = price.observe(known, TARGET, now);
+                let considered = escalation(confidence, route.priority, route.work[1]);
+                let made = !with_price || decide(price, &considered) == Verdict::Allowed;
+                backlog += if made { route.work[1] } else { 0.0 };
+                let count = |(wanted, done): (u32, u32)| (wanted + 1, done + u32::from(made));
+                if calm {
+                    trace.calm = count(trace.calm);
+                } else if loss && at == 1 {
+                    trace.urgent = count(trace.urgent);
+                }
+            }
+        }
+        backlog = (backlog - servers * STEP_MS as f64).max(0.0);
+        let wait = backlog / servers;
+        waits.push_back(wait);
+        trace.longest = trace.longest.max(wait);
+    }
+    trace
+}
+
+/// Guards against waits of seconds while half of the servers are lost, and against quality
+/// that is lost in normal seconds for it.
+#[test]
+fn wait_stays_short_in_a_loss_and_nothing_is_denied_in_normal_seconds() {
+    for seed in 0..20 {
+        let trace = simulate(seed, true);
+
+        assert!(trace.longest < 400.0, "seed {seed}: {trace:?}");
+        assert_eq!(trace.calm.0, trace.calm.1, "seed {seed}: {trace:?}");
+        let (wanted, made) = trace.urgent;
+        assert!(made * 100 >= wanted * 95, "seed {seed}: {trace:?}");
+    }
+}
+
+/// Guards against a simulation in which the wait would stay short anyway.
+#[test]
+fn the_check_detects_escalations_without_a_price() {
+    let trace = simulate(0, false);
+
+    assert!(trace.longest > 2_000.0, "{trace:?}");
+}
+
 proptest! {
     /// Guards against a decision that allows more as the wait grows.
     #[test]
