Check for a server before a retry only where overload control is active

In mode `auto` without reports of pace, and in mode `off`, a retry is decided as before. The test covers all modes. The simulated load of the shares takes less time, in the same order.

--- a/src/cardamomtally/direct/serve/retry.rs
+++ b/src/cardamomtally/direct/serve/retry.rs
@@ -10,7 +10,10 @@
     },
     prelude::*,
     routing::budget::{Cause, Standing},
-    scheduling::escalation::value_weight,
+    scheduling::{
+        escalation::value_weight,
+        settings::{Mode, SchedulingSettings},
+    },
 };
 use http::StatusCode;
 use rand::Rng as _;
@@ -55,6 +58,34 @@
     (last as f64 / f64::from(limit)).min(1.0)
 }
 
+/// Returns what an attempt requires, apart from the model that the entry chooses, which does
+/// not change where it may be sent.
+fn requirements<'a>(call: &'a Call, tried: &'a [Name]) -> Requirements<'a> {
+    Requirements {
+        service: &call.service,
+        session: call.session,
+        model: call.model.as_deref(),
+        prompt: call.prompt,
+        tried,
+        careful: false,
+    }
+}
+
+/// Returns the settings of overload control if it is active for the request's service.
+fn active<'a>(app: &'a App, call: &Call) -> Option<&'a SchedulingSettings> {
+    let settings = app.scheduling.as_ref()?;
+    let is_active = match settings.mode {
+        Mode::Off => false,
+        Mode::On => true,
+        Mode::Auto => {
+            let wanted = requirements(call, &[]);
+            let outlook = app.registry.outlook(&app.config.current(), &wanted);
+            outlook.is_some_and(|outlook| outlook.active)
+        }
+    };
+    is_active.then_some(settings)
+}
+
 /// The attempts of a request so far.
 #[derive(Debug)]
 pub struct RetryState {
@@ -138,7 +169,7 @@
             let detail = "backend servers ended while they ran it";
             return Err(self.final_refusal(StatusCode::BAD_GATEWAY, detail));
         }
-        if cause != Cause::NotSent && app.scheduling.is_some() {
+        if cause != Cause::NotSent && active(app, call).is_some() {
             self.check_candidates(app, call)?;
         }
         if !self.spend(app, call, cause, last) {
@@ -152,14 +183,9 @@
     /// their end or more urgent.
     #[must_use]
     pub fn spend(&self, app: &App, call: &Call, cause: Cause, last: Option<u64>) -> bool {
-        let standing = app.scheduling.as_ref().and_then(|settings| {
-            let outlook = app
-                .registry
-                .outlook(&app.config.current(), &self.wanted(call))?;
-            outlook.active.then(|| Standing {
-                progress: last.map(|last| progress(last, call.tokens.1)),
-                weight: value_weight(call.priority, settings.priority_ratio),
-            })
+        let standing = active(app, call).map(|settings| Standing {
+            progress: last.map(|last| progress(last, call.tokens.1)),
+            weight: value_weight(call.priority, settings.priority_ratio),
         });
         app.spend_retry(&call.service.name, cause, standing)
     }
@@ -167,7 +193,7 @@
     /// Checks that there is a backend server to which the request may be sent. Otherwise the
     /// retry would be taken from the budget and not be made.
     fn check_candidates(&self, app: &App, call: &Call) -> Result<(), Refusal> {
-        let (config, wanted) = (app.config.current(), self.wanted(call));
+        let (config, wanted) = (app.config.current(), requirements(call, &self.tried));
         if app.registry.outlook(&config, &wanted).is_some() {
             return Ok(());
         }
@@ -176,19 +202,6 @@
         chosen.map(drop).map_err(|why| self.no_backend(why))
     }
 
-    /// Returns what the next attempt requires, apart from the model that the entry chooses,
-    /// which does not change where it may be sent.
-    fn wanted<'a>(&'a self, call: &'a Call) -> Requirements<'a> {
-        Requirements {
-            service: &call.service,
-            session: call.session,
-            model: call.model.as_deref(),
-            prompt: call.prompt,
-            tried: &self.tried,
-            careful: false,
-        }
-    }
-
     /// Returns the final answer for a request that no backend server was chosen
     /// for.
     #[must_use]
--- a/tests/testsuite/direct/budget.rs
+++ b/tests/testsuite/direct/budget.rs
@@ -296,7 +296,7 @@
 }
 
 /// Starts an entry whose retry budget holds `tokens` retries and earns none.
-fn entry_with_budget(tokens: f64, scheduling: bool, backends: Vec<Backend>) -> Entry {
+fn entry_with_budget(tokens: f64, mode: Option<Mode>, backends: Vec<Backend>) -> Entry {
     let entry = Entry::with_settings(Duration::from_mins(1), |settings| {
         settings.retry_budget = BudgetTerms {
             ratio: 0.0,
@@ -304,8 +304,8 @@
             base_burst: tokens,
             settle_time: Duration::ZERO,
         };
-        settings.scheduling = scheduling.then(|| SchedulingSettings {
-            mode: Mode::On,
+        settings.scheduling = mode.map(|mode| SchedulingSettings {
+            mode,
             ..SchedulingSettings::default()
         });
     });
@@ -322,7 +322,7 @@
     let gone = |port: &u16| backend(&format!("gone-{port}"), ([127, 0, 0, 1], *port).into());
     let mut backends: Vec<Backend> = numbers.iter().map(gone).collect();
     backends.push(server.backend());
-    let entry = entry_with_budget(0.0, true, backends);
+    let entry = entry_with_budget(0.0, Some(Mode::On), backends);
 
     for number in 0..3 {
         let got = entry.ask(&request(&format!("a-{number}"), "", ""));
@@ -336,7 +336,7 @@
     for (tokens, sent) in [(0.0, 1), (1.0, 2)] {
         let servers = ["i-1", "i-2", "i-3"].map(|i| Server::start(i, |_, _| vec![Action::Close]));
         let backends = servers.iter().map(Server::backend).collect();
-        let entry = entry_with_budget(tokens, true, backends);
+        let entry = entry_with_budget(tokens, Some(Mode::On), backends);
 
         let got = entry.ask(&request("a-1", "", ""));
 
@@ -346,19 +346,21 @@
     }
 }
 
-/// Guards against retries that are taken from the budget though no backend server is left.
+/// Guards against retries that are taken from the budget though no backend server is left,
+/// and against changed decisions where overload control is not active.
 #[test]
 fn retry_without_a_backend_server_is_not_taken_from_the_budget() {
-    for scheduling in [false, true] {
+    let modes = [None, Some(Mode::Off), Some(Mode::Auto), Some(Mode::On)];
+    for mode in modes {
         let server = Server::start("i-1", |_, _| vec![Action::Close]);
-        let entry = entry_with_budget(1.0, scheduling, vec![server.backend()]);
+        let entry = entry_with_budget(1.0, mode, vec![server.backend()]);
 
         let got = entry.ask(&request("a-1", "", ""));
 
         assert_eq!(got.status, 502, "{got:?}");
         let service = "drafts".into();
         let left = entry.app.spend_retry(&service, Cause::Failed, None);
-        assert_eq!(left, scheduling, "overload control: {scheduling}");
+        assert_eq!(left, mode == Some(Mode::On), "{mode:?}");
     }
 }
 
@@ -371,7 +373,7 @@
         })
     });
     let backends = servers.iter().map(Server::backend).collect();
-    let entry = entry_with_budget(1.0, false, backends);
+    let entry = entry_with_budget(1.0, None, backends);
 
     let got = entry.ask(&request("a-1", "", ""));
 
--- a/tests/testsuite/scheduling/fairness.rs
+++ b/tests/testsuite/scheduling/fairness.rs
@@ -86,7 +86,10 @@
         room = f64::min(room + WORK_PER_STEP, WORK_PER_STEP);
         while room > 0.0 && entries.iter().any(|entry| !entry.queue.is_empty()) {
             let entry = &mut entries[rng.random_range(0..ENTRIES)];
-            entry.queue.retain(|one| one.at + PATIENCE_MS > ms);
+            let expired = |one: &Waiting| one.at + PATIENCE_MS <= ms;
+            while entry.queue.front().is_some_and(expired) {
+                entry.queue.pop_front();
+            }
             let Some(next) = take_next(entry, fair) else {
                 continue;
             };
@@ -125,18 +128,22 @@
 
 /// Takes the request that goes next: by arrival, or by the excess of its workspace first.
 fn take_next(entry: &mut SimEntry, fair: bool) -> Option<Waiting> {
-    let excess = |one: &Waiting| {
-        if fair {
+    let mut best: Option<(f64, usize)> = None;
+    for (at, one) in entry.queue.iter().enumerate() {
+        let excess = if fair {
             entry.fairness.excess(one.workspace)
         } else {
             0.0
+        };
+        // The queue is in order of arrival, so the first of equals goes first.
+        if best.is_none_or(|(least, _)| excess < least) {
+            best = Some((excess, at));
+        }
+        if excess <= 0.0 {
+            break;
         }
-    };
-    let by_order = |(_, a): &(usize, &Waiting), (_, b): &(usize, &Waiting)| {
-        excess(a).total_cmp(&excess(b)).then(a.at.cmp(&b.at))
-    };
-    let (at, _) = entry.queue.iter().enumerate().min_by(by_order)?;
-    entry.queue.remove(at)
+    }
+    entry.queue.remove(best?.1)
 }
 
 /// Returns the share of requests that are served, of one workspace.
