--- a/src/cardamomtally/scheduling/mod.rs
+++ b/src/cardamomtally/scheduling/mod.rs
@@ -7,6 +7,7 @@
 //! of them are pure: the time, random numbers and evidence are inputs.
 
 pub mod escalation;
+pub mod fairness;
 pub mod forecast;
 pub mod held;
 pub mod level;
--- a/tests/testsuite/scheduling/mod.rs
+++ b/tests/testsuite/scheduling/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of decisions about capacity.
 
 mod escalation;
+mod fairness;
 mod forecast;
 mod held;
 mod level;
