--- a/src/cardamomtally/direct/serve/queue.rs
+++ b/src/cardamomtally/direct/serve/queue.rs
@@ -231,14 +231,11 @@
     };
     let mut state = app.queue.lock();
     let state = &mut *state;
-    let view = View {
-        outlook,
-        level: update_level(&mut state.levels, &call.service, config, &outlook, now),
-        share: share(config, &call.service),
-    };
-    match order::decide(&held, &outlook, &view.level, settings, now) {
+    let level = update_level(&mut state.levels, &call.service, config, &outlook, now);
+    let others = &state.held;
+    match order::decide(&held, &outlook, &level, settings, now) {
         Decision::Reject { retry_after } => return Offer::Reject(End::Deadline(retry_after)),
-        Decision::Send if !state.held.goes_after(&held, group, &view, settings, now) => {
+        Decision::Send if !others.goes_after(&held, group, &outlook, &level, settings, now) => {
             return Offer::Send;
         }
         Decision::Send | Decision::Hold(_) if state.closed => return Offer::Reject(End::Stopping),
--- a/src/cardamomtally/scheduling/held.rs
+++ b/src/cardamomtally/scheduling/held.rs
@@ -136,14 +136,15 @@
         &self,
         held: &Held,
         group: Group,
-        view: &View,
+        outlook: &Outlook,
+        level: &Level,
         settings: &SchedulingSettings,
         now: Mono,
     ) -> bool {
-        let rank = held.rank(&view.outlook, settings, now);
+        let rank = held.rank(outlook, settings, now);
         self.items.iter().any(|item| {
-            let outlook = item.with_wait(view.outlook.wait);
-            let decide = || order::decide(&item.held, &outlook, &view.level, settings, now);
+            let outlook = item.with_wait(outlook.wait);
+            let decide = || order::decide(&item.held, &outlook, level, settings, now);
             item.group == group
                 && item.held.rank(&outlook, settings, now) < rank
                 && decide() == Decision::Send
--- a/tests/testsuite/scheduling/held.rs
+++ b/tests/testsuite/scheduling/held.rs
@@ -75,14 +75,14 @@
     arrivals: Vec<Arrival>,
     fates: Vec<Fate>,
     rng: SmallRng,
-    /// Whether requests are held at all.
-    holds: bool,
+    /// Settings of overload control; without any, all requests are sent at once.
+    settings: Option<SchedulingSettings>,
     /// Most work that all entries together sent from their queues within 5 ms.
     most_released: f64,
 }
 
 impl Simulation {
-    fn new(servers: usize, entries: usize, arrivals: Vec<Arrival>, holds: bool) -> Self {
+    fn new(servers: usize, entries: usize, arrivals: &[Arrival]) -> Self {
         Self {
             servers: vec![0.0; servers],
             entries: (0..entries).map(|_| HeldRequests::default()).collect(),
@@ -90,13 +90,33 @@
             next_check: vec![0; entries],
             checked: vec![0; entries],
             fates: vec![Fate::default(); arrivals.len()],
-            arrivals,
+            arrivals: arrivals.to_vec(),
             rng: SmallRng::seed_from_u64(7),
-            holds,
+            settings: Some(SchedulingSettings::default()),
             most_released: 0.0,
         }
     }
 
+    /// Sends all requests in order of arrival.
+    fn without_control(self) -> Self {
+        Self {
+            settings: None,
+            ..self
+        }
+    }
+
+    /// Sets [`SchedulingSettings::late_share`].
+    fn with_late_share(self, late_share: f64) -> Self {
+        let settings = SchedulingSettings {
+            late_share,
+            ..SchedulingSettings::default()
+        };
+        Self {
+            settings: Some(settings),
+            ..self
+        }
+    }
+
     fn outlook(&self, kind: Kind) -> Outlook {
         let best = self.servers.iter().copied().fold(f64::MAX, f64::min);
         let mean = self.servers.iter().sum::<f64>() / self.servers.len() as f64;
@@ -117,18 +137,19 @@
 
     fn arrive(&mut self, request: usize, now: u64) {
         let kind = self.arrivals[request].kind;
+        let Some(settings) = self.settings else {
+            self.send(request, now);
+            return;
+        };
         let entry = self.rng.random_range(0..self.entries.len());
         let view = self.view(entry, kind, now);
-        let settings = SchedulingSettings::default();
         let held = kind.held(now);
         let decision = decide(&held, &view.outlook, &view.level, &settings, at(now));
         let queue = &mut self.entries[entry];
-        if !self.holds {
-            self.send(request, now);
-        } else if matches!(decision, Decision::Reject { .. }) {
+        if matches!(decision, Decision::Reject { .. }) {
             self.fates[request].rejected = true;
         } else if decision == Decision::Send
-            && !queue.goes_after(&held, GROUP, &view, &settings, at(now))
+            && !queue.goes_after(&held, GROUP, &view.outlook, &view.level, &settings, at(now))
         {
             self.send(request, now);
         } else {
@@ -148,7 +169,7 @@
     }
 
     fn check(&mut self, entry: usize, now: u64) -> f64 {
-        let settings = SchedulingSettings::default();
+        let settings = self.settings.unwrap_or_default();
         let mut queue = std::mem::take(&mut self.entries[entry]);
         let passed = Duration::from_millis(now - self.checked[entry]);
         self.checked[entry] = now;
@@ -258,8 +279,8 @@
 #[test]
 fn short_requests_pass_a_burst_of_long_ones() {
     let arrivals = burst(100, 60, 6);
-    let ordered = Simulation::new(8, 4, arrivals.clone(), false).run();
-    let held = Simulation::new(8, 4, arrivals, true).run();
+    let ordered = Simulation::new(8, 4, &arrivals).without_control().run();
+    let held = Simulation::new(8, 4, &arrivals).run();
 
     let (before, after) = (ordered.in_time(SHORT), held.in_time(SHORT));
     assert!(
@@ -273,7 +294,7 @@
 /// target, although there is time for both.
 #[test]
 fn long_requests_still_begin_in_time_for_their_target() {
-    let held = Simulation::new(8, 4, burst(100, 60, 6), true).run();
+    let held = Simulation::new(8, 4, &burst(100, 60, 6)).run();
 
     let longs = held.in_time(LONG);
     assert!(longs >= 0.95, "long in time: {longs}");
@@ -283,7 +304,7 @@
 /// against entries that all send to it at one moment.
 #[test]
 fn entries_together_release_little_work_at_a_moment() {
-    let held = Simulation::new(8, 29, burst(100, 60, 6), true).run();
+    let held = Simulation::new(8, 29, &burst(100, 60, 6)).run();
 
     // 5 ms of 8 servers are 40 ms of work. A long prompt alone is 300 ms.
     let most = held.most_released;
@@ -295,7 +316,7 @@
 /// while there is room.
 #[test]
 fn nothing_is_held_or_rejected_while_there_is_room() {
-    let held = Simulation::new(8, 4, burst(130, 2, 5), true).run();
+    let held = Simulation::new(8, 4, &burst(130, 2, 5)).run();
 
     assert!(held.fates.iter().all(|fate| !fate.rejected));
     let delayed = held.delays().filter(|(_, delay)| *delay > 0).count();
@@ -306,7 +327,7 @@
 /// requests that are held past the limit of their time.
 #[test]
 fn late_requests_are_not_starved() {
-    let held = Simulation::new(2, 2, burst(200, 0, 6), true).run();
+    let held = Simulation::new(2, 2, &burst(200, 0, 6)).run();
 
     let limit = SHORT.held(0).hold_limit(&SchedulingSettings::default());
     let limit = limit.since(at(0)).as_millis() as u64;
@@ -316,6 +337,38 @@
     assert_eq!(held.fates.iter().filter(open).count(), 0);
 }
 
+/// Short requests at six tenths of the capacity, and for two seconds at twice the capacity.
+fn surge() -> Vec<Arrival> {
+    let extra = (0..560).map(|n| Arrival {
+        at: 1_000 + n * 2_000 / 560,
+        kind: SHORT,
+    });
+    let mut all = burst(120, 4, 8);
+    all.extend(extra);
+    all.sort_by_key(|arrival| arrival.at);
+    all
+}
+
+/// Overload by long requests for seconds, and by short ones for two: guards against an order
+/// that is worth less than the order of arrival, and against less urgent requests that are
+/// served more often in time than more urgent ones.
+#[test]
+fn holding_is_worth_more_than_the_order_of_arrival() {
+    let mixed = burst(200, 60, 8);
+    for (servers, entries, arrivals) in [(4, 29, mixed), (4, 4, surge())] {
+        let simulation = || Simulation::new(servers, entries, &arrivals);
+        let ordered = simulation().without_control().run();
+        let held = simulation().run();
+        let strict = simulation().with_late_share(0.1).run();
+
+        let worths = (ordered.worth(), held.worth(), strict.worth());
+        assert!(worths.1 > worths.0 * 1.1, "{worths:?}");
+        assert!(worths.2 > worths.1 * 1.1, "{worths:?}");
+        let inverted = held.in_time(LONG) - held.in_time(SHORT);
+        assert!(entries == 4 || inverted <= 0.0, "{inverted}");
+    }
+}
+
 fn push(queue: &mut HeldRequests<&'static str>, kind: Kind, name: &'static str) -> u64 {
     let held = kind.held(0);
     queue.push(held, GROUP, outlook(500.0, kind.work), 1_000, name)
