--- a/tests/testsuite/direct/queue.rs
+++ b/tests/testsuite/direct/queue.rs
@@ -168,15 +168,22 @@
 fn request_of_a_caller_that_leaves_is_removed() {
     for class in [Class::Resumable, Class::Once] {
         let server = plain();
-        let entry = start(class, Some(on()), &server);
+        let entry = Entry::with_scheduling(MINUTE, Some(on()));
+        // The request is held for up to 2.7 s: its caller has 9 s, and would not give up
+        // before.
+        let mut document = document(1, class);
+        document.routes[0].pause = Duration::from_secs(2);
+        entry.publish(reply(1, document, vec![server.backend()]));
         report_work(&entry, 600);
         let caller = send_held(&entry, "a-1", "");
 
+        let left = Instant::now();
         drop(caller);
 
         eventually("the request has left the queue", || {
             entry.app.queue.is_empty()
         });
+        assert!(left.elapsed() < Duration::from_millis(1_500), "{class:?}");
         report_work(&entry, 0);
         thread::sleep(Duration::from_millis(100));
         assert!(server.seen().is_empty(), "{class:?}");
