--- a/src/cardamomtally/direct/fleet/choice.rs
+++ b/src/cardamomtally/direct/fleet/choice.rs
@@ -172,6 +172,9 @@
         let usual = (work.times.fixed_ms + work.prefill()) * ratio;
         let times = state.times.entry(Arc::clone(&expected.model)).or_default();
         times.learn(work, usual, trust);
+        let wait = (ttft - (forecast.first - forecast.begin)).max(0.0);
+        let demand = state.demand.entry(Arc::clone(&self.backend.service));
+        demand.or_default().learn_wait(forecast.begin, wait);
         if let Some(node) = state.nodes.get_mut(&self.backend.instance) {
             node.prompt_factor.learn(ratio.powf(trust), now);
         }
@@ -195,6 +198,12 @@
         }
     }
 
+    /// Returns when the backend server was chosen.
+    #[must_use]
+    pub const fn chosen_at(&self) -> Mono {
+        self.chosen_at
+    }
+
     /// Returns the forecast of the time to first event in milliseconds, if overload control
     /// is active.
     #[must_use]
--- a/src/cardamomtally/direct/fleet/node.rs
+++ b/src/cardamomtally/direct/fleet/node.rs
@@ -17,6 +17,9 @@
 /// Time in milliseconds by which a first event must be late to count as a sign that the
 /// backend server has become slower.
 const OVERDUE_ALLOWANCE_MS: f64 = 100.0;
+/// Least recency of a sample for which a factor is told to others: that after two seconds. Means
+/// with the factors of entries that have learned nothing would be too close to 1.
+const MIN_POOLED_RECENCY: f64 = 0.25;
 /// Age from which the account's sum of the other entries' memory is ignored.
 const ACCOUNT_TTL: Duration = Duration::from_secs(1);
 
@@ -24,10 +27,10 @@
 /// it arrived.
 #[derive(Clone, Copy, Debug)]
 struct LoadReport {
-    in_flight: u32,
-    waiting: u32,
-    slots: Option<u32>,
+    load: Load,
     at: Mono,
+    /// Whether this entry has received it itself.
+    own: bool,
     own_in_flight: u32,
     own_waiting: usize,
 }
@@ -41,6 +44,22 @@
     first: f64,
 }
 
+/// What entries tell each other of a backend server, for an account of capacity.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Evidence {
+    /// Key of the backend server.
+    pub server: ServerKey,
+    /// The latest load report, and its age.
+    pub load: Option<(Load, Duration)>,
+    /// How much longer prompts take there than the declared pace says, if this was learned
+    /// lately.
+    pub factor: Option<f64>,
+    /// Tokens of memory that requests use there at their ends.
+    pub tokens: f64,
+    /// Age of the tokens.
+    pub age: Duration,
+}
+
 /// What the registry keeps about one backend server.
 #[derive(Debug, Default)]
 pub struct Node {
@@ -62,6 +81,8 @@
     pub own_tokens: f64,
     /// Such tokens of the other entries, as an account tells them.
     other_tokens: Option<(f64, Mono)>,
+    /// The factor for prompts that the other entries have learned, as an account tells it.
+    pooled_factor: Factor,
     /// How much longer prompts take there than its declared pace says.
     pub prompt_factor: Factor,
     /// How much longer output tokens take there than its declared pace says.
@@ -91,7 +112,8 @@
         match recent {
             Some(report) => {
                 let change = f64::from(self.own_in_flight) - f64::from(report.own_in_flight);
-                (f64::from(report.in_flight) + change).max(f64::from(self.own_in_flight))
+                let in_flight = report.load.running.saturating_add(report.load.waiting);
+                (f64::from(in_flight) + change).max(f64::from(self.own_in_flight))
             }
             None => f64::from(self.own_in_flight) * f64::from(entries),
         }
@@ -113,21 +135,22 @@
         sent.is_some_and(|at| now.since(*at) < PREFIX_CACHE_TTL)
     }
 
-    /// Records a load report.
+    /// Records a load report, and the pace that it declares.
     pub fn report(&mut self, now: Mono, load: Load) {
+        self.set_report(now, load, true);
+    }
+
+    fn set_report(&mut self, at: Mono, load: Load, own: bool) {
         self.report = Some(LoadReport {
-            in_flight: load.running.saturating_add(load.waiting),
-            waiting: load.waiting,
-            slots: load.slots,
-            at: now,
+            load,
+            at,
+            own,
             own_in_flight: self.own_in_flight,
             own_waiting: self.prefilling.len(),
         });
-    }
-
-    /// Records a declared pace.
-    pub fn declare_pace(&mut self, now: Mono, pace: f64) {
-        self.pace = Some(DeclaredPace::update(self.pace, pace, now));
+        if let Some(pace) = load.pace {
+            self.pace = Some(DeclaredPace::update(self.pace, pace, at));
+        }
     }
 
     /// Records a request with a forecast that is sent now.
@@ -140,17 +163,45 @@
         self.prefilling.retain(|prefilling| prefilling.id != id);
     }
 
-    /// Replaces the tokens of memory that the other entries' requests use, as an account
-    /// tells them.
-    pub const fn set_other_tokens(&mut self, now: Mono, tokens: f64) {
-        self.other_tokens = Some((tokens, now));
+    /// Returns what this entry knows of the backend server at first hand, for an account.
+    #[must_use]
+    pub fn evidence(&self, now: Mono) -> Evidence {
+        let recent = self.report.filter(|r| now.since(r.at) < LOAD_REPORT_TTL);
+        let recent = recent.filter(|report| report.own);
+        Evidence {
+            server: self.key,
+            load: recent.map(|report| (report.load, now.since(report.at))),
+            factor: Some(self.prompt_factor.get(now))
+                .filter(|_| self.prompt_factor.recency(now) >= MIN_POOLED_RECENCY),
+            tokens: self.own_tokens,
+            age: Duration::ZERO,
+        }
+    }
+
+    /// Records what an account tells of the other entries. A load report counts if it is newer
+    /// than the known one.
+    pub fn apply(&mut self, now: Mono, evidence: &Evidence) {
+        self.other_tokens = Some((evidence.tokens, now - evidence.age));
+        if let Some(factor) = evidence.factor {
+            self.pooled_factor = Factor::of(factor, now);
+        }
+        let Some((load, age)) = evidence.load else {
+            return;
+        };
+        let at = now - age;
+        if self.report.is_none_or(|known| known.at < at) {
+            self.set_report(at, load, false);
+        }
     }
 
-    /// Returns the tokens of the other entries, if an account has told them lately.
+    /// Returns the tokens of the other entries with their age, if an account has told them
+    /// lately.
     #[must_use]
-    pub fn other_tokens(&self, now: Mono) -> Option<f64> {
-        let recent = |(_, at): &(f64, Mono)| now.since(*at) < ACCOUNT_TTL;
-        self.other_tokens.filter(recent).map(|(tokens, _)| tokens)
+    pub fn other_tokens(&self, now: Mono) -> Option<(f64, Duration)> {
+        let known = self
+            .other_tokens
+            .map(|(tokens, at)| (tokens, now.since(at)));
+        known.filter(|(_, age)| *age < ACCOUNT_TTL)
     }
 
     /// Returns how much longer than usual prompts take there: by its declared pace, by the
@@ -158,7 +209,7 @@
     #[must_use]
     pub fn prompt_pace(&self, now: Mono) -> f64 {
         let declared = self.pace.map_or(1.0, |pace| pace.get(now));
-        declared * bounded_factor(self.prompt_factor.get(now) * self.overdue(now))
+        declared * bounded_factor(self.factor(now) * self.overdue(now))
     }
 
     /// Returns how much longer than usual output tokens take there.
@@ -172,7 +223,18 @@
     /// slowly than [`Node::prompt_pace`].
     #[must_use]
     pub fn mean_pace(&self, now: Mono) -> f64 {
-        self.pace.map_or(1.0, |pace| pace.mean(now)) * self.prompt_factor.get(now)
+        self.pace.map_or(1.0, |pace| pace.mean(now)) * self.factor(now)
+    }
+
+    /// Returns the factor for prompts: this entry's own, and that of the others the more the
+    /// longer this entry has learned nothing.
+    fn factor(&self, now: Mono) -> f64 {
+        let (own, pooled) = (self.prompt_factor.get(now), self.pooled_factor.get(now));
+        if self.pooled_factor.recency(now) <= 0.0 {
+            return own;
+        }
+        let weight = self.prompt_factor.recency(now);
+        own.powf(weight) * pooled.powf(1.0 - weight)
     }
 
     /// Returns by which factor the most overdue first event exceeds its forecast, at least 1.
@@ -204,14 +266,14 @@
         let recent = self.report.filter(|_| self.report_age(now).is_some());
         recent.map_or(own, |report| {
             let change = own - report.own_waiting as f64;
-            (f64::from(report.waiting) + change).max(own)
+            (f64::from(report.load.waiting) + change).max(own)
         })
     }
 
     /// Returns the number of slots that the latest report told.
     #[must_use]
     pub fn reported_slots(&self) -> Option<u32> {
-        self.report.and_then(|report| report.slots)
+        self.report.and_then(|report| report.load.slots)
     }
 
     /// Drops prefixes that are no longer assumed to be cached.
--- a/src/cardamomtally/direct/fleet/placement.rs
+++ b/src/cardamomtally/direct/fleet/placement.rs
@@ -20,7 +20,10 @@
 
 /// Cost in milliseconds of a backend server whose slots are all taken. It grows
 /// in proportion to the load.
-pub(super) const FULL_LOAD_COST_MS: f64 = 500.0;
+const FULL_LOAD_COST_MS: f64 = 500.0;
+/// The same with overload control, where the forecast contains the waits. With the larger cost,
+/// a slow backend server attracted requests because it had few of them.
+pub(super) const FORECAST_LOAD_COST_MS: f64 = 100.0;
 /// Cost in milliseconds of sending a request to another data centre.
 const REMOTE_COST_MS: f64 = 30.0;
 /// Cost in milliseconds of each shared token that has to be processed again
@@ -89,7 +92,7 @@
 }
 
 /// Returns the cost and the times of a request by its forecast, for overload control. Apart
-/// from the wait and the prefill time, the cost has the same parts as in [`estimate`].
+/// from the times and the cost of load, the cost has the same parts as in [`estimate`].
 /// `shared` are the tokens of the shared prefix, and `missing` those that are processed.
 pub(super) fn of_forecast(
     forecast: &Forecast,
@@ -107,7 +110,7 @@
         cost: forecast.first
             + forecast.prefill * candidate.in_flight * PREFILL_INTERFERENCE
             + again * CACHE_MISS_COST_MS
-            + candidate.load * FULL_LOAD_COST_MS
+            + candidate.load * FORECAST_LOAD_COST_MS
             + distance,
         prefill: forecast.prefill,
         ttft: forecast.first,
--- a/src/cardamomtally/direct/fleet/registry.rs
+++ b/src/cardamomtally/direct/fleet/registry.rs
@@ -10,6 +10,7 @@
 use super::{
     candidates::{allowed, no_choice},
     choice::{CONNECT_BREAKER, Expected, REPLACED_BREAKER},
+    node::Evidence,
     pacing::sharing_entries,
     selection::{Ranked, Selection},
     state::{Shared, State},
@@ -30,7 +31,7 @@
     },
     site::backend::Backend,
 };
-use rand::Rng as _;
+use rand::{SeedableRng as _, rngs::SmallRng};
 
 pub use super::{
     choice::Choice,
@@ -76,6 +77,13 @@
         Self { mode, ..self }
     }
 
+    /// Returns the registry with random numbers that are the same in each run, for tests.
+    #[must_use]
+    pub fn with_seed(self, seed: u64) -> Self {
+        self.shared.lock().rng = Some(SmallRng::seed_from_u64(seed));
+        self
+    }
+
     /// Chooses the backend server with the lowest cost and counts the request
     /// as in flight there.
     ///
@@ -95,10 +103,11 @@
         let allowed = allowed(config, wanted, &state);
         let untried = untried(&allowed, wanted);
         state.ensure_known(&untried);
+        let active = state.is_active(self.mode, wanted.service);
+        let random = if active { state.random() } else { 0.0 };
         let selection = self.selection(&state, config, wanted, now);
-        let best = if state.is_active(self.mode, wanted.service) {
-            let random = rand::rng().random::<f64>();
-            selection.spread(&selection.ranked(&untried), Some(random))
+        let best = if active {
+            selection.spread(&selection.ranked(&untried, Some(random)), Some(random))
         } else {
             selection.cheapest(&untried)
         };
@@ -187,7 +196,7 @@
         let selection = self.selection(&state, config, wanted, now);
         let active = state.is_active(self.mode, wanted.service);
         let (best, mean_wait) = if active {
-            let ranked = selection.ranked(&untried);
+            let ranked = selection.ranked(&untried, None);
             let waits: f64 = ranked.iter().map(|r| r.candidate.backlog).sum();
             let mean_wait = waits / ranked.len().max(1) as f64;
             (selection.spread(&ranked, None)?, mean_wait)
@@ -219,8 +228,7 @@
         };
         if let Some(load) = statement.load {
             node.report(now, load);
-            if let Some(pace) = load.pace {
-                node.declare_pace(now, pace);
+            if load.pace.is_some() {
                 paced.insert(Arc::clone(&choice.backend.service));
             }
         }
@@ -265,14 +273,28 @@
         state.replaced.keys().copied().take(max).collect()
     }
 
-    /// Records the tokens of memory that the other entries' requests use at a backend
-    /// server, as an account of all entries tells them.
-    pub fn record_other_memory(&self, server: ServerKey, tokens: f64) {
+    /// Returns what this entry knows of the backend servers at first hand, for an account of
+    /// capacity among the entries.
+    #[must_use]
+    pub fn own_evidence(&self) -> Vec<Evidence> {
         let now = self.shared.clock.now();
+        let state = self.shared.lock();
+        let nodes = state.nodes.values();
+        nodes.map(|node| node.evidence(now)).collect()
+    }
+
+    /// Records what an account tells of the other entries: for each backend server the latest
+    /// load report, the mean factor, and the sum of the tokens. It does not include this
+    /// entry's own, and is ignored a second after its arrival.
+    pub fn record_evidence(&self, evidence: &[Evidence]) {
+        let now = self.shared.clock.now();
+        let by_server: FastMap<ServerKey, &Evidence> =
+            evidence.iter().map(|e| (e.server, e)).collect();
         let mut state = self.shared.lock();
-        let mut nodes = state.nodes.values_mut();
-        if let Some(node) = nodes.find(|node| node.key == server) {
-            node.set_other_tokens(now, tokens);
+        for node in state.nodes.values_mut() {
+            if let Some(evidence) = by_server.get(&node.key) {
+                node.apply(now, evidence);
+            }
         }
     }
 
--- a/src/cardamomtally/direct/fleet/selection.rs
+++ b/src/cardamomtally/direct/fleet/selection.rs
@@ -18,7 +18,7 @@
     routing::rendezvous,
     scheduling::{
         forecast::{Forecast, ServerView, forecast},
-        memory::{MemoryEvidence, memory_in_use},
+        memory::{MemoryEvidence, admitted, bounded_share, memory_in_use},
         spread::spread,
         work::Work,
     },
@@ -34,9 +34,10 @@
 /// Weight of a backend server as a home for each time that its pace doubles. Paces below 2
 /// do not count, so that homes do not move with each change of a pace.
 const HOME_WEIGHT_PER_DOUBLING: f64 = 0.25;
-/// Age of what an entry knows of the others' requests. The exchange sends a change within
-/// some tens of milliseconds and repeats it after 200 ms.
-const KNOWLEDGE_AGE: Duration = Duration::from_millis(100);
+/// Age of what an entry knows of the others' requests, without and for each other entry: the
+/// time between two messages of the exchange.
+const KNOWLEDGE_AGE: Duration = Duration::from_millis(10);
+const KNOWLEDGE_AGE_PER_ENTRY: Duration = Duration::from_micros(1_500);
 
 /// A backend server that may be chosen by its cost, with what was known about it.
 #[derive(Clone, Copy, Debug)]
@@ -54,6 +55,10 @@
     pub(super) work: Work,
     pub(super) forecast: Forecast,
     pub(super) step_pace: f64,
+    /// Tokens of memory in use there.
+    pub(super) memory: f64,
+    /// Age of its load report, if there is a recent one.
+    pub(super) age: Option<Duration>,
     /// Whether part of the prompt is assumed to be cached there.
     pub(super) cached: bool,
 }
@@ -201,10 +206,16 @@
     /// like this one.
     fn anticipated(&self, candidates: &[&Ranked<'_>]) -> f64 {
         let others = f64::from(self.config.entries.max(1) - 1);
-        let (count, work) = self.demand().within(self.now, KNOWLEDGE_AGE);
+        let demand = self.demand();
+        let (_, work) = demand.within(self.now, self.knowledge_age());
+        // Load is known from reports, which are older than the backlog.
+        let ages = candidates.iter().filter_map(|r| r.scheduled?.age);
+        let (sum, reports) = ages.fold((Duration::ZERO, 0_u32), |(sum, n), age| (sum + age, n + 1));
+        let age = sum.checked_div(reports).unwrap_or_default();
+        let (count, _) = demand.within(self.now, age.max(self.knowledge_age()));
         let slots = candidates.iter().map(|r| f64::from(r.backend.slots.max(1)));
         let slots = slots.sum::<f64>() / candidates.len().max(1) as f64;
-        let load_cost = placement::FULL_LOAD_COST_MS / slots.max(1.0);
+        let load_cost = placement::FORECAST_LOAD_COST_MS / slots.max(1.0);
         let usual = work + count * load_cost;
         let prefills = candidates.iter().map(|r| r.estimate.prefill);
         let own = load_cost + prefills.fold(f64::INFINITY, f64::min);
@@ -216,14 +227,23 @@
         others * usual.max(repeated)
     }
 
+    fn knowledge_age(&self) -> Duration {
+        KNOWLEDGE_AGE + KNOWLEDGE_AGE_PER_ENTRY * self.config.entries
+    }
+
     fn demand(&self) -> Demand {
         let demand = self.state.demand.get(&self.wanted.service.name);
         demand.copied().unwrap_or_default()
     }
 
     /// Returns the backend servers to which the request may be sent now, with their costs.
-    /// Those without enough memory for it are omitted.
-    pub(super) fn ranked<'b>(&self, allowed: &[&'b Backend]) -> Vec<Ranked<'b>> {
+    /// Those without enough memory for it are omitted, and, by `random`, some of those whose
+    /// memory other entries may use at the same time.
+    pub(super) fn ranked<'b>(
+        &self,
+        allowed: &[&'b Backend],
+        random: Option<f64>,
+    ) -> Vec<Ranked<'b>> {
         let wanted = self.wanted;
         let times = self.state.times.get(&self.model_name());
         let times = times.copied().unwrap_or_default();
@@ -240,7 +260,7 @@
         let output = f64::from(prompt.output);
         let rank = |(backend, node): (&'b Backend, &Node)| {
             let mut view = self.view(backend, node, &demand);
-            view.memory = self.memory_in_use(node, &view, &demand, own_tokens / servers, servers);
+            view.memory = self.memory_in_use(node, &view, &demand, own_tokens / servers);
             let in_flight = view.in_flight();
             let load = in_flight / view.slots.max(1.0);
             let is_home = home == Some(node.key) && load < HOME_MAX_LOAD;
@@ -252,10 +272,6 @@
                 memory: shared + own + output,
                 times,
             };
-            let capacity = wanted.service.memory as f64;
-            if capacity > 0.0 && view.memory + work.memory > capacity {
-                return None;
-            }
             let forecast = forecast(&work, &view);
             let candidate = Candidate {
                 in_flight,
@@ -265,7 +281,7 @@
                 cached,
             };
             let cached = cached && shared > 0.0;
-            Some(Ranked {
+            Ranked {
                 backend,
                 candidate,
                 estimate: placement::of_forecast(&forecast, shared, work.missing, &candidate),
@@ -273,11 +289,57 @@
                     work,
                     forecast,
                     step_pace: view.step_pace,
+                    memory: view.memory,
+                    age: view.age,
                     cached,
                 }),
-            })
+            }
+        };
+        let ranked: Vec<_> = self.available(allowed).map(rank).collect();
+        self.with_memory(ranked, &demand, random)
+    }
+
+    /// Returns the backend servers that have enough memory for the request.
+    fn with_memory<'b>(
+        &self,
+        ranked: Vec<Ranked<'b>>,
+        demand: &Demand,
+        random: Option<f64>,
+    ) -> Vec<Ranked<'b>> {
+        let capacity = self.wanted.service.memory as f64;
+        if capacity <= 0.0 {
+            return ranked;
+        }
+        let room = |r: &Ranked<'_>| {
+            let used = r.scheduled.map(|s| s.memory + s.work.memory);
+            capacity - used.unwrap_or(0.0)
         };
-        self.available(allowed).filter_map(rank).collect()
+        let others = f64::from(self.config.entries.max(1) - 1);
+        let request = demand.unit_memory().max(1.0);
+        let share = |r: &Ranked<'_>| {
+            let node = self.state.nodes.get(&r.backend.instance);
+            let age = node.map_or(Duration::ZERO, |node| self.memory_age(node));
+            let arrivals = demand.within(self.now, age).0 * others;
+            bounded_share(room(r) / request, arrivals)
+        };
+        let shares: Vec<f64> = ranked.iter().map(share).collect();
+        let Some(random) = random else {
+            let fits = ranked.into_iter().zip(shares);
+            return fits.filter(|(_, s)| *s > 0.0).map(|(r, _)| r).collect();
+        };
+        let draw = |place: usize| rendezvous::fraction(random.to_bits(), place as u64);
+        let admitted = admitted(&shares, random, draw);
+        let both = ranked.into_iter().zip(admitted);
+        both.filter(|(_, admitted)| *admitted)
+            .map(|(r, _)| r)
+            .collect()
+    }
+
+    /// Returns the age of what is known of the memory in use.
+    fn memory_age(&self, node: &Node) -> Duration {
+        let told = node.other_tokens(self.now).map(|(_, age)| age);
+        let age = told.or_else(|| node.report_age(self.now));
+        age.unwrap_or_default().max(self.knowledge_age())
     }
 
     /// Returns what is known of a backend server, without its memory in use.
@@ -299,7 +361,7 @@
         ServerView {
             prompt_pace,
             step_pace: node.step_pace(now),
-            backlog: self.state.backlog.total_ms(node.key).max(reported),
+            backlog: demand.wait_scale() * self.state.backlog.total_ms(node.key).max(reported),
             running: (in_flight - waiting).max(0.0),
             waiting: waiting.min(in_flight),
             slots: f64::from(node.reported_slots().unwrap_or(listed).max(1)),
@@ -309,26 +371,16 @@
         }
     }
 
-    fn memory_in_use(
-        &self,
-        node: &Node,
-        view: &ServerView,
-        demand: &Demand,
-        own_mean: f64,
-        servers: f64,
-    ) -> f64 {
+    fn memory_in_use(&self, node: &Node, view: &ServerView, demand: &Demand, own_mean: f64) -> f64 {
         let others = f64::from(self.config.entries.max(1) - 1);
-        let age = view.age.unwrap_or_default().max(KNOWLEDGE_AGE);
-        let (count, _) = demand.within(self.now, age);
         let others_in_flight = view.in_flight() - f64::from(node.own_in_flight);
         memory_in_use(&MemoryEvidence {
             own: node.own_tokens,
-            others: node.other_tokens(self.now),
+            others: node.other_tokens(self.now).map(|(tokens, _)| tokens),
             others_in_flight: view.age.map(|_| others_in_flight.max(0.0)),
             other_entries: others,
             own_mean,
             request_mean: demand.mean_memory(),
-            arrivals: count * others / servers,
         })
     }
 }
--- a/src/cardamomtally/scheduling/speed.rs
+++ b/src/cardamomtally/scheduling/speed.rs
@@ -42,6 +42,9 @@
 /// five times slower is then tried again within about two such times.
 const FACTOR_HALF_LIFE: Duration = Duration::from_secs(3);
 
+/// Age of a sample at which the factors of others count as much as that of this entry.
+const RECENT_SAMPLE: Duration = Duration::from_secs(1);
+
 /// Age at which a declared pace has lost half of its difference from the mean. A
 /// pace changes many times per second.
 const PACE_HALF_LIFE: Duration = Duration::from_millis(300);
@@ -130,6 +133,24 @@
         (self.log * remaining(now.since(self.at), FACTOR_HALF_LIFE)).exp()
     }
 
+    /// Returns a factor that was learned now.
+    #[must_use]
+    pub fn of(factor: f64, now: Mono) -> Self {
+        Self {
+            log: bounded_factor(factor).ln(),
+            at: now,
+        }
+    }
+
+    /// Returns how recent the latest sample is: 1 at first, and less with its age.
+    #[must_use]
+    pub fn recency(&self, now: Mono) -> f64 {
+        if self.at == Mono::default() {
+            return 0.0;
+        }
+        remaining(now.since(self.at), RECENT_SAMPLE)
+    }
+
     /// Learns from the ratio of an actual time to its forecast.
     pub fn learn(&mut self, ratio: f64, now: Mono) {
         if !ratio.is_finite() || ratio <= 0.0 {
--- a/tests/testsuite/scheduling/forecast.rs
+++ b/tests/testsuite/scheduling/forecast.rs
@@ -115,7 +115,6 @@
         other_entries: 9.0,
         own_mean: 500.0,
         request_mean: 2_000.0,
-        arrivals: 0.0,
     };
     let reported = MemoryEvidence {
         others_in_flight: Some(4.0),
--- a/tests/testsuite/scheduling/mod.rs
+++ b/tests/testsuite/scheduling/mod.rs
@@ -1,4 +1,5 @@
 //! Tests of the decisions about capacity.
 
+mod entries;
 mod forecast;
 mod speed;
--- a/tests/testsuite/scheduling/speed.rs
+++ b/tests/testsuite/scheduling/speed.rs
@@ -7,7 +7,10 @@
 use cardamomtally::{
     direct::{
         config::snapshot::ConfigSnapshot,
-        fleet::registry::{Choice, NoChoice, Registry, Requirements},
+        fleet::{
+            node::Evidence,
+            registry::{Choice, NoChoice, Registry, Requirements},
+        },
         request::prompt::Prompt,
     },
     prelude::*,
@@ -121,21 +124,21 @@
     rng: SmallRng,
 }
 
-const NAMES: [&str; 10] = ["0", "1", "2", "3", "4", "5", "6", "7", "8", "9"];
+pub const NAMES: [&str; 10] = ["0", "1", "2", "3", "4", "5", "6", "7", "8", "9"];
 
-fn registry(clock: &Arc<ManualClock>, mode: Mode) -> Arc<Registry> {
+pub fn registry(clock: &Arc<ManualClock>, mode: Mode, seed: u64) -> Arc<Registry> {
     let settings = SchedulingSettings {
         mode,
         ..SchedulingSettings::default()
     };
     let registry = Registry::new(Arc::clone(clock) as Arc<dyn Clock>, "north".into());
-    Arc::new(registry.with_scheduling(Some(settings)))
+    Arc::new(registry.with_scheduling(Some(settings)).with_seed(seed))
 }
 
 impl Site {
     fn new() -> Self {
         let clock = Arc::new(ManualClock::default());
-        let registry = registry(&clock, Mode::On);
+        let registry = registry(&clock, Mode::On, 5);
         let mut fleet = fleet(&NAMES);
         for backend in &mut fleet.backends {
             backend.slots = 64;
@@ -249,7 +252,11 @@
     };
 
     let chosen: Vec<Name> = (0..29)
-        .map(|_| registry(&clock, Mode::On).choose(&config, &wanted).unwrap())
+        .map(|seed| {
+            registry(&clock, Mode::On, seed)
+                .choose(&config, &wanted)
+                .unwrap()
+        })
         .map(|choice| Arc::clone(&choice.backend.instance))
         .collect();
 
@@ -265,7 +272,7 @@
 #[test]
 fn waiting_requests_of_a_load_report_count_as_work() {
     let clock = Arc::new(ManualClock::default());
-    let (registry, config) = (registry(&clock, Mode::On), config(fleet(&["0", "1"])));
+    let (registry, config) = (registry(&clock, Mode::On, 5), config(fleet(&["0", "1"])));
     let service = service();
     let wanted = Requirements {
         service: &service,
@@ -299,7 +306,7 @@
 #[test]
 fn server_gets_no_more_tokens_than_its_memory_holds() {
     let clock = Arc::new(ManualClock::default());
-    let (registry, config) = (registry(&clock, Mode::On), config(fleet(&["0"])));
+    let (registry, config) = (registry(&clock, Mode::On, 5), config(fleet(&["0"])));
     let service = Service {
         memory: 10_000,
         ..service()
@@ -325,7 +332,13 @@
     let again = registry.choose(&config, &wanted).map(drop);
 
     assert_eq!((refused, again), (Some(NoChoice::Busy), Ok(())));
-    registry.record_other_memory(rendezvous::seed("0"), 7_000.0);
+    registry.record_evidence(&[Evidence {
+        server: rendezvous::seed("0"),
+        load: None,
+        factor: None,
+        tokens: 7_000.0,
+        age: Duration::ZERO,
+    }]);
     assert_eq!(
         registry.choose(&config, &wanted).err(),
         Some(NoChoice::Busy)
@@ -336,7 +349,7 @@
 #[test]
 fn automatic_mode_becomes_active_with_the_first_pace() {
     let clock = Arc::new(ManualClock::default());
-    let (registry, config) = (registry(&clock, Mode::Auto), config(fleet(&["0"])));
+    let (registry, config) = (registry(&clock, Mode::Auto, 5), config(fleet(&["0"])));
     let service = service();
     let wanted = Requirements {
         service: &service,
@@ -366,7 +379,7 @@
 #[test]
 fn homes_of_prefixes_follow_the_speed_of_the_servers() {
     let clock = Arc::new(ManualClock::default());
-    let (registry, config) = (registry(&clock, Mode::On), config(fleet(&NAMES)));
+    let (registry, config) = (registry(&clock, Mode::On, 5), config(fleet(&NAMES)));
     let service = service();
     let wanted = |prefix| Requirements {
         service: &service,
