--- a/tests/testsuite/scheduling/mod.rs
+++ b/tests/testsuite/scheduling/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of decisions about capacity.
 
+mod entries;
 mod escalation;
 mod fairness;
 mod forecast;
