Bound what an entry holds for callers that read slowly

A caller that takes nothing for 3 s is disconnected, logged and counted, and its work at the backend server is cancelled. A stream that the backend server aborted while the caller did not read is resumed if its route allows it, and is no evidence against the backend server or the content.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -13,7 +13,7 @@
         statement::Statement,
     },
     link::{
-        memory::AnswerMemory,
+        memory::BufferMemory,
         pool::{Answer, Pool, SendError},
     },
     request::{call::Call, names::HeaderNames},
@@ -48,8 +48,8 @@
     pub registry: Arc<Registry>,
     /// Connections to the backend servers.
     pub pool: Pool,
-    /// Memory for answers that are being read.
-    pub memory: AnswerMemory,
+    /// Memory for messages and streams.
+    pub memory: BufferMemory,
     /// Exchange of backlog sums with the other entries.
     pub peers: Arc<Peers>,
     /// Keeps content that ends backend servers from being sent.
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -17,7 +17,11 @@
     content::guard::ContentGuard,
     exchange::peers::Peers,
     fleet::registry::Registry,
-    link::{memory::AnswerMemory, pool::Pool},
+    link::{
+        capacity::{CapacityBounds, CapacitySettings},
+        memory::BufferMemory,
+        pool::Pool,
+    },
     listener,
     request::names::HeaderNames,
 };
@@ -25,7 +29,7 @@
     net::{nng::Client, transport::Transport},
     prelude::*,
     routing::budget::BudgetTerms,
-    scheduling::settings::SchedulingSettings,
+    scheduling::settings::{Mode, SchedulingSettings},
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -82,6 +86,9 @@
     pub retry_budget: BudgetTerms,
     /// Settings of overload control; `None` if the deployment does not ask for it.
     pub scheduling: Option<SchedulingSettings>,
+    /// Limits of the VM, from which the bounds of overload control on memory and
+    /// connections are derived.
+    pub capacity: CapacitySettings,
 }
 
 impl Default for DirectSettings {
@@ -101,6 +108,20 @@
             connect_timeout: Duration::from_millis(300),
             retry_budget: BudgetTerms::default(),
             scheduling: None,
+            capacity: CapacitySettings::default(),
+        }
+    }
+}
+
+impl DirectSettings {
+    /// Returns the bounds on memory and connections. They follow the limits of the VM only
+    /// where overload control is configured.
+    fn capacity_bounds(&self) -> CapacityBounds {
+        let active = |scheduling: &SchedulingSettings| scheduling.mode != Mode::Off;
+        if self.scheduling.as_ref().is_some_and(active) {
+            CapacityBounds::of(self.capacity)
+        } else {
+            CapacityBounds::default()
         }
     }
 }
@@ -148,6 +169,7 @@
         Arc::clone(&clock),
         parts.log.clone(),
     ));
+    let bounds = settings.capacity_bounds();
     let evidence = Arc::clone(&content) as Arc<dyn EvidenceExchange>;
     let poller = poller
         .with_peers(Arc::clone(&peers))
@@ -158,8 +180,8 @@
         registry,
         peers,
         content,
-        memory: AnswerMemory::default(),
-        pool: Pool::new(Arc::clone(&clock), settings.connect_timeout),
+        memory: BufferMemory::new(bounds),
+        pool: Pool::new(Arc::clone(&clock), settings.connect_timeout).with_bounds(&bounds),
         counts,
         clock,
         log: parts.log.clone(),
--- /dev/null
+++ b/src/cardamomtally/direct/link/capacity.rs
@@ -0,0 +1,115 @@
+//! Bounds on the memory and the connections of an entry, derived from the limits of its
+//! VM.
+//!
+//! Where overload control is not configured, or a limit of the VM is not known, the bounds
+//! are fixed and the kernel sizes the sockets' buffers.
+
+use crate::prelude::*;
+
+/// Longest message that is held completely, in bytes, where the VM's memory is not known.
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+/// Number of bytes of all messages together from which on only small ones are read on, where
+/// the VM's memory is not known.
+const MAX_TOTAL_BYTES: usize = 24 << 20;
+/// Share of the VM's memory for the bytes that the process holds for callers and servers,
+/// in percent. The process rests at about 12 MB of 88, and sockets, connections and the
+/// configuration need the remainder.
+const HELD_PERCENT: usize = 37;
+/// Part of these bytes that one message may take.
+const MESSAGE_PART: usize = 4;
+/// Part of the VM's memory that one socket's buffer may take. The kernel allows twice the
+/// requested size, so 200 stalled streams, with two sockets each, take a fifth of the memory.
+const SOCKET_PART: usize = 4_096;
+/// Least and largest size of a socket's buffer, in bytes. Below the least size, each event
+/// costs a wake-up of its own; above the largest one, nothing is gained within a region.
+const SOCKET_BYTES: (usize, usize) = (16 << 10, 256 << 10);
+/// Number of bytes of a stream that wait in the process for its caller, from which on the
+/// backend server is not read. The kernel's buffer holds further ones.
+const STREAM_BYTES: usize = 32 << 10;
+/// Time without progress after which a caller that does not take its response is
+/// disconnected. It is longer than the retransmission delays of a healthy connection, and
+/// shorter than the usual deadline of a stream (4 s and more), so that a backend server does
+/// not work on a response which nobody reads.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Share of the file descriptors for callers' connections, in percent. Each request in
+/// flight needs another descriptor for its backend server.
+const CALLERS_FD_PERCENT: usize = 40;
+/// Share of the file descriptors for idle connections to backend servers, in percent.
+const IDLE_FD_PERCENT: usize = 10;
+/// Least number of callers' connections, however few file descriptors there are.
+const MIN_CONNECTIONS: usize = 16;
+
+/// Limits of the VM that an entry runs in. `None` means that the limit is not known.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CapacitySettings {
+    /// Memory of the VM, in MiB.
+    pub memory_mb: Option<u32>,
+    /// Largest number of open file descriptors of the process.
+    pub max_fds: Option<u32>,
+}
+
+/// Bounds on what an entry holds for callers and backend servers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CapacityBounds {
+    /// Number of bytes of all messages and streams together, from which on only small
+    /// messages are read.
+    pub total: usize,
+    /// Longest response body that is held completely, in bytes.
+    pub message: usize,
+    /// Whether request bodies count towards the total, and are refused when it is reached.
+    pub requests: bool,
+    /// Number of bytes of one stream that wait for its caller; `None` if only the HTTP
+    /// library bounds them.
+    pub stream: Option<usize>,
+    /// Size of the sockets' buffers in bytes; `None` if the kernel chooses it.
+    pub socket: Option<usize>,
+    /// Time without progress after which a caller that does not take its response is
+    /// disconnected; `None` if it is not.
+    pub unread: Option<Duration>,
+    /// Largest number of callers' connections; `None` if only the settings limit it.
+    pub callers: Option<usize>,
+    /// Largest number of idle connections to all backend servers; `None` if it is only
+    /// bounded for each of them.
+    pub idle: Option<usize>,
+}
+
+impl Default for CapacityBounds {
+    fn default() -> Self {
+        Self {
+            total: MAX_TOTAL_BYTES,
+            message: MAX_MESSAGE_BYTES,
+            requests: false,
+            stream: None,
+            socket: None,
+            unread: None,
+            callers: None,
+            idle: None,
+        }
+    }
+}
+
+impl CapacityBounds {
+    /// Derives the bounds of an entry with overload control from the limits of its VM.
+    #[must_use]
+    pub fn of(settings: CapacitySettings) -> Self {
+        let mut bounds = Self {
+            unread: Some(UNREAD_TIMEOUT),
+            stream: Some(STREAM_BYTES),
+            ..Self::default()
+        };
+        if let Some(memory) = settings.memory_mb {
+            let memory = (memory as usize) << 20;
+            let (least, largest) = SOCKET_BYTES;
+            bounds.total = memory / 100 * HELD_PERCENT;
+            bounds.message = (bounds.total / MESSAGE_PART).min(MAX_MESSAGE_BYTES);
+            bounds.requests = true;
+            bounds.socket = Some((memory / SOCKET_PART).clamp(least, largest));
+        }
+        if let Some(fds) = settings.max_fds {
+            let fds = fds as usize;
+            bounds.callers = Some((fds * CALLERS_FD_PERCENT / 100).max(MIN_CONNECTIONS));
+            bounds.idle = Some(fds * IDLE_FD_PERCENT / 100);
+        }
+        bounds
+    }
+}
--- a/src/cardamomtally/direct/link/pool.rs
+++ b/src/cardamomtally/direct/link/pool.rs
@@ -6,6 +6,7 @@
 //! A connection whose answer was not read to the end is closed, which cancels
 //! the work at the backend server.
 
+use super::capacity::CapacityBounds;
 use crate::prelude::*;
 use bytes::Bytes;
 use http::{Request, Response};
@@ -17,10 +18,14 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::{
+    io,
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
 };
-use tokio::{net::TcpStream, task::AbortHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+};
 
 /// Time after which an idle connection is no longer reused.
 const MAX_IDLE: Duration = Duration::from_secs(4);
@@ -38,6 +43,10 @@
 /// Largest number of idle connections per address.
 const MAX_IDLE_PER_BACKEND: usize = 64;
 
+/// Size of the buffer for a request on its way to a backend server, as a multiple of that for
+/// the response. A prompt is sent at once and its response arrives in small events.
+const REQUEST_BUFFER_FACTOR: u32 = 4;
+
 /// A request to a backend server, with its complete body.
 pub type Outgoing = Request<Full<Bytes>>;
 
@@ -67,8 +76,12 @@
 
 impl Connection {
     /// Opens a connection within the time limit.
-    async fn open(address: SocketAddr, limit: Duration) -> Result<Self, SendError> {
-        let connect = tokio::time::timeout(limit, TcpStream::connect(address));
+    async fn open(
+        address: SocketAddr,
+        limit: Duration,
+        buffers: Option<usize>,
+    ) -> Result<Self, SendError> {
+        let connect = tokio::time::timeout(limit, connect(address, buffers));
         let stream = match connect.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) => return Err(SendError::NotSent("connection refused")),
@@ -112,6 +125,23 @@
     }
 }
 
+/// Opens a connection whose socket buffers have the given size. The size is set before the
+/// connection is opened, since the largest window is agreed upon then.
+async fn connect(address: SocketAddr, buffers: Option<usize>) -> io::Result<TcpStream> {
+    let Some(bytes) = buffers else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+    socket.set_recv_buffer_size(bytes)?;
+    socket.set_send_buffer_size(bytes.saturating_mul(REQUEST_BUFFER_FACTOR))?;
+    socket.connect(address).await
+}
+
 /// Sets the options by which the kernel detects silent peers. If that fails,
 /// they are detected later, and a metric counts the failure.
 fn set_socket_options(stream: &TcpStream) {
@@ -143,6 +173,10 @@
     idle: Mutex<FastMap<SocketAddr, Vec<Connection>>>,
     clock: Arc<dyn Clock>,
     connect_limit: Duration,
+    /// Size of the sockets' buffers; `None` if the kernel chooses it.
+    buffers: Option<usize>,
+    /// Largest number of idle connections to all addresses together.
+    max_idle: Option<usize>,
 }
 
 impl Pool {
@@ -153,9 +187,19 @@
             idle: Mutex::default(),
             clock,
             connect_limit,
+            buffers: None,
+            max_idle: None,
         }
     }
 
+    /// Sets the bounds on the sockets' buffers and on the number of idle connections.
+    #[must_use]
+    pub fn with_bounds(mut self, bounds: &CapacityBounds) -> Self {
+        self.buffers = bounds.socket;
+        self.max_idle = bounds.idle;
+        self
+    }
+
     fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, Vec<Connection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -195,7 +239,7 @@
                 Err(broken @ SendError::Broken(_)) => return Err(broken),
             }
         }
-        let mut connection = Connection::open(address, self.connect_limit).await?;
+        let mut connection = Connection::open(address, self.connect_limit, self.buffers).await?;
         let response = connection.send(make()).await?;
         Ok(Answer {
             response,
--- a/src/cardamomtally/direct/link/source.rs
+++ b/src/cardamomtally/direct/link/source.rs
@@ -12,6 +12,11 @@
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 
+/// Time for which a caller may leave a stream unread before its end says nothing of the
+/// backend server any more. Backend servers abort a response that stays unread for some
+/// seconds.
+const NEGLECT_TIME: Duration = Duration::from_millis(500);
+
 /// The event stream of one backend server.
 #[derive(Debug)]
 pub struct EventSource {
@@ -34,6 +39,9 @@
     pub began: Mono,
     /// Whether the answer has gone on long enough to speak for its content.
     pub vindicated: bool,
+    /// Whether the caller has left the stream unread for so long that the backend server may
+    /// have aborted it for that reason.
+    pub neglected: bool,
 }
 
 /// What the stream has produced.
@@ -47,6 +55,9 @@
     Broken(&'static str),
     /// The connection ended before the stream did, for the given reason.
     Cut(&'static str),
+    /// The connection ended before the stream did, after the caller had left the stream
+    /// unread.
+    Unread,
     /// No event arrived for the given time, and the stream is to be resumed
     /// elsewhere.
     Silent(Duration),
@@ -63,6 +74,13 @@
 }
 
 impl StreamTiming {
+    /// Tells whether the caller has left the stream unread since its last event. Only valid
+    /// when the caller asks for the next one.
+    #[must_use]
+    pub fn is_neglected(&self, now: Mono) -> bool {
+        self.latest != Mono::default() && now.since(self.latest) >= NEGLECT_TIME
+    }
+
     /// Records an event that is forwarded now, for a request received at
     /// `since`.
     pub fn record(&mut self, since: Mono, now: Mono) {
@@ -80,13 +98,19 @@
     pub async fn next(&mut self) -> Next {
         loop {
             let Some(frame) = self.body.frame().await else {
-                return if self.splitter.is_partial() {
+                return if self.neglected && !self.delimited {
+                    // The end of the connection may be that of the server's patience.
+                    Next::Unread
+                } else if self.splitter.is_partial() {
                     Next::Cut("the stream ended in the middle of an event")
                 } else {
                     Next::End
                 };
             };
             let Ok(frame) = frame else {
+                if self.neglected {
+                    return Next::Unread;
+                }
                 return Next::Cut("the connection failed during the stream");
             };
             // Trailers are not forwarded.
--- a/src/cardamomtally/direct/listener.rs
+++ b/src/cardamomtally/direct/listener.rs
@@ -7,18 +7,24 @@
 
 use super::{
     app::App,
-    request::body::{Body, full_body, guarded},
+    request::body::{Body, Outflow, bounded, full_body, guarded},
     serve::handler,
 };
 use crate::prelude::*;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use slog::{debug, info, warn};
+use socket2::SockRef;
 use std::{
     convert::Infallible,
     io,
+    os::fd::{AsRawFd as _, RawFd},
     pin::Pin,
     sync::atomic::{AtomicU32, AtomicU64, Ordering},
     task::{Context, Poll},
@@ -49,6 +55,8 @@
     ended: AtomicU64,
     /// When the first bytes of the next request arrived; 0 if none have.
     bytes: AtomicU64,
+    /// Since when the caller's socket has taken nothing; 0 if it takes bytes.
+    blocked: AtomicU64,
 }
 
 impl Activity {
@@ -62,25 +70,54 @@
         self.busy.fetch_sub(1, Ordering::AcqRel);
     }
 
-    fn note_bytes(&self, now: Mono) {
-        if self.busy.load(Ordering::Acquire) == 0 {
-            let first = self
-                .bytes
-                .compare_exchange(0, now.0, Ordering::AcqRel, Ordering::Acquire);
-            // Only the first bytes of a request set the time.
-            let _later = first.is_err();
+    /// Records that bytes have arrived. Only the first bytes of a request set the time.
+    fn note_bytes(&self, clock: &dyn Clock) {
+        if self.busy.load(Ordering::Acquire) == 0 && self.bytes.load(Ordering::Acquire) == 0 {
+            self.bytes.store(clock.now().0, Ordering::Release);
+        }
+    }
+
+    /// Records what came of writing to the caller's socket.
+    fn note_write(&self, clock: &dyn Clock, taken: bool) {
+        let blocked = self.blocked.load(Ordering::Acquire) > 0;
+        if taken && blocked {
+            self.blocked.store(0, Ordering::Release);
+        } else if !taken && !blocked {
+            self.blocked.store(clock.now().0, Ordering::Release);
         }
     }
 }
 
-/// A connection that records when bytes arrive.
+/// A connection that records when bytes arrive, and how many are written.
 #[derive(Debug)]
 struct TrackedStream {
     stream: TcpStream,
     activity: Arc<Activity>,
+    /// The bytes that wait to be written, if they are bounded.
+    outflow: Option<Arc<Outflow>>,
     clock: Arc<dyn Clock>,
 }
 
+impl TrackedStream {
+    fn note_write(&self, polled: &Poll<io::Result<usize>>) {
+        match polled {
+            Poll::Ready(Ok(bytes)) => {
+                self.activity.note_write(&*self.clock, true);
+                if let Some(outflow) = &self.outflow {
+                    outflow.written(*bytes);
+                }
+            }
+            Poll::Pending => {
+                self.activity.note_write(&*self.clock, false);
+                if let Some(outflow) = &self.outflow {
+                    outflow.block();
+                }
+            }
+            Poll::Ready(Err(_)) => {}
+        }
+    }
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -90,7 +127,7 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.activity.note_bytes(self.clock.now());
+            self.activity.note_bytes(&*self.clock);
         }
         polled
     }
@@ -102,7 +139,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.note_write(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -118,7 +157,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.note_write(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -163,18 +204,35 @@
     if let Err(error) = stream.set_nodelay(true) {
         debug!(app.log, "listen: setting TCP_NODELAY failed"; "error" => %error);
     }
+    let bounds = *app.memory.bounds();
+    if let Some(bytes) = bounds.socket
+        && let Err(error) = SockRef::from(&stream).set_send_buffer_size(bytes)
+    {
+        debug!(app.log, "listen: setting the size of the send buffer failed"; "error" => %error);
+    }
+    let peer = stream.peer_addr().ok();
+    let descriptor = stream.as_raw_fd();
+    let mut unread = bounds.unread.map(UnreadCheck::new);
+    let outflow = bounds.stream.map(|bound| {
+        let total = Arc::clone(app.memory.used());
+        Arc::new(Outflow::new(bound, total, bounds.total))
+    });
     let activity = Arc::<Activity>::default();
     activity.ended.store(app.clock.now().0, Ordering::Release);
     let tracked = TrackedStream {
         stream,
         activity: Arc::clone(&activity),
+        outflow: outflow.clone(),
         clock: Arc::clone(&app.clock),
     };
     let table = app.config.current().table.clone();
     let head = table.map_or(MIN_HEAD_BYTES, |t| t.limits.head_bytes);
     let service = {
         let (app, activity) = (Arc::clone(&app), Arc::clone(&activity));
-        service_fn(move |request| answer(Arc::clone(&app), Arc::clone(&activity), request))
+        service_fn(move |request| {
+            let (activity, outflow) = (Arc::clone(&activity), outflow.clone());
+            answer(Arc::clone(&app), activity, outflow, request)
+        })
     };
     let connection = http1::Builder::new()
         .max_buf_size(head.max(MIN_HEAD_BYTES))
@@ -193,7 +251,19 @@
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = tokio::time::sleep(AGE_CHECK_INTERVAL) => match connection_age(&app, &activity) {
+            () = tokio::time::sleep(AGE_CHECK_INTERVAL) => {
+                let now = app.clock.now();
+                let blocked = Mono(activity.blocked.load(Ordering::Acquire));
+                // The descriptor is open, since the connection owns its socket.
+                let left = |check: &mut UnreadCheck| check.exceeded(blocked, now, || untaken(descriptor));
+                if unread.as_mut().is_some_and(left) {
+                    metrics::counter!("cardamomtally_direct_unread_callers_total").increment(1);
+                    warn!(app.log, "listen: caller does not read its response; disconnected";
+                        "peer" => peer.map(|peer| peer.to_string()),
+                        "blocked_ms" => now.since(blocked).as_millis() as u64);
+                    return;
+                }
+                match connection_age(&app, &activity) {
                 ConnectionAge::Idle if !closing => {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
@@ -203,11 +273,62 @@
                     info!(app.log, "listen: request head exceeded its time limit; connection closed");
                     return;
                 }
+                }
             },
         }
     }
 }
 
+/// Finds out whether a caller has taken nothing of its response for too long.
+///
+/// The socket becomes writable only when a third of its buffer is free, which takes a slow
+/// reader longer than the limit. The kernel's count of bytes that the caller has not
+/// acknowledged shows smaller progress.
+#[derive(Debug)]
+struct UnreadCheck {
+    limit: Duration,
+    /// The bytes that were not acknowledged at the last check, and since when they are no
+    /// fewer.
+    last: Option<(libc::c_int, Mono)>,
+}
+
+impl UnreadCheck {
+    const fn new(limit: Duration) -> Self {
+        Self { limit, last: None }
+    }
+
+    /// Tells whether the limit is exceeded. `blocked` is the time since when the socket takes
+    /// nothing, or 0.
+    fn exceeded(
+        &mut self,
+        blocked: Mono,
+        now: Mono,
+        untaken: impl FnOnce() -> Option<libc::c_int>,
+    ) -> bool {
+        if blocked == Mono::default() {
+            self.last = None;
+            return false;
+        }
+        let count = untaken().unwrap_or_default();
+        let since = match self.last {
+            Some((last, since)) if count >= last => since.max(blocked),
+            Some(_) => now,
+            None => blocked,
+        };
+        self.last = Some((count, since));
+        now.since(since) >= self.limit
+    }
+}
+
+/// Returns the number of bytes that the peer of a socket has not acknowledged.
+fn untaken(descriptor: RawFd) -> Option<libc::c_int> {
+    let mut count: libc::c_int = 0;
+    // SAFETY: `TIOCOUTQ` writes one integer, to which the pointer is valid. The kernel refuses
+    // a descriptor that is no socket.
+    let done = unsafe { libc::ioctl(descriptor, libc::TIOCOUTQ, &raw mut count) };
+    (done == 0).then_some(count)
+}
+
 /// Result of the check of a connection against the limits.
 enum ConnectionAge {
     WithinLimits,
@@ -255,6 +376,7 @@
 async fn answer(
     app: Arc<App>,
     activity: Arc<Activity>,
+    outflow: Option<Arc<Outflow>>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     activity.begin();
@@ -263,7 +385,11 @@
         clock: Arc::clone(&app.clock),
     };
     let response = handler::handle(app, request).await;
-    Ok(response.map(|body| guarded(body, busy)))
+    Ok(response.map(|body| match outflow {
+        // A message that is complete takes no less memory if it is handed over in parts.
+        Some(outflow) if body.size_hint().exact().is_none() => bounded(body, outflow, busy),
+        _ => guarded(body, busy),
+    }))
 }
 
 /// Serves readiness checks and metrics at an address of their own.
--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -145,6 +145,7 @@
                     sent: since,
                     began: self.app.clock.now(),
                     vindicated: false,
+                    neglected: false,
                 });
                 return Ok(Opened::Stream(parts));
             }
@@ -389,6 +390,10 @@
 
     /// Returns the next events, or `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+        let neglected = self.timing.is_neglected(self.app.clock.now());
+        if let Some(source) = self.source.as_mut().filter(|_| neglected) {
+            source.neglected = true;
+        }
         loop {
             let left = self.call.remaining(self.app.clock.now());
             if left.is_zero() {
@@ -424,6 +429,11 @@
                     }
                     self.resume(why).await?;
                 }
+                Next::Unread => {
+                    // Neither the backend server nor the content is to blame.
+                    self.source = None;
+                    self.resume("aborted while the caller did not read").await?;
+                }
                 Next::Broken(why) => {
                     if let Some(source) = self.source.take() {
                         self.record_failure(source.choice);
--- a/tests/testsuite/direct/fixtures.rs
+++ b/tests/testsuite/direct/fixtures.rs
@@ -95,13 +95,30 @@
 impl Entry {
     /// Starts an entry without a configuration.
     pub fn without_document(lease: Duration) -> Self {
+        Self::without_document_changed(lease, |_| {})
+    }
+
+    /// Starts an entry with a document and the given backend servers. `change` alters its
+    /// settings before it starts.
+    pub fn with_settings(
+        document: Document,
+        backends: &[Backend],
+        change: impl FnOnce(&mut DirectSettings),
+    ) -> Self {
+        let entry = Self::without_document_changed(Duration::from_mins(1), change);
+        entry.publish(reply(1, document, backends.to_vec()));
+        entry
+    }
+
+    fn without_document_changed(lease: Duration, change: impl FnOnce(&mut DirectSettings)) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
             .build()
             .unwrap();
-        let settings = DirectSettings {
+        let mut settings = DirectSettings {
             centre: "north".into(),
+            max_connections: 64,
             poller: PollerSettings {
                 name: "entry-1".into(),
                 seeds: vec!["127.0.0.1".into()],
@@ -116,6 +133,7 @@
             },
             ..DirectSettings::default()
         };
+        change(&mut settings);
         let parts = Parts {
             log: log::discard(),
             clock: Arc::new(SystemClock::default()),
@@ -130,7 +148,13 @@
         let addrs = (front.local_addr().unwrap(), health.local_addr().unwrap());
         let poller = Arc::clone(&app.config);
         runtime.spawn(async move { poller.run().await });
-        runtime.spawn(listener::run(Arc::clone(&app), front, 64, closed));
+        let max_connections = settings.max_connections;
+        runtime.spawn(listener::run(
+            Arc::clone(&app),
+            front,
+            max_connections,
+            closed,
+        ));
         let ready = Arc::clone(&settings.ready);
         let render = Arc::new(String::new);
         runtime.spawn(listener::run_health(
@@ -365,7 +389,7 @@
     }
 }
 
-fn read_request(stream: &mut TcpStream) -> Option<Seen> {
+pub fn read_request(stream: &mut TcpStream) -> Option<Seen> {
     let mut bytes = Vec::new();
     let mut chunk = [0; 4096];
     loop {
--- /dev/null
+++ b/tests/testsuite/direct/memory.rs
@@ -0,0 +1,1 @@
+//! Tests of the bounds on the memory and the connections of an entry.
