Bound messages, connections and requests of an entry by its VM's limits

Request bodies and plain responses count towards one total until their last byte is taken, and the total follows limits.memory_mb where overload control is configured. A large request is refused with 503 before its body is read while the total is reached. Callers' connections and idle connections to backend servers follow limits.max_fds.

--- a/src/cardamomtally/direct/link/capacity.rs
+++ b/src/cardamomtally/direct/link/capacity.rs
@@ -17,6 +17,14 @@
 const HELD_PERCENT: usize = 37;
 /// Part of these bytes that one message may take.
 const MESSAGE_PART: usize = 4;
+/// Longest message that is read also while the total is reached, in bytes.
+pub const SMALL_MESSAGE_BYTES: usize = 64 << 10;
+/// Part of the total by which small messages may exceed it.
+const SMALL_PART: usize = 4;
+/// Part of the VM's memory for callers' connections, and what an open connection takes in
+/// the process, in bytes: two buffers of 8 KiB.
+const CONNECTIONS_PART: usize = 4;
+const CONNECTION_BYTES: usize = 16 << 10;
 /// Part of the VM's memory that one socket's buffer may take. The kernel allows twice the
 /// requested size, so 200 stalled streams, with two sockets each, take a fifth of the memory.
 const SOCKET_PART: usize = 4_096;
@@ -54,6 +62,9 @@
     /// Number of bytes of all messages and streams together, from which on only small
     /// messages are read.
     pub total: usize,
+    /// Number of bytes of all messages and streams together, from which on only messages of
+    /// a few kilobytes are read.
+    pub limit: usize,
     /// Longest response body that is held completely, in bytes.
     pub message: usize,
     /// Whether request bodies count towards the total, and are refused when it is reached.
@@ -77,6 +88,7 @@
     fn default() -> Self {
         Self {
             total: MAX_TOTAL_BYTES,
+            limit: usize::MAX,
             message: MAX_MESSAGE_BYTES,
             requests: false,
             stream: None,
@@ -101,13 +113,17 @@
             let memory = (memory as usize) << 20;
             let (least, largest) = SOCKET_BYTES;
             bounds.total = memory / 100 * HELD_PERCENT;
-            bounds.message = (bounds.total / MESSAGE_PART).min(MAX_MESSAGE_BYTES);
+            bounds.limit = bounds.total + bounds.total / SMALL_PART;
+            bounds.message =
+                (bounds.total / MESSAGE_PART).clamp(SMALL_MESSAGE_BYTES, MAX_MESSAGE_BYTES);
+            bounds.callers = Some(memory / CONNECTIONS_PART / CONNECTION_BYTES);
             bounds.requests = true;
             bounds.socket = Some((memory / SOCKET_PART).clamp(least, largest));
         }
         if let Some(fds) = settings.max_fds {
             let fds = fds as usize;
-            bounds.callers = Some((fds * CALLERS_FD_PERCENT / 100).max(MIN_CONNECTIONS));
+            let callers = (fds * CALLERS_FD_PERCENT / 100).max(MIN_CONNECTIONS);
+            bounds.callers = Some(bounds.callers.map_or(callers, |most| most.min(callers)));
             bounds.idle = Some(fds * IDLE_FD_PERCENT / 100);
         }
         bounds
--- a/src/cardamomtally/direct/link/memory.rs
+++ b/src/cardamomtally/direct/link/memory.rs
@@ -6,15 +6,20 @@
 //! counts until the last reference to its bytes is dropped, so also while a slow reader
 //! takes it.
 
-use super::capacity::CapacityBounds;
+use super::capacity::{CapacityBounds, SMALL_MESSAGE_BYTES};
 use crate::prelude::*;
 use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt as _, Collected, Limited};
+use hyper::body::{Body as _, Incoming};
+use rand::Rng as _;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// Longest body that is read in any case, in bytes.
-const SMALL_MESSAGE_BYTES: usize = 64 << 10;
+/// Longest message that is read in any case, in bytes. The number of connections bounds
+/// what these take together.
+const TINY_MESSAGE_BYTES: usize = 8 << 10;
+/// Shortest delay after which a caller is asked to retry while memory is short. Responses
+/// that wait for sound callers are taken within it.
+const SHORT_RETRY: Duration = Duration::from_millis(300);
 
 /// The bytes that the entry holds for callers and backend servers.
 #[derive(Debug, Default)]
@@ -51,6 +56,17 @@
     TooLong,
 }
 
+/// Why a request's body was not received.
+#[derive(Debug)]
+pub enum ReceiveError {
+    /// The connection failed, or what arrived is no body.
+    Broken(Box<dyn std::error::Error + Send + Sync>),
+    /// The body is longer than allowed.
+    TooLong,
+    /// The entry is short of memory. The request has not run and never will.
+    Short,
+}
+
 impl Share {
     fn grow(&mut self, bytes: usize) -> usize {
         self.bytes += bytes;
@@ -101,6 +117,65 @@
         }
     }
 
+    /// Tells whether a message of this length may be held when all messages and streams take
+    /// `total` bytes.
+    fn allows(&self, message: usize, total: usize) -> bool {
+        total <= self.bounds.total
+            || message <= TINY_MESSAGE_BYTES
+            || (message <= SMALL_MESSAGE_BYTES && total <= self.bounds.limit)
+    }
+
+    /// Returns the delay after which a caller is asked to retry while memory is short.
+    #[must_use]
+    pub fn retry_after() -> Duration {
+        SHORT_RETRY.mul_f64(1.0 + rand::rng().random::<f64>())
+    }
+
+    /// Receives the body of a request, of at most `longest` bytes. It counts until its last
+    /// reference is dropped. A body whose declared length is too long for the memory that is
+    /// left is refused before any of it is read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails, if the body is too long, or if memory is
+    /// short.
+    pub async fn receive(&self, body: Incoming, longest: usize) -> Result<Bytes, ReceiveError> {
+        if !self.bounds.requests {
+            let read = Limited::new(body, longest).collect().await;
+            return read.map(Collected::to_bytes).map_err(to_receive_error);
+        }
+        // What never fits is refused as too long, since a retry would not help.
+        let longest = longest.min(self.bounds.total);
+        let declared = body.size_hint().exact();
+        let declared = declared.map_or(0, |bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+        let used = self.used.load(Ordering::Acquire);
+        if declared > longest {
+            return Err(ReceiveError::TooLong);
+        }
+        if !self.allows(declared, used.saturating_add(declared)) {
+            return Err(refuse_request());
+        }
+        let mut share = self.share();
+        let mut body = Limited::new(body, longest);
+        let mut read = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            // Trailers are not forwarded.
+            let Ok(data) = frame.map_err(to_receive_error)?.into_data() else {
+                continue;
+            };
+            let total = share.grow(data.len());
+            if !self.allows(share.bytes, total) {
+                return Err(refuse_request());
+            }
+            if read.is_empty() {
+                // Pages that no byte is written to take no memory.
+                read.reserve(declared);
+            }
+            read.extend_from_slice(&data);
+        }
+        Ok(share.hold(read.freeze()))
+    }
+
     /// Reads the body of a response to its end.
     ///
     /// # Errors
@@ -108,6 +183,7 @@
     /// Returns an error if the connection fails, or if the body is longer than one message
     /// may be, or longer than 64 KiB while the total is reached.
     pub async fn read(&self, mut body: Incoming) -> Result<Bytes, ReadError> {
+        let declared = body.size_hint().exact().unwrap_or_default() as usize;
         let mut share = self.share();
         let mut read = BytesMut::new();
         while let Some(frame) = body.frame().await {
@@ -116,14 +192,30 @@
                 continue;
             };
             let total = share.grow(data.len());
-            let free = total <= self.bounds.total || share.bytes <= SMALL_MESSAGE_BYTES;
-            if !free || share.bytes > self.bounds.message {
+            if !self.allows(share.bytes, total) || share.bytes > self.bounds.message {
                 metrics::counter!("cardamomtally_direct_memory_refused_total", "what" => "response")
                     .increment(1);
                 return Err(ReadError::TooLong);
             }
+            if read.is_empty() {
+                read.reserve(declared.min(self.bounds.message));
+            }
             read.extend_from_slice(&data);
         }
         Ok(share.hold(read.freeze()))
     }
 }
+
+fn to_receive_error(error: Box<dyn std::error::Error + Send + Sync>) -> ReceiveError {
+    if error.is::<http_body_util::LengthLimitError>() {
+        ReceiveError::TooLong
+    } else {
+        ReceiveError::Broken(error)
+    }
+}
+
+fn refuse_request() -> ReceiveError {
+    metrics::counter!("cardamomtally_direct_memory_refused_total", "what" => "request")
+        .increment(1);
+    ReceiveError::Short
+}
--- a/src/cardamomtally/direct/link/pool.rs
+++ b/src/cardamomtally/direct/link/pool.rs
@@ -258,12 +258,23 @@
         connection.idle_since = self.clock.now();
         connection.idle_limit = limit.unwrap_or(MAX_IDLE).min(MAX_IDLE);
         let mut idle = self.lock();
+        let all = || idle.values().map(Vec::len).sum::<usize>();
+        if self.max_idle.is_some_and(|most| all() >= most) {
+            metrics::counter!("cardamomtally_direct_idle_connections_closed_total").increment(1);
+            return;
+        }
         let kept = idle.entry(address).or_default();
         if kept.len() < MAX_IDLE_PER_BACKEND {
             kept.push(connection);
         }
     }
 
+    /// Returns the number of idle connections to all addresses.
+    #[must_use]
+    pub fn idle_count(&self) -> usize {
+        self.lock().values().map(Vec::len).sum()
+    }
+
     /// Drops idle connections that are closed or too old to be reused.
     pub fn sweep(&self) {
         let now = self.clock.now();
--- a/src/cardamomtally/direct/listener.rs
+++ b/src/cardamomtally/direct/listener.rs
@@ -41,6 +41,8 @@
 /// Pause after a failed `accept`, for example when the process has no free file
 /// descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two log lines about callers that wait because all connections are taken.
+const EXHAUSTED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Least buffer size for a request's head. The HTTP library does not accept a
 /// smaller one.
 const MIN_HEAD_BYTES: usize = 8 << 10;
@@ -168,15 +170,28 @@
 }
 
 /// Accepts callers' connections until `close` becomes true. At most
-/// `max_connections` are open at a time; further ones wait to be accepted.
+/// `max_connections` are open at a time, or as many as the limits of the VM allow; further
+/// ones wait to be accepted.
 pub async fn run(
     app: Arc<App>,
     listener: TcpListener,
     max_connections: usize,
     mut close: watch::Receiver<bool>,
 ) {
+    let bound = app.memory.bounds().callers;
+    let max_connections = bound.map_or(max_connections, |bound| bound.min(max_connections));
     let permits = Arc::new(Semaphore::new(max_connections));
+    let mut next_log = Mono::default();
     loop {
+        if permits.available_permits() == 0 {
+            metrics::counter!("cardamomtally_direct_connections_exhausted_total").increment(1);
+            let now = app.clock.now();
+            if now >= next_log {
+                next_log = now + EXHAUSTED_LOG_INTERVAL;
+                warn!(app.log, "listen: no connection is left; further callers wait";
+                    "connections" => max_connections);
+            }
+        }
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
             return;
         };
--- a/src/cardamomtally/direct/serve/handler.rs
+++ b/src/cardamomtally/direct/serve/handler.rs
@@ -5,6 +5,7 @@
 use crate::{
     direct::{
         app::App,
+        link::memory::{BufferMemory, ReceiveError},
         request::{
             body::{Body, guarded},
             call::{self, Call},
@@ -23,7 +24,6 @@
 use http::{
     HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header, request::Parts,
 };
-use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use slog::info;
 use std::sync::atomic::Ordering;
@@ -168,24 +168,27 @@
 
 async fn read_body(app: &App, table: &Table, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = &table.limits;
-    let read = Limited::new(body, limits.body_bytes).collect();
+    let read = app.memory.receive(body, limits.body_bytes);
     let Ok(read) = tokio::time::timeout(limits.idle_time, read).await else {
         let detail = "the body took too long";
         return Err(Refusal::denied(StatusCode::REQUEST_TIMEOUT, detail));
     };
-    match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+    read.map_err(|error| match error {
+        ReceiveError::TooLong => {
             let detail = "the body is longer than allowed";
-            Err(Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, detail))
+            Refusal::denied(StatusCode::PAYLOAD_TOO_LARGE, detail)
         }
-        Err(error) => {
+        ReceiveError::Short => {
+            let detail = "the entry is short of memory";
+            Refusal::unavailable(detail, BufferMemory::retry_after())
+        }
+        ReceiveError::Broken(error) => {
             info!(app.log, "request: connection closed before the end of the body";
                 "error" => %error, "document" => table.number);
             let detail = "the body ended early";
-            Err(Refusal::denied(StatusCode::BAD_REQUEST, detail))
+            Refusal::denied(StatusCode::BAD_REQUEST, detail)
         }
-    }
+    })
 }
 
 /// A request that the document allows, before its headers are read.
--- a/tests/testsuite/direct/slow_callers.rs
+++ b/tests/testsuite/direct/slow_callers.rs
@@ -142,7 +142,7 @@
 }
 
 /// Opens a connection whose own receive buffer is small.
-fn small_connection(addr: SocketAddr) -> TcpStream {
+pub fn small_connection(addr: SocketAddr) -> TcpStream {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.set_recv_buffer_size(OWN_SOCKET_BYTES).unwrap();
     socket.connect(&addr.into()).unwrap();
