--- a/src/cardamomtally/direct/link/capacity.rs
+++ b/src/cardamomtally/direct/link/capacity.rs
@@ -39,6 +39,10 @@
 /// shorter than the usual deadline of a stream (4 s and more), so that a backend server does
 /// not work on a response which nobody reads.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same where overload control is not configured. A response that is not taken by then
+/// is worth nothing to its caller; without a limit, its bytes would count towards the total
+/// for ever.
+const MAX_UNREAD_TIME: Duration = Duration::from_secs(20);
 /// Share of the file descriptors for callers' connections, in percent. Each request in
 /// flight needs another descriptor for its backend server.
 const CALLERS_FD_PERCENT: usize = 40;
@@ -75,8 +79,8 @@
     /// Size of the sockets' buffers in bytes; `None` if the kernel chooses it.
     pub socket: Option<usize>,
     /// Time without progress after which a caller that does not take its response is
-    /// disconnected; `None` if it is not.
-    pub unread: Option<Duration>,
+    /// disconnected.
+    pub unread: Duration,
     /// Largest number of callers' connections; `None` if only the settings limit it.
     pub callers: Option<usize>,
     /// Largest number of idle connections to all backend servers; `None` if it is only
@@ -93,7 +97,7 @@
             requests: false,
             stream: None,
             socket: None,
-            unread: None,
+            unread: MAX_UNREAD_TIME,
             callers: None,
             idle: None,
         }
@@ -105,7 +109,7 @@
     #[must_use]
     pub fn of(settings: CapacitySettings) -> Self {
         let mut bounds = Self {
-            unread: Some(UNREAD_TIMEOUT),
+            unread: UNREAD_TIMEOUT,
             stream: Some(STREAM_BYTES),
             ..Self::default()
         };
--- a/src/cardamomtally/direct/listener.rs
+++ b/src/cardamomtally/direct/listener.rs
@@ -227,7 +227,7 @@
     }
     let peer = stream.peer_addr().ok();
     let descriptor = stream.as_raw_fd();
-    let mut unread = bounds.unread.map(UnreadCheck::new);
+    let mut unread = UnreadCheck::new(bounds.unread);
     let outflow = bounds.stream.map(|bound| {
         let total = Arc::clone(app.memory.used());
         Arc::new(Outflow::new(bound, total, bounds.total))
@@ -270,8 +270,7 @@
                 let now = app.clock.now();
                 let blocked = Mono(activity.blocked.load(Ordering::Acquire));
                 // The descriptor is open, since the connection owns its socket.
-                let left = |check: &mut UnreadCheck| check.exceeded(blocked, now, || untaken(descriptor));
-                if unread.as_mut().is_some_and(left) {
+                if unread.exceeded(blocked, now, || untaken(descriptor)) {
                     metrics::counter!("cardamomtally_direct_unread_callers_total").increment(1);
                     warn!(app.log, "listen: caller does not read its response; disconnected";
                         "peer" => peer.map(|peer| peer.to_string()),
--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -390,18 +390,19 @@
 
     /// Returns the next events, or `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
-        let neglected = self.timing.is_neglected(self.app.clock.now());
-        if let Some(source) = self.source.as_mut().filter(|_| neglected) {
-            source.neglected = true;
-        }
+        let mut asked = true;
         loop {
-            let left = self.call.remaining(self.app.clock.now());
+            let now = self.app.clock.now();
+            // Later rounds wait for the backend server and not for the caller.
+            let neglected = std::mem::take(&mut asked) && self.timing.is_neglected(now);
+            let left = self.call.remaining(now);
             if left.is_zero() {
                 return Err("the request's deadline has passed".into());
             }
             let Some(source) = &mut self.source else {
                 return Err("no backend server is connected".into());
             };
+            source.neglected |= neglected;
             let stall_timeout = self.call.route.pause.mul_f64(STALL_SHARE).min(left);
             let next = match tokio::time::timeout(stall_timeout, source.next()).await {
                 Ok(next) => next,
--- a/tests/testsuite/direct/memory.rs
+++ b/tests/testsuite/direct/memory.rs
@@ -167,6 +167,28 @@
     eventually("the responses are released", || held(&entry) == 0);
 }
 
+/// Guards against responses that fill the total for ever because nobody takes them, where
+/// overload control is not configured.
+#[test]
+fn response_that_nobody_takes_is_released_without_overload_control() {
+    let text = "z".repeat(8_000_000);
+    let server = Server::start("i-1", move |seen, _| {
+        vec![answer(seen, "200 OK", "", &text)]
+    });
+    let entry = entry(Class::Repeatable, &[server.backend()], |_| {});
+
+    let mut caller = super::slow_callers::small_connection(entry.addr);
+    let text = request("a-1", "", "");
+    caller.write_all(text.as_bytes()).unwrap();
+    eventually("the response waits for its caller", || {
+        held(&entry) >= 8_000_000
+    });
+    thread::sleep(Duration::from_millis(300));
+    assert!(held(&entry) >= 8_000_000, "{}", held(&entry));
+
+    eventually("the response is released", || held(&entry) == 0);
+}
+
 /// Guards against a request to a backend server that does not read it, which is held
 /// beyond its deadline.
 #[test]
--- a/tests/testsuite/direct/slow_callers.rs
+++ b/tests/testsuite/direct/slow_callers.rs
@@ -9,7 +9,7 @@
     direct::daemon::DirectSettings, prelude::*, scheduling::settings::SchedulingSettings,
     site::backend::Backend, site::document::Class,
 };
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::{Domain, Socket, Type};
 use std::{
     io::{Read as _, Write as _},
     net::{SocketAddr, TcpListener, TcpStream},
@@ -54,10 +54,13 @@
 
 impl StreamServer {
     fn start(instance: &str, plan: Plan) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        SockRef::from(&listener)
-            .set_send_buffer_size(OWN_SOCKET_BYTES)
-            .unwrap();
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_send_buffer_size(OWN_SOCKET_BYTES).unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any.into()).unwrap();
+        // 200 connections at once exceed the standard library's queue of 128.
+        socket.listen(1_024).unwrap();
+        let listener = TcpListener::from(socket);
         let addr = listener.local_addr().unwrap();
         let counts = Arc::<Counts>::default();
         let shared = Arc::clone(&counts);
@@ -160,6 +163,13 @@
     caller
 }
 
+/// Returns the bytes of memory that this process takes.
+fn resident_bytes() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap();
+    let pages: usize = text.split(' ').nth(1).unwrap().parse().unwrap();
+    pages * 4_096
+}
+
 const ENDLESS: Plan = Plan {
     last: u64::MAX - 1,
     data: 200,
@@ -187,12 +197,15 @@
     let server = StreamServer::start("i-1", ENDLESS);
     let entry = entry(Class::Stream, &[&server]);
 
+    let before = resident_bytes();
     let _callers: Vec<_> = (0..200)
         .map(|n| unread_caller(&entry, &format!("a-{n}")))
         .collect();
 
     let held = server.written_when_stalled();
-    println!("held for 200 callers: {held} bytes");
+    // Includes the threads of the test's own backend server.
+    let resident = resident_bytes().saturating_sub(before);
+    println!("held for 200 callers: {held} bytes, process grown by {resident} bytes");
     assert!(held <= (SMALL_VM_MB as usize) << 19, "{held} bytes");
 }
 
