--- a/tests/testsuite/direct/fixtures.rs
+++ b/tests/testsuite/direct/fixtures.rs
@@ -104,6 +104,18 @@
         Self::with_settings(lease, |settings| settings.scheduling = scheduling)
     }
 
+    /// Starts an entry with a document and the given backend servers. `change` alters its
+    /// settings before it starts.
+    pub fn configured(
+        document: Document,
+        backends: &[Backend],
+        change: impl FnOnce(&mut DirectSettings),
+    ) -> Self {
+        let entry = Self::with_settings(Duration::from_mins(1), change);
+        entry.publish(reply(1, document, backends.to_vec()));
+        entry
+    }
+
     /// Starts an entry without a configuration, with settings that the test has changed.
     pub fn with_settings(lease: Duration, change: impl FnOnce(&mut DirectSettings)) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -113,6 +125,7 @@
             .unwrap();
         let mut settings = DirectSettings {
             centre: "north".into(),
+            max_connections: 64,
             poller: PollerSettings {
                 name: "entry-1".into(),
                 seeds: vec!["127.0.0.1".into()],
@@ -142,7 +155,13 @@
         let addrs = (front.local_addr().unwrap(), health.local_addr().unwrap());
         let poller = Arc::clone(&app.config);
         runtime.spawn(async move { poller.run().await });
-        runtime.spawn(listener::run(Arc::clone(&app), front, 64, closed));
+        let max_connections = settings.max_connections;
+        runtime.spawn(listener::run(
+            Arc::clone(&app),
+            front,
+            max_connections,
+            closed,
+        ));
         let ready = Arc::clone(&settings.ready);
         let render = Arc::new(String::new);
         runtime.spawn(listener::run_health(
@@ -377,7 +396,7 @@
     }
 }
 
-fn read_request(stream: &mut TcpStream) -> Option<Seen> {
+pub fn read_request(stream: &mut TcpStream) -> Option<Seen> {
     let mut bytes = Vec::new();
     let mut chunk = [0; 4096];
     loop {
