--- a/src/cardamomtally/scheduling/mod.rs
+++ b/src/cardamomtally/scheduling/mod.rs
@@ -6,5 +6,6 @@
 //! the work that is already waiting, so that an entry keeps excess work in its own queue. All
 //! of them are pure: the time, random numbers and evidence are inputs.
 
+pub mod account;
 pub mod outlook;
 pub mod settings;
