--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -171,6 +171,10 @@
         self.registry.replaced(max)
     }
 
+    fn uses_account(&self) -> bool {
+        self.registry.uses_account()
+    }
+
     fn merge(&self, report: &Report) {
         self.content.merge(report);
     }
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -128,7 +128,8 @@
     let clock = Arc::clone(&parts.clock);
     let started = clock.now();
     let name = Arc::clone(&settings.poller.name);
-    let peers = Arc::new(Peers::new(name, parts.log.clone()));
+    let peers = Peers::new(name, parts.log.clone());
+    let peers = Arc::new(peers.with_account(settings.scheduling, Arc::clone(&clock)));
     let poller = ConfigPoller::new(
         settings.poller.clone(),
         transport,
--- a/src/cardamomtally/direct/exchange/peers.rs
+++ b/src/cardamomtally/direct/exchange/peers.rs
@@ -7,13 +7,25 @@
 //! again, and no connection to every other entry has to be kept open.
 
 use super::backlog::{BacklogSums, ServerKey};
-use crate::{net::codec, prelude::*, quarantine::report::Report};
+use crate::{
+    net::codec,
+    prelude::*,
+    quarantine::report::Report,
+    scheduling::{
+        account::{Account, Outgoing, topology::Topology},
+        settings::SchedulingSettings,
+    },
+};
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 use slog::{Logger, debug, warn};
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicBool, Ordering},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 use tokio::{net::UdpSocket, sync::Notify};
 
@@ -49,6 +61,10 @@
     /// Backend servers at whose addresses the entry has lately found another one.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub replaced: Vec<ServerKey>,
+    /// Figures for the account of capacity, see [`crate::scheduling::account`]. Former builds
+    /// ignore them. Sums in the same message are meant for former builds only.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<ByteBuf>,
 }
 
 /// What an entry knows that the other entries can use.
@@ -72,6 +88,12 @@
     /// Adds another entry's evidence on content that ends backend servers.
     fn merge(&self, _report: &Report) {}
 
+    /// Tells whether this entry keeps its own figures in the account of capacity and reads the
+    /// other entries' figures there. Otherwise only the sums of prefill work are exchanged.
+    fn uses_account(&self) -> bool {
+        false
+    }
+
     /// Returns evidence that changed lately.
     fn news(&self) -> Report {
         Report::new()
@@ -85,9 +107,25 @@
     addresses: ArcSwap<Vec<SocketAddr>>,
     changed: Notify,
     dirty: AtomicBool,
+    account: Mutex<Account>,
+    /// Clock of the account; none if there is none.
+    clock: Option<Arc<dyn Clock>>,
+    /// Addresses of the members of the account's exchange, in the order of their places.
+    members: ArcSwap<Vec<SocketAddr>>,
     log: Logger,
 }
 
+/// What the send loop keeps from one message to the next.
+#[derive(Debug, Default)]
+struct Sending {
+    /// Sums that were sent last.
+    last: BacklogSums,
+    /// When messages other than the account's may be sent again.
+    next: Mono,
+    /// When the sums were sent last.
+    sums_sent: Mono,
+}
+
 impl Peers {
     /// Builds an exchange without receivers.
     #[must_use]
@@ -97,10 +135,54 @@
             addresses: ArcSwap::default(),
             changed: Notify::new(),
             dirty: AtomicBool::new(false),
+            account: Mutex::default(),
+            clock: None,
+            members: ArcSwap::default(),
             log,
         }
     }
 
+    /// Returns the exchange with an account of capacity, if the settings ask for it.
+    #[must_use]
+    pub fn with_account(
+        self,
+        scheduling: Option<SchedulingSettings>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            account: Mutex::new(Account::new(scheduling)),
+            clock: scheduling.map(|_| clock),
+            ..self
+        }
+    }
+
+    /// Returns the account of capacity. It is locked for short times only; no lock of the
+    /// knowledge is taken meanwhile.
+    pub fn account(&self) -> MutexGuard<'_, Account> {
+        self.account.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells whether this entry can take part in the account's exchange.
+    #[must_use]
+    pub fn keeps_account(&self) -> bool {
+        self.clock.is_some()
+    }
+
+    /// Replaces the members of the account's exchange, this entry included at `place`.
+    pub fn set_members(&self, members: Vec<SocketAddr>, place: usize) {
+        let Some(clock) = &self.clock else { return };
+        let topology = Topology::new(&members, place);
+        self.account().set_topology(topology, clock.now());
+        self.members.store(Arc::new(members));
+        self.changed.notify_one();
+    }
+
+    /// Returns the addresses of the members of the account's exchange.
+    #[must_use]
+    pub fn members(&self) -> Arc<Vec<SocketAddr>> {
+        self.members.load_full()
+    }
+
     /// Replaces the addresses of the other entries.
     pub fn set_addresses(&self, addresses: Vec<SocketAddr>) {
         self.addresses.store(Arc::new(addresses));
@@ -133,7 +215,11 @@
                 }
             };
             match codec::decode::<Message>(&bytes[..length]) {
-                Ok(message) => apply(known, message),
+                Ok(message) => {
+                    let outgoing = self.receive_account(known, &message);
+                    apply(known, message);
+                    self.send_account(socket, outgoing).await;
+                }
                 Err(_undecodable) => {
                     warn!(self.log, "peers: malformed datagram ignored"; "from" => %from);
                 }
@@ -141,29 +227,138 @@
         }
     }
 
-    /// Sends this entry's sums after changes, and repeats them while work
-    /// waits, until the task is aborted.
+    /// Gives a message to the account, if there is one. Returns what is to be passed on.
+    fn receive_account(&self, known: &dyn Knowledge, message: &Message) -> Vec<Outgoing> {
+        let Some(clock) = self.clock.as_ref().filter(|_| known.uses_account()) else {
+            return Vec::new();
+        };
+        let now = clock.now();
+        let mut account = self.account();
+        match (&message.account, &message.sums) {
+            (Some(bytes), _) => {
+                let due = account.next_tick(now);
+                let outgoing = account.receive(&message.entry, bytes, now);
+                let sooner = account.due(now) || account.next_tick(now) < due;
+                let active = account.active();
+                drop(account);
+                if sooner && active {
+                    self.changed.notify_one();
+                }
+                outgoing
+            }
+            (None, Some(sums)) => {
+                account.record_former(&message.entry, sums, now);
+                Vec::new()
+            }
+            (None, None) => Vec::new(),
+        }
+    }
+
+    /// Sends messages of the account.
+    async fn send_account(&self, socket: &UdpSocket, outgoing: Vec<Outgoing>) {
+        let members = self.members();
+        for Outgoing { to, bytes } in outgoing {
+            let message = Message {
+                entry: Arc::clone(&self.entry),
+                account: Some(ByteBuf::from(bytes)),
+                ..Message::default()
+            };
+            let bytes = codec::encode(&message);
+            for address in to.iter().filter_map(|place| members.get(*place)) {
+                self.send_bytes(socket, &bytes, *address).await;
+            }
+        }
+    }
+
+    /// Sends this entry's figures or sums after changes, and repeats them while work waits,
+    /// until the task is aborted.
     pub async fn send_loop(&self, socket: &UdpSocket, known: &dyn Knowledge) {
-        let mut last = BacklogSums::new();
+        let mut sending = Sending::default();
         loop {
-            let wait = tokio::time::timeout(RESEND_INTERVAL, self.changed.notified()).await;
-            self.dirty.store(false, Ordering::Release);
-            let replaced = known.replaced(MAX_REPLACED);
-            let told = self.tell_replaced(socket, replaced).await;
-            let told = self.tell_news(socket, known.news()).await || told;
-            let sums = known.own_sums(MAX_SUMS);
-            let repeats = wait.is_err() && !sums.is_empty();
-            if sums != last || repeats {
-                self.broadcast(socket, sums.clone()).await;
-                last = sums;
-            } else if !told {
-                continue;
+            let clock = self.clock.as_ref().filter(|_| known.uses_account());
+            match clock.filter(|_| self.account().active()) {
+                Some(clock) => {
+                    self.send_figures(socket, known, clock.as_ref(), &mut sending)
+                        .await;
+                }
+                None => self.send_sums(socket, known, &mut sending).await,
             }
-            let gap = SEND_GAP_PER_PEER * self.addresses().len() as u32;
-            tokio::time::sleep(gap.max(MIN_SEND_GAP)).await;
         }
     }
 
+    /// Waits for the next message of the account and sends it. Sums are sent only while there
+    /// are entries that do not keep an account.
+    async fn send_figures(
+        &self,
+        socket: &UdpSocket,
+        known: &dyn Knowledge,
+        clock: &dyn Clock,
+        sending: &mut Sending,
+    ) {
+        let now = clock.now();
+        let due = self.account().next_tick(now);
+        let wait = due.map_or(RESEND_INTERVAL, |due| due.since(now));
+        let _due = tokio::time::timeout(wait.min(RESEND_INTERVAL), self.changed.notified()).await;
+        let now = clock.now();
+        let changed = self.dirty.swap(false, Ordering::AcqRel);
+        let (outgoing, serves_former) = self.take_due(changed, now);
+        self.send_account(socket, outgoing).await;
+        if now < sending.next {
+            return;
+        }
+        let replaced = known.replaced(MAX_REPLACED);
+        let told = self.tell_replaced(socket, replaced).await;
+        let told = self.tell_news(socket, known.news()).await || told;
+        let resend = now.since(sending.sums_sent) >= RESEND_INTERVAL;
+        if serves_former && (changed || resend) {
+            // The empty figures tell entries that keep an account to ignore the sums.
+            let message = Message {
+                entry: Arc::clone(&self.entry),
+                sums: Some(known.own_sums(MAX_SUMS)),
+                account: Some(ByteBuf::new()),
+                ..Message::default()
+            };
+            self.send(socket, &message).await;
+            sending.sums_sent = now;
+        } else if !told {
+            return;
+        }
+        sending.next = now + self.gap();
+    }
+
+    /// Returns the account's messages that are due, and whether there are entries of a former
+    /// build.
+    fn take_due(&self, changed: bool, now: Mono) -> (Vec<Outgoing>, bool) {
+        let mut account = self.account();
+        if changed {
+            account.mark_changed();
+        }
+        (account.tick(now), account.serves_former(now))
+    }
+
+    /// Waits for a change of this entry's sums and sends them.
+    async fn send_sums(&self, socket: &UdpSocket, known: &dyn Knowledge, sending: &mut Sending) {
+        let wait = tokio::time::timeout(RESEND_INTERVAL, self.changed.notified()).await;
+        self.dirty.store(false, Ordering::Release);
+        let replaced = known.replaced(MAX_REPLACED);
+        let told = self.tell_replaced(socket, replaced).await;
+        let told = self.tell_news(socket, known.news()).await || told;
+        let sums = known.own_sums(MAX_SUMS);
+        let repeats = wait.is_err() && !sums.is_empty();
+        if sums != sending.last || repeats {
+            self.broadcast(socket, sums.clone()).await;
+            sending.last = sums;
+        } else if !told {
+            return;
+        }
+        tokio::time::sleep(self.gap()).await;
+    }
+
+    /// Returns the least time between two messages to all other entries.
+    fn gap(&self) -> Duration {
+        (SEND_GAP_PER_PEER * self.addresses().len() as u32).max(MIN_SEND_GAP)
+    }
+
     /// Sends the replaced backend servers to all other entries. Returns whether there were
     /// any.
     async fn tell_replaced(&self, socket: &UdpSocket, replaced: Vec<ServerKey>) -> bool {
@@ -207,15 +402,21 @@
     async fn send(&self, socket: &UdpSocket, message: &Message) {
         let bytes = codec::encode(message);
         for address in self.addresses().iter() {
-            if let Err(error) = socket.send_to(&bytes, *address).await {
-                debug!(self.log, "peers: sending a message failed"; "to" => %address, "error" => %error);
-            }
+            self.send_bytes(socket, &bytes, *address).await;
+        }
+    }
+
+    async fn send_bytes(&self, socket: &UdpSocket, bytes: &[u8], address: SocketAddr) {
+        if let Err(error) = socket.send_to(bytes, address).await {
+            debug!(self.log, "peers: sending a message failed"; "to" => %address, "error" => %error);
         }
     }
 }
 
 fn apply(known: &dyn Knowledge, message: Message) {
-    if let Some(sums) = message.sums {
+    // Sums beside figures are for entries that keep no account.
+    let counted = message.account.is_some() && known.uses_account();
+    if let Some(sums) = message.sums.filter(|_| !counted) {
         known.apply_peer_sums(&message.entry, sums);
     }
     if !message.replaced.is_empty() {
--- a/src/cardamomtally/scheduling/account.rs
+++ b/src/cardamomtally/scheduling/account.rs
@@ -37,12 +37,15 @@
 /// Time that each other entry adds to it, so that the rate of datagrams stays bounded. It is
 /// that of the exchange of sums of prefill work.
 const DIRECT_GAP_PER_PEER: Duration = Duration::from_micros(1_500);
-/// Time between two messages in a mesh that contain more than prefill work, and after which
+/// Least time between two messages in a mesh that contain more than prefill work. After it,
 /// unchanged figures are sent again.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(200);
+const MIN_REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+/// Time that each other entry adds to it, so that the bytes of these messages do not grow with
+/// the number of entries.
+const REFRESH_PER_PEER: Duration = Duration::from_millis(10);
 /// Age up to which a report is included in messages, so that the loss of one message is made
 /// good by the next.
-const NEWS_AGE: Duration = Duration::from_millis(450);
+const NEWS_AGE: Duration = Duration::from_millis(600);
 /// Time constant of the rate of completed work.
 const COMPLETED_TIME: Duration = Duration::from_secs(1);
 /// Time for which an entry of a former build counts as present after its latest message.
@@ -406,6 +409,9 @@
     /// Applies a message. Returns what is to be passed on. Messages that are malformed, repeated
     /// or older than another one change nothing.
     pub fn receive(&mut self, from: &Name, bytes: &[u8], now: Mono) -> Vec<Outgoing> {
+        if bytes.is_empty() {
+            return Vec::new();
+        }
         let Some(message) = wire::decode(bytes, now) else {
             self.ignored += 1;
             return Vec::new();
@@ -443,6 +449,14 @@
         self.rounds.send(&topology, &self.own, &pools, now)
     }
 
+    /// Tells whether the sums of the entries below this one have all arrived, so that they are
+    /// to be passed on before the time that [`Account::next_tick`] has told.
+    #[must_use]
+    pub fn due(&self, now: Mono) -> bool {
+        let topology = self.tree().filter(|_| self.active());
+        topology.is_some_and(|topology| self.rounds.due(&topology, now))
+    }
+
     /// Returns when [`Account::tick`] is to be called next; none if only after a change.
     #[must_use]
     pub fn next_tick(&self, now: Mono) -> Option<Mono> {
@@ -541,7 +555,8 @@
         self.direct.next = now + gap;
         let sent = if refresh { ALL } else { PREFILL };
         if refresh {
-            self.direct.refresh = now + REFRESH_INTERVAL;
+            let interval = REFRESH_PER_PEER * others as u32;
+            self.direct.refresh = now + interval.max(MIN_REFRESH_INTERVAL);
         }
         let fresh = |row: &Row| row.report.is_some_and(|r| now.since(r.at) < NEWS_AGE);
         let rows = self.own.iter().map(|(key, row)| {
--- a/src/cardamomtally/scheduling/account/rounds.rs
+++ b/src/cardamomtally/scheduling/account/rounds.rs
@@ -22,9 +22,12 @@
 pub const MAX_BYTES_PER_S: f64 = 20_000.0;
 /// Number of entries for which [`MAX_BYTES_PER_S`] holds.
 const BOUNDED_ENTRIES: usize = 300;
+/// Time over which the bound holds. An entry that passes on the sums of most others sends and
+/// receives the bytes of four rounds in one.
+const BOUND_TIME_S: f64 = 3.0;
 /// Share of the bound that the time between rounds aims at. The rest is for the difference
 /// between entries, since one passes on sums of more entries than another.
-const AIMED_SHARE: f64 = 0.75;
+const AIMED_SHARE: f64 = 0.62;
 /// Shortest time between two rounds. Each round wakes every entry about four times.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two rounds when nothing is outstanding.
@@ -35,8 +38,14 @@
 const LEVEL_WAIT: Duration = Duration::from_millis(12);
 /// Number of rounds in which all figures are sent again.
 const REFRESH_ROUNDS: u32 = 8;
-/// Difference, in steps of the encoding (4 to 6 %), from which a figure counts as changed.
-const CHANGED_STEPS: u8 = 2;
+/// Difference from the latest totals from which a figure is sent, as a share of the larger.
+const CHANGED_SHARE: f64 = 0.2;
+/// Difference from the totals before them from which a figure is sent again, since the message
+/// with it may have been lost.
+const REPEATED_SHARE: f64 = 0.5;
+/// Share of the entries of the latest totals below which totals are not sent. Most likely an
+/// entry that passes on sums has failed, and the next tree does without it.
+const MIN_ENTRIES_SHARE: f64 = 0.9;
 /// Number of this entry's own tables that are kept to tell its part of the totals.
 const KEPT_TABLES: usize = 6;
 /// Least age from which totals are not used any more.
@@ -58,6 +67,7 @@
     table: Table,
     pools: Pools,
     entries: u16,
+    /// Mean age of the entries' figures when they arrived.
     age: Duration,
 }
 
@@ -68,6 +78,8 @@
     round: u16,
     parts: FastSet<u8>,
     table: Table,
+    /// Totals of the round before.
+    before: Table,
     touched: FastMap<u32, Mono>,
     pools: Pools,
     entries: u16,
@@ -96,6 +108,7 @@
         if self.interval.is_zero() {
             self.interval = IDLE_INTERVAL;
             self.refilled = now;
+            self.allowance = MAX_BYTES_PER_S * BOUND_TIME_S;
             self.due = now;
         }
     }
@@ -218,6 +231,7 @@
         let ttl = self.interval * u32::from(TREES + 1) + LEVEL_WAIT * 8;
         let children = &mut self.children[usize::from(tree)];
         children.retain(|_, child| now.since(child.at) < ttl);
+        let mut ages = Duration::ZERO;
         for child in children.values() {
             for (key, row) in &child.table {
                 sums.table.entry(*key).or_default().merge(row);
@@ -226,8 +240,9 @@
                 sums.pools.entry(*key).or_default().merge(pool);
             }
             sums.entries = sums.entries.saturating_add(child.entries);
-            sums.age = sums.age.max(now.since(child.at) + child.age);
+            ages += (now.since(child.at) + child.age) * u32::from(child.entries);
         }
+        sums.age = ages / u32::from(sums.entries.max(1));
         for row in sums.table.values_mut() {
             row.expire(now);
         }
@@ -277,8 +292,14 @@
     ) -> Vec<Outgoing> {
         let tree = header.tree;
         let recent = self.interval * 2 + LEVEL_WAIT * 8;
-        let known = self.latest.as_ref().filter(|l| now.since(l.at) < recent);
-        let rows = changed_rows(known.map(|l| &l.table), sums, header.round);
+        let known = self.latest.as_ref();
+        let expected = known.filter(|l| now.since(l.at) < self.interval * u32::from(TREES));
+        let expected = expected.map_or(0.0, |l| f64::from(l.entries) * MIN_ENTRIES_SHARE);
+        if f64::from(sums.entries) < expected {
+            return Vec::new();
+        }
+        let known = known.filter(|l| now.since(l.at) < recent);
+        let rows = changed_rows(known, sums, header.round);
         let selected: Vec<wire::Selected<'_>> = rows
             .iter()
             .map(|(key, row, mask)| (*key, row, *mask))
@@ -400,6 +421,7 @@
                 latest.table.clear();
                 latest.touched.clear();
             }
+            latest.before.clone_from(&latest.table);
             latest.round = header.round;
             latest.parts.clear();
         }
@@ -438,7 +460,7 @@
         let rate = bytes_per_s(topology);
         let passed = now.since(self.refilled).as_secs_f64();
         self.refilled = now;
-        self.allowance = (self.allowance + passed * rate).min(rate);
+        self.allowance = (self.allowance + passed * rate).min(rate * BOUND_TIME_S);
     }
 
     /// Returns the messages if the allowance is not used up, and none otherwise.
@@ -474,16 +496,17 @@
 
 /// Returns the rows of the totals that are sent: those that differ from the latest totals, and
 /// those whose turn it is.
-fn changed_rows(known: Option<&Table>, sums: &Child, round: u16) -> Vec<(u32, Row, u8)> {
+fn changed_rows(known: Option<&Latest>, sums: &Child, round: u16) -> Vec<(u32, Row, u8)> {
     let none = Table::new();
-    let old = known.unwrap_or(&none);
+    let (old, before) = known.map_or((&none, &none), |l| (&l.table, &l.before));
     let mut keys: Vec<u32> = old.keys().chain(sums.table.keys()).copied().collect();
     keys.sort_unstable();
     keys.dedup();
     let row = |table: &Table, key: u32| table.get(&key).copied().unwrap_or_default();
     let rows = keys.into_iter().map(|key| {
         let new = row(&sums.table, key);
-        let mut mask = wire::changed(&row(old, key), &new, CHANGED_STEPS);
+        let mut mask = wire::changed(&row(old, key), &new, CHANGED_SHARE);
+        mask |= wire::changed(&row(before, key), &new, REPEATED_SHARE) & (PREFILL | PLACED);
         if is_refreshed(key, round) {
             mask |= ALL & new.mask();
         }
--- a/src/cardamomtally/scheduling/account/wire.rs
+++ b/src/cardamomtally/scheduling/account/wire.rs
@@ -5,7 +5,7 @@
 //! a row holds the difference to the key before. Sections of unknown kind are skipped.
 //!
 //! Figures are rounded on a logarithmic scale, so that a byte covers their whole range with
-//! errors below 3 %. Memory takes two bytes, since a limit is compared with it.
+//! errors below 3 %.
 
 use super::table::{Factor, LoadReport, Pool, Row, Table};
 use crate::prelude::*;
@@ -50,8 +50,8 @@
     max: 20_000.0,
 };
 const MEMORY: Scale = Scale {
-    unit: 10.0,
-    max: 1e9,
+    unit: 1_000.0,
+    max: 2e7,
 };
 const PACE: Scale = Scale {
     unit: 10.0,
@@ -65,6 +65,8 @@
     unit: 1.0,
     max: 1e9,
 };
+/// Difference of prefill work up to which it counts as unchanged, in milliseconds.
+const LEAST_CHANGE_MS: f64 = 8.0;
 /// Unit of the age of a load report, in milliseconds.
 const AGE_UNIT_MS: u64 = 10;
 
@@ -131,7 +133,7 @@
     pub parts: u8,
     /// Number of entries whose figures are included.
     pub entries: u16,
-    /// Age of the oldest included figures of an entry, in milliseconds.
+    /// Mean age of the included entries' figures, in milliseconds.
     pub age: u16,
     /// Time until the next round, in milliseconds.
     pub interval: u16,
@@ -157,7 +159,7 @@
 }
 
 fn row_bytes(mask: u8) -> usize {
-    let sizes = [(PREFILL, 1), (PLACED, 3), (REPORT, 4), (FACTOR, 2)];
+    let sizes = [(PREFILL, 1), (PLACED, 2), (REPORT, 4), (FACTOR, 2)];
     let held = sizes.iter().filter(|(figure, _)| mask & figure != 0);
     3 + held.map(|(_, size)| size).sum::<usize>()
 }
@@ -235,7 +237,7 @@
         }
         if mask & PLACED != 0 {
             bytes.push(REQUESTS.byte(row.in_flight));
-            bytes.extend(MEMORY.word(row.memory).to_be_bytes());
+            bytes.push(MEMORY.byte(row.memory));
         }
         if mask & REPORT != 0 {
             let report = row.report.unwrap_or_default();
@@ -384,7 +386,7 @@
         }
         if mask & PLACED != 0 {
             row.in_flight = REQUESTS.of_byte(section.byte()?);
-            row.memory = MEMORY.of_word(section.word()?);
+            row.memory = MEMORY.of_byte(section.byte()?);
         }
         if mask & REPORT != 0 {
             let count = |code| REQUESTS.of_byte(code).round() as u32;
@@ -423,26 +425,27 @@
     Some(())
 }
 
-/// Returns which figures of `new` differ from `old` by more than `steps` steps of the encoding,
-/// or became or stopped being zero.
+/// Returns which figures of `new` differ from `old` by more than a share of the larger, or
+/// became or stopped being zero.
 #[must_use]
-pub fn changed(old: &Row, new: &Row, steps: u8) -> u8 {
-    let differs = |a: u8, b: u8| a.abs_diff(b) > steps || (a == 0) != (b == 0);
-    let byte = |scale: Scale, a: f64, b: f64| differs(scale.byte(a), scale.byte(b));
+pub fn changed(old: &Row, new: &Row, share: f64) -> u8 {
+    let differs = |a: f64, b: f64, least: f64| {
+        let difference = (a - b).abs();
+        difference > (share * a.max(b)).max(least) || (a <= 0.0) != (b <= 0.0)
+    };
     let mut mask = 0;
-    if byte(PREFILL_MS, old.prefill_ms, new.prefill_ms) {
+    if differs(old.prefill_ms, new.prefill_ms, LEAST_CHANGE_MS) {
         mask |= PREFILL;
     }
-    let memory = (new.memory - old.memory).abs() > 0.03 * old.memory.max(new.memory);
-    if byte(REQUESTS, old.in_flight, new.in_flight) || memory {
+    if differs(old.in_flight, new.in_flight, 1.5) || differs(old.memory, new.memory, 0.0) {
         mask |= PLACED;
     }
-    let pace = |report: LoadReport| report.pace.map_or(0, |pace| PACE.byte(f64::from(pace)));
+    let count = |a: u32, b: u32| differs(f64::from(a), f64::from(b), 1.5);
+    let pace = |report: LoadReport| report.pace.unwrap_or_default();
     let reports = old.report.zip(new.report);
     let report = reports.map_or(new.report.is_some(), |(a, b)| {
-        let counts = [(a.running, b.running), (a.waiting, b.waiting)];
-        let count = |(a, b): (u32, u32)| byte(REQUESTS, f64::from(a), f64::from(b));
-        b.at > a.at && (counts.into_iter().any(count) || differs(pace(a), pace(b)))
+        let counts = count(a.running, b.running) || count(a.waiting, b.waiting);
+        b.at > a.at && (counts || count(pace(a), pace(b)))
     });
     if report {
         mask |= REPORT;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod quarantine;
 mod replica;
 mod routing;
+mod scheduling;
 mod senders;
 mod settings;
 mod site;
--- /dev/null
+++ b/tests/testsuite/scheduling/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of decisions about capacity.
+
+mod account;
+mod exchange;
