--- a/benches/decisions/main.rs
+++ b/benches/decisions/main.rs
@@ -5,6 +5,7 @@
 //! simulations with fixed seeds, one for each kind of decision; their models are
 //! described in their modules.
 
+mod account;
 mod cascade;
 mod choice;
 mod claims;
@@ -43,6 +44,8 @@
     false_verdicts: Option<f64>,
     request_ends_max: Option<f64>,
     frames_per_core_s: Option<f64>,
+    account_bytes_per_s_300: Option<f64>,
+    account_core_percent_300: Option<f64>,
 }
 
 fn main() {
@@ -77,6 +80,14 @@
         Ok(rate) => figures.frames_per_core_s = Some(rate),
         Err(error) => eprintln!("frames: not measured: {error:#}"),
     }
+    match account::measure() {
+        Ok(costs) => {
+            eprintln!("account: {costs:?}");
+            figures.account_bytes_per_s_300 = Some(costs.bytes_per_s);
+            figures.account_core_percent_300 = Some(costs.core_percent);
+        }
+        Err(error) => eprintln!("account: not measured: {error:#}"),
+    }
     match claims::measure() {
         Ok(claims) => {
             figures.claims_per_s = Some(claims.per_s);
--- a/src/cardamomtally/direct/config/poller.rs
+++ b/src/cardamomtally/direct/config/poller.rs
@@ -247,6 +247,7 @@
             verdicts: evidence.index,
             evidence: evidence.report,
             hits: evidence.hits.clone(),
+            account: self.peers.as_ref().and_then(|peers| peers.account_digest()),
         };
         let sent = self.clock.now();
         let reply = match self.call_poll(member, &poll).await {
@@ -269,6 +270,12 @@
         if let (Some(peers), Some(addresses)) = (&self.peers, &reply.peers) {
             peers.set_addresses(addresses.clone());
         }
+        if let (Some(peers), Some(account)) = (&self.peers, &reply.account) {
+            match poll::unpack(&account.addresses) {
+                Some(members) => peers.set_members(members, account.place),
+                None => warn!(self.log, "poll: malformed list of members ignored"),
+            }
+        }
         self.apply(&current, sent, reply);
         self.begin_fetch(sent, &mut state.fetch);
         true
--- a/src/cardamomtally/direct/exchange/peers.rs
+++ b/src/cardamomtally/direct/exchange/peers.rs
@@ -15,6 +15,7 @@
         account::{Account, Outgoing, topology::Topology},
         settings::SchedulingSettings,
     },
+    site::poll,
 };
 use arc_swap::ArcSwap;
 use serde::{Deserialize, Serialize};
@@ -162,16 +163,19 @@
         self.account.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Tells whether this entry can take part in the account's exchange.
+    /// Returns the digest of the list of members, or none if this entry keeps no account.
     #[must_use]
-    pub fn keeps_account(&self) -> bool {
-        self.clock.is_some()
+    pub fn account_digest(&self) -> Option<u64> {
+        self.clock.as_ref()?;
+        let place = self.account().topology().map_or(0, |t| t.place);
+        let members = self.members();
+        Some(poll::account_digest(&members, place as u32))
     }
 
     /// Replaces the members of the account's exchange, this entry included at `place`.
-    pub fn set_members(&self, members: Vec<SocketAddr>, place: usize) {
+    pub fn set_members(&self, members: Vec<SocketAddr>, place: u32) {
         let Some(clock) = &self.clock else { return };
-        let topology = Topology::new(&members, place);
+        let topology = Topology::new(&members, place as usize);
         self.account().set_topology(topology, clock.now());
         self.members.store(Arc::new(members));
         self.changed.notify_one();
@@ -276,7 +280,7 @@
         let mut sending = Sending::default();
         loop {
             let clock = self.clock.as_ref().filter(|_| known.uses_account());
-            match clock.filter(|_| self.account().active()) {
+            match clock.filter(|_| self.account().exchanges()) {
                 Some(clock) => {
                     self.send_figures(socket, known, clock.as_ref(), &mut sending)
                         .await;
--- a/src/cardamomtally/scheduling/account.rs
+++ b/src/cardamomtally/scheduling/account.rs
@@ -205,6 +205,13 @@
         mode == Mode::On || (mode == Mode::Auto && self.pace_seen)
     }
 
+    /// Tells whether this entry sends its figures. Without the list of members, as long as
+    /// the leader is of a former build, it does not.
+    #[must_use]
+    pub fn exchanges(&self) -> bool {
+        self.active() && self.topology.is_some()
+    }
+
     /// Replaces the list of members, from which the topology was built.
     pub fn set_topology(&mut self, topology: Option<Topology>, now: Mono) {
         if self.topology != topology {
@@ -251,6 +258,13 @@
         );
     }
 
+    /// Returns this entry's own prefill work and requests in flight at a server.
+    #[must_use]
+    pub fn own(&self, server: ServerKey) -> (f64, f64) {
+        let row = self.own.get(&short(server)).copied().unwrap_or_default();
+        (row.prefill_ms, row.in_flight)
+    }
+
     /// Records a load report that this entry has received.
     pub fn record_report(&mut self, server: ServerKey, report: LoadReport) {
         self.pace_seen |= report.pace.is_some();
--- a/src/cardamomtally/scheduling/account/rounds.rs
+++ b/src/cardamomtally/scheduling/account/rounds.rs
@@ -24,10 +24,10 @@
 const BOUNDED_ENTRIES: usize = 300;
 /// Time over which the bound holds. An entry that passes on the sums of most others sends and
 /// receives the bytes of four rounds in one.
-const BOUND_TIME_S: f64 = 3.0;
+const BOUND_TIME_S: f64 = 2.5;
 /// Share of the bound that the time between rounds aims at. The rest is for the difference
 /// between entries, since one passes on sums of more entries than another.
-const AIMED_SHARE: f64 = 0.62;
+const AIMED_SHARE: f64 = 0.58;
 /// Shortest time between two rounds. Each round wakes every entry about four times.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two rounds when nothing is outstanding.
--- a/src/cardamomtally/site/entries.rs
+++ b/src/cardamomtally/site/entries.rs
@@ -16,6 +16,8 @@
     at: Mono,
     /// Address for messages of other entries, if the entry accepts them.
     exchange: Option<SocketAddr>,
+    /// Whether the entry keeps an account of capacity with the others.
+    account: bool,
 }
 
 /// Time from the first poll at a leader after which all entries have polled it.
@@ -32,13 +34,36 @@
 impl Entries {
     /// Records a poll, and removes the entries that have stopped polling.
     pub fn record_poll(&mut self, name: &Name, exchange: Option<SocketAddr>, now: Mono) {
-        let poll = LastPoll { at: now, exchange };
+        let poll = LastPoll {
+            at: now,
+            exchange,
+            account: false,
+        };
         self.polls.insert(Arc::clone(name), poll);
         self.polls
             .retain(|_, poll| now.since(poll.at) < POLL_TIMEOUT);
         self.begun.get_or_insert(now);
     }
 
+    /// Records that the entry whose poll was recorded last keeps an account of capacity.
+    pub fn record_account(&mut self, name: &Name) {
+        if let Some(poll) = self.polls.get_mut(name) {
+            poll.account = poll.exchange.is_some();
+        }
+    }
+
+    /// Returns the addresses of all entries that keep an account of capacity, in the order of
+    /// their names, and the place of one of them in this list. Returns none while not all
+    /// entries are known, since sums travel along trees that depend on the whole list.
+    #[must_use]
+    pub fn account_members(&self, name: &Name, now: Mono) -> Option<(Vec<SocketAddr>, u32)> {
+        let members = self.polls.iter().filter(|(_, poll)| poll.account);
+        let place = members.clone().position(|(member, _)| member == name)?;
+        let addresses = members.filter_map(|(_, poll)| poll.exchange).collect();
+        let place = u32::try_from(place).ok()?;
+        (self.count(now) > 0).then_some((addresses, place))
+    }
+
     /// Returns the number of entries, or 0 while it is not known, since this leader has
     /// not been polled by all of them yet. Entries divide common bounds by it, so that
     /// each would take too much if it were too low.
--- a/src/cardamomtally/site/member/polls.rs
+++ b/src/cardamomtally/site/member/polls.rs
@@ -10,7 +10,7 @@
     },
     prelude::*,
     site::{
-        poll::{self, Poll, PollReply},
+        poll::{self, AccountMembers, Poll, PollReply},
         transfer::{Encoding, Part, PartRequest},
     },
 };
@@ -126,6 +126,7 @@
             entries: known.count,
             place: known.place,
             peers: known.peers,
+            account: known.account,
             verdicts: (verdicts.index != poll.verdicts).then(|| (*verdicts).clone()),
             ..PollReply::default()
         };
@@ -148,11 +149,23 @@
         let mut shared = self.shared();
         shared.canaries.add(&rollouts, &poll.outcomes);
         shared.entries.record_poll(&poll.name, poll.exchange, now);
+        if poll.account.is_some() {
+            shared.entries.record_account(&poll.name);
+        }
         shared
             .review
             .record_poll(&poll.name, &poll.evidence, &poll.hits, now);
         let peers = shared.entries.peers_of(&poll.name);
+        let account = poll.account.and_then(|digest| {
+            let (addresses, place) = shared.entries.account_members(&poll.name, now)?;
+            let differs = poll::account_digest(&addresses, place) != digest;
+            differs.then(|| AccountMembers {
+                addresses: poll::pack(&addresses),
+                place,
+            })
+        });
         KnownEntries {
+            account,
             count: shared.entries.count(now),
             place: shared.entries.place_of(&poll.name, now),
             peers: (poll::digest(&peers) != poll.peers).then_some(peers),
@@ -169,6 +182,8 @@
     place: Option<u32>,
     /// Addresses to which this entry sends messages, if its list of them is out of date.
     peers: Option<Vec<SocketAddr>>,
+    /// Members of the account of capacity, if the entry's list of them is out of date.
+    account: Option<AccountMembers>,
 }
 
 fn unavailable(reason: &str, refused: bool) -> Response {
--- a/src/cardamomtally/site/poll.rs
+++ b/src/cardamomtally/site/poll.rs
@@ -7,7 +7,8 @@
     routing::rendezvous,
 };
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use serde_bytes::ByteBuf;
+use std::net::{IpAddr, SocketAddr};
 
 /// Outcomes at one entry of a version's answers on a route.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -77,6 +78,10 @@
     /// the leader.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     pub hits: Vec<Fingerprint>,
+    /// Digest of the list of members of the account of capacity that the process has; none if
+    /// it keeps no account.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<u64>,
 }
 
 /// The answer to a poll. It is sent after a quorum round that began when the poll had
@@ -121,6 +126,66 @@
     /// The verdicts on content that are in force, if the process has different ones.
     #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     pub verdicts: Option<Verdicts>,
+    /// The members of the account of capacity, if the list differs from the one that the poll
+    /// gave the digest of. Only the leader sends it.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<AccountMembers>,
+}
+
+/// The members of the account of capacity.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AccountMembers {
+    /// Their addresses in a compact form, see [`pack`].
+    #[serde(rename = "a")]
+    pub addresses: ByteBuf,
+    /// Place of the polling entry among them.
+    #[serde(rename = "k")]
+    pub place: u32,
+}
+
+/// Returns the digest of a list of members and the place of an entry in it.
+#[must_use]
+pub fn account_digest(members: &[SocketAddr], place: u32) -> u64 {
+    digest(members).wrapping_add(u64::from(place))
+}
+
+/// Encodes addresses: for each the number of bytes of its IP address, these, and its port. The
+/// list of 300 entries takes 2 kB, a third of its size in CBOR.
+#[must_use]
+pub fn pack(addresses: &[SocketAddr]) -> ByteBuf {
+    let mut bytes = Vec::with_capacity(addresses.len() * 7);
+    for address in addresses {
+        match address.ip() {
+            IpAddr::V4(ip) => {
+                bytes.push(4);
+                bytes.extend(ip.octets());
+            }
+            IpAddr::V6(ip) => {
+                bytes.push(16);
+                bytes.extend(ip.octets());
+            }
+        }
+        bytes.extend(address.port().to_be_bytes());
+    }
+    ByteBuf::from(bytes)
+}
+
+/// Decodes addresses. Returns none if the bytes are malformed.
+#[must_use]
+pub fn unpack(mut bytes: &[u8]) -> Option<Vec<SocketAddr>> {
+    let mut addresses = Vec::new();
+    while let Some((length, rest)) = bytes.split_first() {
+        let (ip, rest) = rest.split_at_checked(usize::from(*length))?;
+        let ip = match length {
+            4 => IpAddr::from(<[u8; 4]>::try_from(ip).ok()?),
+            16 => IpAddr::from(<[u8; 16]>::try_from(ip).ok()?),
+            _ => return None,
+        };
+        let (port, rest) = rest.split_first_chunk::<2>()?;
+        addresses.push(SocketAddr::new(ip, u16::from_be_bytes(*port)));
+        bytes = rest;
+    }
+    Some(addresses)
 }
 
 /// Returns the digest of a list of peers, which is 0 for an empty list.
--- a/tests/testsuite/scheduling/exchange.rs
+++ b/tests/testsuite/scheduling/exchange.rs
@@ -137,6 +137,16 @@
         self.accounts[entry] = account;
     }
 
+    /// Stops an entry; its requests end with it.
+    pub fn stop(&mut self, entry: usize) {
+        self.stopped[entry] = true;
+        for number in 0..self.plan.servers {
+            let own = self.accounts[entry].own(server(number));
+            self.prefill[number] -= own.0;
+            self.in_flight[number] -= own.1;
+        }
+    }
+
     fn push(&mut self, at: Mono, event: Event) {
         self.numbered += 1;
         self.events.push(Reverse((at, self.numbered, event)));
@@ -181,6 +191,7 @@
                 let at = self.now + self.exponential(1_000.0 / REQUESTS_PER_S);
                 self.push(at, Event::Request(entry));
             }
+            Event::Prefilled { entry, .. } | Event::End { entry, .. } if self.stopped[entry] => {}
             Event::Prefilled {
                 entry,
                 server: at,
