--- a/tests/testsuite/scheduling/account.rs
+++ b/tests/testsuite/scheduling/account.rs
@@ -345,3 +345,17 @@
 fn traffic_and_age_of_300_entries_are_bounded() {
     assert_bounded(300, 600, 20_000.0, 100.0, 2_500);
 }
+
+/// Guards against traffic that grows faster than the number of entries.
+#[test]
+fn traffic_of_1000_entries_is_bounded() {
+    let mut exchange = Exchange::new(plan(1_000, 2_000, 0.05));
+    exchange.run(Duration::from_secs(3));
+    exchange.reset_traffic();
+    let time = Duration::from_secs(4);
+    exchange.run(time);
+
+    let rate = exchange.bytes_per_s(time);
+    println!("1000: {rate:.0} B/s");
+    assert!(rate <= 66_000.0, "{rate}");
+}
--- a/tests/testsuite/site/entries.rs
+++ b/tests/testsuite/site/entries.rs
@@ -63,6 +63,26 @@
     assert_eq!(entries.count(SETTLED), 3);
 }
 
+/// Guards against trees over a list that is not the same for all, or has entries of a former
+/// build in it, which pass nothing on.
+#[test]
+fn members_of_the_account_are_the_entries_that_keep_one_in_order_of_names() {
+    let mut entries = polling(4);
+    for number in [3, 0, 1] {
+        entries.record_account(&name(number));
+    }
+
+    let members = vec![address(0), address(1), address(3)];
+    let told = |number| entries.account_members(&name(number), SETTLED);
+    assert_eq!(told(0), Some((members.clone(), 0)));
+    assert_eq!(told(3), Some((members.clone(), 2)));
+    assert_eq!(told(2), None);
+    assert_eq!(entries.account_members(&name(0), Mono(0)), None);
+    let packed = poll::pack(&members);
+    assert_eq!(poll::unpack(&packed), Some(members));
+    assert_eq!(poll::unpack(&packed[1..]), None);
+}
+
 proptest! {
     #[test]
     fn each_entry_sends_to_as_many_peers_as_it_receives_from(count in 2_u16..200) {
