--- a/src/cardamomtally/direct/exchange/peers.rs
+++ b/src/cardamomtally/direct/exchange/peers.rs
@@ -43,6 +43,8 @@
 const MAX_EVIDENCE: usize = 40;
 /// Largest number of replaced backend servers in a message, for the same reason.
 const MAX_REPLACED: usize = 100;
+/// Time between two log entries on malformed figures.
+const IGNORED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Size of the receive buffer; longer messages are cut off and fail to decode.
 const MAX_MESSAGE_BYTES: usize = 2_048;
 
@@ -113,6 +115,8 @@
     clock: Option<Arc<dyn Clock>>,
     /// Addresses of the members of the account's exchange, in the order of their places.
     members: ArcSwap<Vec<SocketAddr>>,
+    /// When ignored figures may be logged again.
+    ignored_log: Mutex<Mono>,
     log: Logger,
 }
 
@@ -139,6 +143,7 @@
             account: Mutex::default(),
             clock: None,
             members: ArcSwap::default(),
+            ignored_log: Mutex::default(),
             log,
         }
     }
@@ -240,11 +245,15 @@
         let mut account = self.account();
         match (&message.account, &message.sums) {
             (Some(bytes), _) => {
-                let due = account.next_tick(now);
+                let (due, ignored) = (account.next_tick(now), account.ignored());
                 let outgoing = account.receive(&message.entry, bytes, now);
+                let ignored = account.ignored() > ignored;
                 let sooner = account.due(now) || account.next_tick(now) < due;
                 let active = account.active();
                 drop(account);
+                if ignored {
+                    self.log_ignored(&message.entry, now);
+                }
                 if sooner && active {
                     self.changed.notify_one();
                 }
@@ -258,6 +267,17 @@
         }
     }
 
+    fn log_ignored(&self, entry: &Name, now: Mono) {
+        let mut next = self
+            .ignored_log
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if now >= *next {
+            *next = now + IGNORED_LOG_INTERVAL;
+            warn!(self.log, "peers: malformed figures ignored"; "from" => &**entry);
+        }
+    }
+
     /// Sends messages of the account.
     async fn send_account(&self, socket: &UdpSocket, outgoing: Vec<Outgoing>) {
         let members = self.members();
--- a/src/cardamomtally/scheduling/account/rounds.rs
+++ b/src/cardamomtally/scheduling/account/rounds.rs
@@ -54,7 +54,7 @@
 /// Tells whether one round comes before another. Numbers wrap around.
 #[must_use]
 pub const fn is_before(round: u16, other: u16) -> bool {
-    (round.wrapping_sub(other) as i16) < 0
+    round.wrapping_sub(other).cast_signed() < 0
 }
 
 /// Sums that a child has sent in one tree.
--- a/src/cardamomtally/scheduling/account/topology.rs
+++ b/src/cardamomtally/scheduling/account/topology.rs
@@ -34,7 +34,7 @@
     pub fn new<T: std::hash::Hash>(members: &[T], place: usize) -> Option<Self> {
         let mut hasher = FxHasher::default();
         members.hash(&mut hasher);
-        let known = place < members.len() && members.len() <= usize::from(u16::MAX);
+        let known = place < members.len() && u16::try_from(members.len()).is_ok();
         known.then(|| Self {
             digest: (hasher.finish() >> 32) as u32,
             count: members.len(),
