--- a/src/cardamomtally/direct/exchange/peers.rs
+++ b/src/cardamomtally/direct/exchange/peers.rs
@@ -364,6 +364,9 @@
     async fn send_sums(&self, socket: &UdpSocket, known: &dyn Knowledge, sending: &mut Sending) {
         let wait = tokio::time::timeout(RESEND_INTERVAL, self.changed.notified()).await;
         self.dirty.store(false, Ordering::Release);
+        if let Some(clock) = &self.clock {
+            self.account().expire(clock.now());
+        }
         let replaced = known.replaced(MAX_REPLACED);
         let told = self.tell_replaced(socket, replaced).await;
         let told = self.tell_news(socket, known.news()).await || told;
--- a/src/cardamomtally/scheduling/account.rs
+++ b/src/cardamomtally/scheduling/account.rs
@@ -503,8 +503,9 @@
         pools.filter(|(_, pool)| worth(pool)).collect()
     }
 
-    /// Drops the figures of entries that are silent, and reports that are too old.
-    fn expire(&mut self, now: Mono) {
+    /// Drops the figures of entries that are silent, and reports that are too old. It is part
+    /// of [`Account::tick`].
+    pub fn expire(&mut self, now: Mono) {
         let peers = std::mem::take(&mut self.peers);
         for (name, peer) in peers {
             if now.since(peer.at) < PEER_TTL {
--- a/src/cardamomtally/scheduling/account/rounds.rs
+++ b/src/cardamomtally/scheduling/account/rounds.rs
@@ -446,7 +446,7 @@
             self.due = now + self.interval;
         }
         // A row that no root sends again has ended, and the message that said so was lost.
-        let kept = self.interval * (REFRESH_ROUNDS * 3);
+        let kept = self.interval * (REFRESH_ROUNDS * 2);
         let touched = &mut latest.touched;
         touched.retain(|_, at| now.since(*at) < kept);
         latest.table.retain(|key, row| {
--- a/tests/testsuite/scheduling/account.rs
+++ b/tests/testsuite/scheduling/account.rs
@@ -114,6 +114,21 @@
     );
 }
 
+/// Guards against the sums of an entry of a former build being counted for ever by an entry
+/// that sends no figures.
+#[test]
+fn sums_of_a_former_build_expire() {
+    let mut account = Account::new(Some(settings(Mode::Auto)));
+    account.record_former(&"a".into(), &[(server(1), 300)], at(1));
+    assert_close(account.view(server(1), at(1)).prefill_ms, 300.0, 0.01);
+    assert!(account.serves_former(at(1)));
+
+    let later = at(1) + PEER_TTL;
+    account.expire(later);
+    assert!(account.view(server(1), later).prefill_ms <= 0.0);
+    assert!(!account.serves_former(at(6_000)));
+}
+
 /// Guards against repeated and reordered datagrams changing sums.
 #[test]
 fn repeated_and_reordered_messages_change_nothing() {
