--- a/src/cardamomtally/direct/exchange/allowance.rs
+++ b/src/cardamomtally/direct/exchange/allowance.rs
@@ -17,12 +17,12 @@
 impl Allowance {
     /// Builds a full bucket. `rate` is in bytes per second, `burst` in bytes.
     #[must_use]
-    pub const fn new(rate: f64, burst: f64, now: Mono) -> Self {
+    pub const fn new(rate: f64, burst: f64) -> Self {
         Self {
             rate,
             burst,
             left: burst,
-            updated: now,
+            updated: Mono(0),
         }
     }
 
--- a/tests/testsuite/scheduling/mod.rs
+++ b/tests/testsuite/scheduling/mod.rs
@@ -1,7 +1,9 @@
 //! Tests of decisions about capacity.
 
+mod account;
 mod entries;
 mod escalation;
+mod exchange;
 mod fairness;
 mod forecast;
 mod held;
