--- a/src/cardamomtally/direct/fleet/choice.rs
+++ b/src/cardamomtally/direct/fleet/choice.rs
@@ -98,6 +98,12 @@
         Duration::from_secs_f64(self.estimate.ttft.max(0.0) / 1e3)
     }
 
+    /// Tells whether overload control was active for the choice.
+    #[must_use]
+    pub const fn has_forecast(&self) -> bool {
+        self.expected.is_some()
+    }
+
     /// Returns the time to first event that is expected of the backend server while
     /// nothing waits there. Unlike [`Choice::expected_ttft`] it does not grow with the
     /// backlog of a slow backend server.
@@ -120,7 +126,8 @@
         let known = state.backlog.total_ms(self.key);
         let node = state.nodes.get(&self.backend.instance);
         let backlog = match (&self.expected, node) {
-            (Some(_), Some(node)) => known * node.prompt_pace(now),
+            // The learned pace contains this silence itself.
+            (Some(_), Some(node)) => known * node.declared_pace(now),
             (Some(_) | None, _) => known,
         };
         let excused = backlog * SILENCE_PER_BACKLOG + SILENCE_ALLOWANCE_MS;
--- a/src/cardamomtally/direct/fleet/node.rs
+++ b/src/cardamomtally/direct/fleet/node.rs
@@ -204,19 +204,23 @@
         known.filter(|(_, age)| *age < ACCOUNT_TTL)
     }
 
+    /// Returns how much longer than usual work takes there by its own report.
+    #[must_use]
+    pub fn declared_pace(&self, now: Mono) -> f64 {
+        self.pace.map_or(1.0, |pace| pace.get(now))
+    }
+
     /// Returns how much longer than usual prompts take there: by its declared pace, by the
     /// learned factor, and by the requests whose first event is overdue.
     #[must_use]
     pub fn prompt_pace(&self, now: Mono) -> f64 {
-        let declared = self.pace.map_or(1.0, |pace| pace.get(now));
-        declared * bounded_factor(self.factor(now) * self.overdue(now))
+        self.declared_pace(now) * bounded_factor(self.factor(now) * self.overdue(now))
     }
 
     /// Returns how much longer than usual output tokens take there.
     #[must_use]
     pub fn step_pace(&self, now: Mono) -> f64 {
-        let declared = self.pace.map_or(1.0, |pace| pace.get(now));
-        declared * self.step_factor.get(now)
+        self.declared_pace(now) * self.step_factor.get(now)
     }
 
     /// Returns how much longer than usual prompts take there on average. It changes more
--- a/src/cardamomtally/direct/fleet/registry.rs
+++ b/src/cardamomtally/direct/fleet/registry.rs
@@ -49,6 +49,8 @@
     shared: Arc<Shared>,
     centre: Name,
     mode: Mode,
+    /// Whether backend servers are chosen by forecast while overload control is active.
+    by_forecast: bool,
 }
 
 impl Registry {
@@ -59,6 +61,7 @@
             shared: Arc::new(Shared::new(clock)),
             centre,
             mode: Mode::Off,
+            by_forecast: false,
         }
     }
 
@@ -73,8 +76,15 @@
     /// Returns the registry with settings of overload control.
     #[must_use]
     pub fn with_scheduling(self, scheduling: Option<SchedulingSettings>) -> Self {
-        let mode = scheduling.map_or(Mode::Off, |settings| settings.mode);
-        Self { mode, ..self }
+        let settings = scheduling.unwrap_or(SchedulingSettings {
+            mode: Mode::Off,
+            ..SchedulingSettings::default()
+        });
+        Self {
+            mode: settings.mode,
+            by_forecast: settings.by_forecast,
+            ..self
+        }
     }
 
     /// Returns the registry with random numbers that are the same in each run, for tests.
@@ -103,7 +113,7 @@
         let allowed = allowed(config, wanted, &state);
         let untried = untried(&allowed, wanted);
         state.ensure_known(&untried);
-        let active = state.is_active(self.mode, wanted.service);
+        let active = self.by_forecast && state.is_active(self.mode, wanted.service);
         let random = if active { state.random() } else { 0.0 };
         let selection = self.selection(&state, config, wanted, now);
         let best = if active {
@@ -195,7 +205,7 @@
         state.ensure_known(&untried);
         let selection = self.selection(&state, config, wanted, now);
         let active = state.is_active(self.mode, wanted.service);
-        let (best, mean_wait) = if active {
+        let (best, mean_wait) = if active && self.by_forecast {
             let ranked = selection.ranked(&untried, None);
             let waits: f64 = ranked.iter().map(|r| r.candidate.backlog).sum();
             let mean_wait = waits / ranked.len().max(1) as f64;
--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -381,7 +381,9 @@
         let mut sending = std::pin::pin!(app.pool.send(choice.backend.address, make));
         let first = FIRST_EVENT_TIMEOUT
             + self.call.route.target.mul_f64(FIRST_EVENT_TARGET_SHARE)
-            + choice.expected_ttft().mul_f64(FIRST_EVENT_EXPECTED_FACTOR);
+            + self
+                .expected_first(choice)
+                .mul_f64(FIRST_EVENT_EXPECTED_FACTOR);
         let sent = match tokio::time::timeout(first.min(left), sending.as_mut()).await {
             Ok(sent) => Some(sent),
             Err(_elapsed) if self.reserve(self.retries.runs + 1, left) => None,
@@ -397,6 +399,18 @@
         attempt::classify(&app.names, &call, sent)
     }
 
+    /// Returns the time to first event for which the timeout allows. With overload control it
+    /// is at most the target latency: the forecast of a server that answers nothing any more
+    /// grows with its silence, and requests waited there for up to 15 s.
+    fn expected_first(&self, choice: &Choice) -> Duration {
+        let expected = choice.expected_ttft();
+        if choice.has_forecast() {
+            expected.min(self.call.route.target)
+        } else {
+            expected
+        }
+    }
+
     /// Returns the model to request, if the entry chooses it.
     fn model(&self) -> Option<&str> {
         self.model_at(self.model_index)
--- a/src/cardamomtally/scheduling/settings.rs
+++ b/src/cardamomtally/scheduling/settings.rs
@@ -20,6 +20,9 @@
 pub struct SchedulingSettings {
     /// When overload control is active.
     pub mode: Mode,
+    /// Whether backend servers are chosen by a forecast with declared paces, learned factors
+    /// and memory, or by the same estimate as without overload control.
+    pub by_forecast: bool,
     /// Factor by which the value of a request falls with each step of its priority.
     pub priority_ratio: f64,
     /// Value of an answer after its target latency and before its deadline, as a share of that
@@ -47,6 +50,7 @@
     fn default() -> Self {
         Self {
             mode: Mode::Auto,
+            by_forecast: true,
             priority_ratio: 2.0,
             late_value: 0.3,
             urgent_share: 0.25,
--- a/tests/testsuite/direct/cascade.rs
+++ b/tests/testsuite/direct/cascade.rs
@@ -15,6 +15,10 @@
     site::document::{Class, Document},
 };
 use proptest::prelude::*;
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+};
 
 fn cascade() -> Document {
     let mut document = document(1, Class::Resumable);
@@ -102,6 +106,7 @@
     let entry = Entry::with_settings(Duration::from_mins(1), |settings| {
         settings.scheduling = mode.map(|mode| SchedulingSettings {
             mode,
+            by_forecast: false,
             ..SchedulingSettings::default()
         });
     });
@@ -118,10 +123,19 @@
         ask(&format!("s-{number}"), "small", 800);
     }
     let key = rendezvous::seed("i-1");
-    entry
-        .app
-        .apply_peer_sums(&"entry-2".into(), vec![(key, wait)]);
-    ask("a-1", "*", tokens);
+    let (done, app) = (AtomicBool::new(false), Arc::clone(&entry.app));
+    thread::scope(|scope| {
+        // Sums expire, and the request may be held for a while.
+        scope.spawn(|| {
+            while !done.load(Ordering::Acquire) {
+                app.apply_peer_sums(&"entry-2".into(), vec![(key, wait)]);
+                thread::sleep(Duration::from_millis(50));
+            }
+        });
+        thread::sleep(Duration::from_millis(50));
+        ask("a-1", "*", tokens);
+        done.store(true, Ordering::Release);
+    });
     models(&server).split_off(shorts)
 }
 
