--- a/tests/testsuite/direct/cascade.rs
+++ b/tests/testsuite/direct/cascade.rs
@@ -107,6 +107,8 @@
         settings.scheduling = mode.map(|mode| SchedulingSettings {
             mode,
             by_forecast: false,
+            // What the queue would hold is not part of these tests.
+            hold_share: 0.0,
             ..SchedulingSettings::default()
         });
     });
@@ -125,7 +127,7 @@
     let key = rendezvous::seed("i-1");
     let (done, app) = (AtomicBool::new(false), Arc::clone(&entry.app));
     thread::scope(|scope| {
-        // Sums expire, and the request may be held for a while.
+        // Sums expire after some tenths of a second.
         scope.spawn(|| {
             while !done.load(Ordering::Acquire) {
                 app.apply_peer_sums(&"entry-2".into(), vec![(key, wait)]);
