Keep the ports of servers that refuse connections in a test

Cause: the port was free again once its number was known; in one of three whole runs another test's server got it, so that one test saw a request of the other (2 instead of 1) and the other a 502. Change: the port stays bound without a listener.

--- a/tests/testsuite/direct/once.rs
+++ b/tests/testsuite/direct/once.rs
@@ -4,7 +4,8 @@
 use super::fixtures::{Action, Entry, Server, answer, header, request};
 use crate::support::wait::eventually;
 use cardamomtally::{prelude::*, site::document::Class};
-use std::{io::Write as _, net::TcpListener};
+use socket2::{Domain, Socket, Type};
+use std::{io::Write as _, net::SocketAddr};
 
 fn answering(instance: &str) -> Server {
     Server::start(instance, |seen, _| vec![answer(seen, "200 OK", "", "done")])
@@ -21,11 +22,16 @@
     })
 }
 
-/// Returns a backend server whose address refuses connections.
+/// Returns a backend server whose address refuses connections. Its port stays bound without a
+/// listener until the process ends: a port that was free again was once given to a server of
+/// another test, which then got the request.
 fn unreachable(instance: &str) -> Server {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).unwrap();
     let mut server = answering(instance);
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    server.addr = listener.local_addr().unwrap();
+    server.addr = socket.local_addr().unwrap().as_socket().unwrap();
+    Box::leak(Box::new(socket));
     server
 }
 
