--- a/src/cardamomtally/quarantine/pool.rs
+++ b/src/cardamomtally/quarantine/pool.rs
@@ -42,7 +42,7 @@
 const TELL_TIME: Duration = Duration::from_secs(1);
 
 /// Time after which unchanged evidence is told to other entries again.
-const REPEAT_TIME: Duration = Duration::from_millis(250);
+const REPEAT_TIME: Duration = Duration::from_millis(100);
 
 /// Time for which evidence is reported to control again and again, since a poll may not
 /// reach the leader.
