--- a/src/cardamomtally/routing/budget.rs
+++ b/src/cardamomtally/routing/budget.rs
@@ -38,8 +38,8 @@
 const MAX_RETRY_RESERVE: f64 = 0.48;
 
 /// Score of an answer that has just begun and has the least value, where 1 reserves nothing
-/// and 0 reserves [`MAX_RETRY_RESERVE`]. With 0.6, 90 streams of a day were broken off
-/// while tokens were left that no other request took.
+/// and 0 reserves [`MAX_RETRY_RESERVE`]. A lower score breaks streams off while tokens
+/// are left that no other request takes.
 const BEGUN_SCORE: f64 = 0.9;
 
 /// Score of an answer that has not begun and has the greatest value.
