--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 //! with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
 //! `TROUBLE=0` the disruption is left out.
 
+mod fast_crash;
 mod late_order;
 mod shrunken_group;
 mod unreadable_entry;
@@ -34,6 +35,7 @@
     let outcome = std::panic::catch_unwind(|| match case.as_str() {
         "unreadable-entry" => unreadable_entry::play(folder, trouble),
         "shrunken-group" => shrunken_group::play(folder, trouble),
+        "fast-crash" => fast_crash::play(folder, trouble),
         "late-order" => late_order::play(folder, trouble),
         _ => Outcome::Failed(format!("there is no case `{case}`")),
     });
