Tell on the metrics address and in the log why a group has no leader

Cause: a store that does not open, a member without a vote, a member whose write failed and a group without a majority look alike from outside: control processes on the users' platform had neither metrics nor a status, and an election without a majority was not logged.

--- /dev/null
+++ b/src/cardamomtally/replica/host/gauges.rs
@@ -0,0 +1,33 @@
+//! Metrics of a member's part in its groups. They tell apart, from outside, a member whose
+//! storage does not work, one without a vote, and a group without a majority.
+
+use super::{GroupStatus, Suffrage};
+use metrics::gauge;
+
+/// Time without a message after which a voter counts as not heard, in milliseconds.
+const HEARD_WITHIN_MS: u64 = 1_000;
+
+/// Sets the gauges of a group from its status.
+pub(super) fn set(status: &GroupStatus, own: &str) {
+    let group = status.group.0.to_string();
+    let voters = status.members.iter();
+    let voters = voters.filter(|m| m.suffrage == Suffrage::Voter);
+    let (mut count, mut heard, mut votes) = (0, 0, 0);
+    for voter in voters {
+        count += 1;
+        let is_own = &*voter.name == own;
+        heard += u32::from(is_own || voter.silent_ms < HEARD_WITHIN_MS);
+        votes |= u32::from(is_own);
+    }
+    let leader = status.leader.is_some();
+    let working = &*status.state != "failed";
+    gauge!("cardamomtally_replica_storage_works", "group" => group.clone()).set(u32::from(working));
+    gauge!("cardamomtally_replica_votes", "group" => group.clone()).set(votes);
+    gauge!("cardamomtally_replica_voters", "group" => group.clone()).set(count);
+    gauge!("cardamomtally_replica_voters_heard", "group" => group.clone()).set(heard);
+    gauge!("cardamomtally_replica_leader_known", "group" => group.clone()).set(u32::from(leader));
+    gauge!("cardamomtally_replica_term", "group" => group.clone()).set(status.term.0 as f64);
+    gauge!("cardamomtally_replica_commit_entries", "group" => group.clone())
+        .set(status.commit.0 as f64);
+    gauge!("cardamomtally_replica_last_entries", "group" => group).set(status.last.0 as f64);
+}
--- a/src/cardamomtally/replica/host/group.rs
+++ b/src/cardamomtally/replica/host/group.rs
@@ -110,6 +110,20 @@
     interval + rand::rng().random_range(0..=interval / 2)
 }
 
+/// Describes what a member has found in its storage.
+fn opened_note(node: &Node) -> String {
+    let voters = node.members().iter().filter(|m| m.voter);
+    let voters: Vec<&str> = voters.map(|m| &*m.name).collect();
+    format!(
+        "opened the storage of member {}: image of index {}, log to {} of term {}, voters [{}]",
+        node.id(),
+        node.snapshot_index(),
+        node.last(),
+        node.term().0,
+        voters.join(", ")
+    )
+}
+
 impl Group {
     fn open(
         spec: GroupSpec,
@@ -135,6 +149,8 @@
         };
         let own = options.id;
         let node = Node::new(options, storage.load(), now)?;
+        let mut outbox = Outbox::default();
+        outbox.notes.push(opened_note(&node));
         // The control thread receives events until it drops the queue on
         // shutdown, so this call does not block forever when the queue is full.
         let report = move |written| drop(events.send(Event::Written { group: id, written }));
@@ -152,7 +168,7 @@
             applied_bytes: 0,
             snapshot_bytes: jitter_interval(MIN_SNAPSHOT_BYTES) as usize,
             answers: Vec::new(),
-            outbox: Outbox::default(),
+            outbox,
             readers: Readers::default(),
         })
     }
--- a/src/cardamomtally/replica/host/mod.rs
+++ b/src/cardamomtally/replica/host/mod.rs
@@ -8,6 +8,7 @@
 //! the leader is forwarded to the leader over the same transport.
 
 mod calls;
+mod gauges;
 mod group;
 mod links;
 mod options;
--- a/src/cardamomtally/replica/host/worker.rs
+++ b/src/cardamomtally/replica/host/worker.rs
@@ -3,6 +3,7 @@
 use super::{
     Published,
     calls::Reply,
+    gauges,
     group::{Group, Outbox, PeerMessage},
     links::Links,
 };
@@ -24,6 +25,8 @@
 /// Minimum time between two publications of the status if no term or role has
 /// changed. Such a change is published at once.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two updates of the metrics.
+const GAUGES_INTERVAL: Duration = Duration::from_secs(1);
 /// Time that a stopping member leaves for its last messages to be sent.
 const STOP_DRAIN: Duration = Duration::from_millis(50);
 
@@ -69,6 +72,7 @@
     /// Runs until the member is stopped or killed.
     pub(super) fn run(mut self, inbox: Receiver<Event>) {
         let mut publish_at = Mono::default();
+        let mut gauges_at = Mono::default();
         self.flush(self.clock.now());
         while !self.stopping {
             self.handle_events(&inbox);
@@ -84,6 +88,7 @@
             self.flush(now);
             self.maintain_links(now);
             self.publish(now, &mut publish_at);
+            self.set_gauges(now, &mut gauges_at);
         }
         self.shut_down(inbox);
     }
@@ -209,6 +214,16 @@
         self.published.store(Arc::new(statuses.collect()));
     }
 
+    fn set_gauges(&self, now: Mono, at: &mut Mono) {
+        if now < *at {
+            return;
+        }
+        *at = now + GAUGES_INTERVAL;
+        for group in &self.groups {
+            gauges::set(&group.status(now, &self.links), &self.name);
+        }
+    }
+
     fn shut_down(&mut self, inbox: Receiver<Event>) {
         let now = self.clock.now();
         for i in 0..self.groups.len() {
--- a/src/cardamomtally/replica/node/election.rs
+++ b/src/cardamomtally/replica/node/election.rs
@@ -27,6 +27,7 @@
     /// changing its own term; `transfer` marks an election that the leader itself
     /// asked for.
     pub(super) fn campaign(&mut self, now: Mono, pre_vote: bool, transfer: bool) {
+        self.note_lost_election(pre_vote);
         self.lifecycle.start_election();
         self.leader = None;
         self.schedule_retry(now);
@@ -60,6 +61,26 @@
         self.count_votes(now);
     }
 
+    /// Counts the pre-votes since the last leader, and notes the 4th, the 8th, the 16th and
+    /// so on, so that a group without a majority says so at a bounded rate.
+    fn note_lost_election(&mut self, pre_vote: bool) {
+        if !pre_vote {
+            return;
+        }
+        let granted = self.campaign.as_ref().map_or(0, |c| c.votes.len());
+        self.elections = self.elections.saturating_add(1);
+        if self.elections >= 4 && self.elections.is_power_of_two() {
+            let voters = self.configs.voters().count();
+            let others = voters.saturating_sub(1);
+            self.note(format!(
+                "no leader after {} elections: {granted} of {others} other voters granted the last one; the log ends at {} of term {}",
+                self.elections,
+                self.log.last(),
+                self.log.last_term().0,
+            ));
+        }
+    }
+
     /// Sets the time of the next attempt, in case this election fails. It comes sooner
     /// than a first election would, and at a random time so that two candidates do not
     /// split the votes again.
@@ -163,6 +184,7 @@
 
     fn become_leader(&mut self, now: Mono) {
         self.campaign = None;
+        self.elections = 0;
         self.lifecycle.elect();
         self.leader = Some(self.options.id);
         let first = self.log.last().next();
--- a/src/cardamomtally/replica/node/follower.rs
+++ b/src/cardamomtally/replica/node/follower.rs
@@ -58,6 +58,7 @@
         }
         self.adopt_term(term);
         self.leader = Some(from.id);
+        self.elections = 0;
         self.heard = Some(now);
         self.reset_timer(now);
         if self.adopt_cluster(from.cluster) {
--- a/src/cardamomtally/replica/node/mod.rs
+++ b/src/cardamomtally/replica/node/mod.rs
@@ -208,6 +208,8 @@
     timer: Mono,
     rng: SmallRng,
     campaign: Option<Campaign>,
+    /// Number of pre-votes that this member has started since it last knew a leader.
+    elections: u32,
     leader_state: Option<LeaderState>,
     incoming: Option<IncomingSnapshot>,
     /// Initial members that have stated that they store nothing. The group forms
@@ -255,6 +257,7 @@
             timer: now,
             rng,
             campaign: None,
+            elections: 0,
             leader_state: None,
             incoming: None,
             declined: FastSet::default(),
--- a/src/cardamomtally/site/member/mod.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -22,7 +22,7 @@
     net::codec,
     prelude::*,
     quarantine::review::Review,
-    replica::host::{GroupSpec, Host, HostOptions, MemberStatus, Suffrage},
+    replica::host::{GroupSpec, GroupStatus, Host, HostOptions, MemberStatus, Suffrage},
     settings::{
         control::{GroupSettings, MemberSettings},
         units::{Size, Span},
@@ -397,6 +397,12 @@
         }
     }
 
+    /// Returns the status of the group as this member sees it, without a quorum round.
+    #[must_use]
+    pub fn status(&self) -> Vec<GroupStatus> {
+        self.host.status()
+    }
+
     /// Returns the voting members as this member knows them.
     #[must_use]
     pub fn voters(&self) -> Vec<MemberStatus> {
