Use a member's files through a trait

A test can put a file system in place of the folder that loses names which were not synced, refuses writes and fails to sync. No change in behaviour.

--- a/src/cardamomtally/replica/storage/disk.rs
+++ b/src/cardamomtally/replica/storage/disk.rs
@@ -2,12 +2,13 @@
 //!
 //! The folder holds `identity`, which is written last when the folder is
 //! formatted; `image`, the snapshot, which is replaced by renaming; and the
-//! segments `log-N`, to which frames are appended. A file `lock` keeps other
-//! processes out. Each segment begins with the term and vote, so older segments
-//! can be deleted once a snapshot covers their entries.
+//! segments `log-N`, to which frames are appended. Each segment begins with the term
+//! and vote, so older segments can be deleted once a snapshot covers their entries.
 
 use super::{
     Loaded, Storage, Write,
+    files::{AppendFile, Files},
+    folder::Folder,
     frame::{self, End},
     replay::{Record, Replay},
 };
@@ -18,23 +19,10 @@
 };
 use eyre::{bail, ensure};
 use rand::Rng as _;
-use std::{
-    fs::{self, File, OpenOptions, TryLockError},
-    io::{ErrorKind, Write as _},
-    path::{Path, PathBuf},
-    time::Instant,
-};
-
-/// Time to wait for the folder's lock. After a quick restart, the previous
-/// process may still be exiting.
-const LOCK_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Pause between two attempts to lock the folder.
-const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+use std::{io, path::Path};
 
 const IDENTITY_FILE: &str = "identity";
 const SNAPSHOT_FILE: &str = "image";
-const LOCK_FILE: &str = "lock";
 const SEGMENT_PREFIX: &str = "log-";
 
 /// A segment that is no longer written to.
@@ -47,14 +35,14 @@
 /// Storage of one group in a folder.
 #[derive(Debug)]
 pub struct Disk {
-    folder: PathBuf,
+    files: Box<dyn Files>,
     segment_bytes: u64,
     id: MemberId,
     hard: HardState,
     /// Segments before the open one, oldest first.
     closed: Vec<Segment>,
     /// The segment to which frames are appended.
-    open: File,
+    open: Box<dyn AppendFile>,
     /// Number of the open segment.
     number: u64,
     /// Length of the open segment in bytes.
@@ -62,8 +50,6 @@
     /// Index of the last entry written, or of the snapshot that replaced the log.
     last: Index,
     loaded: Loaded,
-    /// Keeps the folder locked while it is open.
-    _lock: File,
 }
 
 impl Disk {
@@ -74,13 +60,20 @@
     /// Returns an error if the folder cannot be used, if another process uses it,
     /// or if it holds a corrupt record that is not at the end of the log.
     pub fn open(folder: &Path, segment_bytes: u64) -> eyre::Result<Self> {
-        fs::create_dir_all(folder)
-            .wrap_err_with(|| format!("failed to create folder `{}`", folder.display()))?;
-        let lock = lock(folder)?;
-        let numbers = segment_numbers(folder)?;
-        let replay = read_segments(folder, &numbers)?;
-        let snapshot = read_snapshot(folder)?;
-        let id = identity(folder, &replay, snapshot.is_some())?;
+        Self::open_files(Box::new(Folder::open(folder)?), segment_bytes)
+    }
+
+    /// Opens the files of a folder, and formats it if it is empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the files cannot be used, or if they hold a corrupt record
+    /// that is not at the end of the log.
+    pub fn open_files(files: Box<dyn Files>, segment_bytes: u64) -> eyre::Result<Self> {
+        let numbers = segment_numbers(&*files)?;
+        let replay = read_segments(&*files, &numbers)?;
+        let snapshot = read_snapshot(&*files)?;
+        let id = identity(&*files, &replay, snapshot.is_some())?;
         let closed = numbers
             .iter()
             .zip(&replay.segment_ends)
@@ -90,20 +83,19 @@
         let last = replay.last();
         let (loaded, reset) = replay.finish(snapshot)?;
         let mut disk = Self {
-            folder: folder.to_owned(),
+            open: create_segment(&*files, number)?,
+            files,
             segment_bytes,
             id,
             hard: loaded.hard,
             closed,
-            open: create_segment(folder, number)?,
             number,
             length: 0,
             last,
             loaded,
-            _lock: lock,
         };
         disk.begin_segment(reset)?;
-        write_identity(folder, id)?;
+        write_identity(&*disk.files, id)?;
         Ok(disk)
     }
 
@@ -111,7 +103,7 @@
         let mut records = vec![Record::Hard(self.hard)];
         records.extend(reset);
         self.flush(&mut records)?;
-        sync_folder(&self.folder)
+        sync_names(&*self.files)
     }
 
     fn flush(&mut self, records: &mut Vec<Record>) -> eyre::Result<()> {
@@ -121,8 +113,8 @@
         let bytes = frame::frame(&codec::encode(records));
         records.clear();
         self.open
-            .write_all(&bytes)
-            .and_then(|()| self.open.sync_data())
+            .append(&bytes)
+            .and_then(|()| self.open.sync())
             .wrap_err_with(|| format!("failed to write segment {} of the log", self.number))?;
         self.length += bytes.len() as u64;
         Ok(())
@@ -137,13 +129,13 @@
             last: self.last,
         });
         self.number += 1;
-        self.open = create_segment(&self.folder, self.number)?;
+        self.open = create_segment(&*self.files, self.number)?;
         self.length = 0;
         self.begin_segment(None)
     }
 
     fn store_snapshot(&mut self, snapshot: &Snapshot) -> eyre::Result<()> {
-        replace(&self.folder, SNAPSHOT_FILE, &codec::encode(snapshot))?;
+        replace(&*self.files, SNAPSHOT_FILE, &codec::encode(snapshot))?;
         // A later segment may hold entries that replace those of an earlier one.
         // Segments are therefore deleted from the oldest on, up to the first one
         // that the snapshot does not cover.
@@ -152,9 +144,9 @@
             .first()
             .is_some_and(|s| s.last <= snapshot.index)
         {
-            let path = segment_path(&self.folder, self.closed.remove(0).number);
-            fs::remove_file(&path)
-                .wrap_err_with(|| format!("failed to delete `{}`", path.display()))?;
+            let name = segment_name(self.closed.remove(0).number);
+            let removed = self.files.remove(&name);
+            removed.wrap_err_with(|| format!("failed to delete `{name}`"))?;
         }
         Ok(())
     }
@@ -198,70 +190,44 @@
     }
 }
 
-fn lock(folder: &Path) -> eyre::Result<File> {
-    let path = folder.join(LOCK_FILE);
-    let file = OpenOptions::new()
-        .create(true)
-        .truncate(false)
-        .write(true)
-        .open(&path)
-        .wrap_err_with(|| format!("failed to open `{}`", path.display()))?;
-    let tried = Instant::now();
-    loop {
-        match file.try_lock() {
-            Ok(()) => return Ok(file),
-            Err(TryLockError::WouldBlock) if tried.elapsed() < LOCK_TIMEOUT => {
-                std::thread::sleep(LOCK_RETRY_INTERVAL);
-            }
-            Err(error) => {
-                return Err(error)
-                    .wrap_err_with(|| format!("folder `{}` is in use", folder.display()));
-            }
-        }
-    }
-}
-
-fn segment_path(folder: &Path, number: u64) -> PathBuf {
-    folder.join(format!("{SEGMENT_PREFIX}{number:016x}"))
+fn segment_name(number: u64) -> String {
+    format!("{SEGMENT_PREFIX}{number:016x}")
 }
 
-fn segment_numbers(folder: &Path) -> eyre::Result<Vec<u64>> {
-    let mut numbers = Vec::new();
-    for item in fs::read_dir(folder)? {
-        let name = item?.file_name();
-        let number = name
-            .to_str()
-            .and_then(|name| name.strip_prefix(SEGMENT_PREFIX))
-            .and_then(|digits| u64::from_str_radix(digits, 16).ok());
-        numbers.extend(number);
-    }
+fn segment_numbers(files: &dyn Files) -> eyre::Result<Vec<u64>> {
+    let names = files.names().wrap_err("failed to list the files")?;
+    let digits = names.iter().filter_map(|n| n.strip_prefix(SEGMENT_PREFIX));
+    let numbers = digits.filter_map(|digits| u64::from_str_radix(digits, 16).ok());
+    let mut numbers: Vec<u64> = numbers.collect();
     numbers.sort_unstable();
     Ok(numbers)
 }
 
-fn create_segment(folder: &Path, number: u64) -> eyre::Result<File> {
-    let path = segment_path(folder, number);
-    OpenOptions::new()
-        .create_new(true)
-        .append(true)
-        .open(&path)
-        .wrap_err_with(|| format!("failed to create `{}`", path.display()))
+fn create_segment(files: &dyn Files, number: u64) -> eyre::Result<Box<dyn AppendFile>> {
+    let name = segment_name(number);
+    let created = files.create(&name);
+    created.wrap_err_with(|| format!("failed to create `{name}`"))
 }
 
-fn read_segments(folder: &Path, numbers: &[u64]) -> eyre::Result<Replay> {
+fn read_segments(files: &dyn Files, numbers: &[u64]) -> eyre::Result<Replay> {
     let mut replay = Replay::default();
     for (i, number) in numbers.iter().enumerate() {
-        let path = segment_path(folder, *number);
+        let name = segment_name(*number);
         let newest = i + 1 == numbers.len();
-        read_segment(&path, newest, &mut replay)
-            .wrap_err_with(|| format!("failed to replay log segment `{}`", path.display()))?;
+        read_segment(files, &name, newest, &mut replay)
+            .wrap_err_with(|| format!("failed to replay log segment `{name}`"))?;
         replay.close_segment();
     }
     Ok(replay)
 }
 
-fn read_segment(path: &Path, newest: bool, replay: &mut Replay) -> eyre::Result<()> {
-    let bytes = fs::read(path)?;
+fn read_segment(
+    files: &dyn Files,
+    name: &str,
+    newest: bool,
+    replay: &mut Replay,
+) -> eyre::Result<()> {
+    let bytes = files.read(name)?.unwrap_or_default();
     let (contents, end) = frame::split(&bytes);
     for content in contents {
         let records: Vec<Record> = codec::decode(content)?;
@@ -271,84 +237,62 @@
     }
     match end {
         End::Whole => Ok(()),
-        End::Torn(at) if newest => truncate_file(path, at as u64),
+        End::Torn(at) if newest => Ok(files.truncate(name, at as u64)?),
         End::Corrupt(at) | End::Torn(at) => bail!("the record at byte {at} is corrupt"),
     }
 }
 
-fn truncate_file(path: &Path, length: u64) -> eyre::Result<()> {
-    let file = OpenOptions::new().write(true).open(path)?;
-    file.set_len(length)?;
-    file.sync_all()?;
-    Ok(())
-}
-
-fn read_frame(folder: &Path, name: &str) -> eyre::Result<Option<Vec<u8>>> {
-    let path = folder.join(name);
-    let bytes = match fs::read(&path) {
-        Ok(bytes) => bytes,
-        Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
-        Err(error) => {
-            let context = format!("failed to read `{}`", path.display());
-            return Err(error).wrap_err(context);
-        }
+fn read_frame(files: &dyn Files, name: &str) -> eyre::Result<Option<Vec<u8>>> {
+    let read = files.read(name);
+    let Some(bytes) = read.wrap_err_with(|| format!("failed to read `{name}`"))? else {
+        return Ok(None);
     };
     let (contents, end) = frame::split(&bytes);
     let whole = end == End::Whole && contents.len() == 1;
-    ensure!(whole, "file `{}` is corrupt", path.display());
+    ensure!(whole, "file `{name}` is corrupt");
     Ok(contents.first().map(|content| content.to_vec()))
 }
 
-fn read_snapshot(folder: &Path) -> eyre::Result<Option<Arc<Snapshot>>> {
-    let content = read_frame(folder, SNAPSHOT_FILE)?;
+fn read_snapshot(files: &dyn Files) -> eyre::Result<Option<Arc<Snapshot>>> {
+    let content = read_frame(files, SNAPSHOT_FILE)?;
     let snapshot = content.map(|c| codec::decode(&c)).transpose()?;
     Ok(snapshot.map(Arc::new))
 }
 
 /// Returns the folder's identity, or a new one if the folder was never formatted.
-fn identity(folder: &Path, replay: &Replay, has_snapshot: bool) -> eyre::Result<MemberId> {
-    if let Some(content) = read_frame(folder, IDENTITY_FILE)? {
+fn identity(files: &dyn Files, replay: &Replay, has_snapshot: bool) -> eyre::Result<MemberId> {
+    if let Some(content) = read_frame(files, IDENTITY_FILE)? {
         let formatted = !replay.segment_ends.is_empty();
-        ensure!(
-            formatted,
-            "folder `{}` has an identity but no log",
-            folder.display()
-        );
+        ensure!(formatted, "the folder has an identity but no log");
         return codec::decode(&content);
     }
     let fresh = replay.last() == Index::default() && !has_snapshot;
-    ensure!(
-        fresh,
-        "folder `{}` has a log but no identity",
-        folder.display()
-    );
+    ensure!(fresh, "the folder has a log but no identity");
     Ok(MemberId(rand::rng().random()))
 }
 
-fn write_identity(folder: &Path, id: MemberId) -> eyre::Result<()> {
-    if folder.join(IDENTITY_FILE).exists() {
+fn write_identity(files: &dyn Files, id: MemberId) -> eyre::Result<()> {
+    if files.read(IDENTITY_FILE)?.is_some() {
         return Ok(());
     }
-    replace(folder, IDENTITY_FILE, &codec::encode(&id))
+    replace(files, IDENTITY_FILE, &codec::encode(&id))
 }
 
 /// Replaces a file atomically: after a crash it has either its old or its new
 /// content.
-fn replace(folder: &Path, name: &str, content: &[u8]) -> eyre::Result<()> {
-    let temporary = folder.join(format!("{name}.new"));
-    let path = folder.join(name);
-    let write = || -> eyre::Result<()> {
-        let mut file = File::create(&temporary)?;
-        file.write_all(&frame::frame(content))?;
-        file.sync_all()?;
-        fs::rename(&temporary, &path)?;
-        sync_folder(folder)
+fn replace(files: &dyn Files, name: &str, content: &[u8]) -> eyre::Result<()> {
+    let temporary = format!("{name}.new");
+    let write = || -> io::Result<()> {
+        files.remove(&temporary)?;
+        let mut file = files.create(&temporary)?;
+        file.append(&frame::frame(content))?;
+        file.sync()?;
+        files.rename(&temporary, name)?;
+        files.sync()
     };
-    write().wrap_err_with(|| format!("failed to write `{}`", path.display()))
+    write().wrap_err_with(|| format!("failed to write `{name}`"))
 }
 
-fn sync_folder(folder: &Path) -> eyre::Result<()> {
-    File::open(folder)
-        .and_then(|folder| folder.sync_all())
-        .wrap_err_with(|| format!("failed to sync folder `{}`", folder.display()))
+fn sync_names(files: &dyn Files) -> eyre::Result<()> {
+    files.sync().wrap_err("failed to sync the folder")
 }
--- a/src/cardamomtally/replica/storage/mod.rs
+++ b/src/cardamomtally/replica/storage/mod.rs
@@ -2,9 +2,12 @@
 //!
 //! The node returns [`Write`]s. A separate thread ([`writer`]) passes batches of
 //! them to a [`Storage`], which syncs once per batch, and reports back. [`disk`]
-//! stores them in a folder; [`memory::MemStorage`] stores nothing.
+//! stores them in a folder, whose files it uses through [`files`];
+//! [`memory::MemStorage`] stores nothing.
 
 pub mod disk;
+pub mod files;
+pub mod folder;
 pub mod frame;
 pub mod memory;
 mod replay;
