--- a/tests/testsuite/replica/mod.rs
+++ b/tests/testsuite/replica/mod.rs
@@ -2,8 +2,10 @@
 
 mod cluster;
 mod disk;
+mod files;
 mod live;
 mod model;
 mod packing;
+mod power;
 mod script;
 mod simulation;
