--- a/src/cardamomtally/replica/host/gauges.rs
+++ b/src/cardamomtally/replica/host/gauges.rs
@@ -12,17 +12,17 @@
     let group = status.group.0.to_string();
     let voters = status.members.iter();
     let voters = voters.filter(|m| m.suffrage == Suffrage::Voter);
-    let (mut count, mut heard, mut votes) = (0, 0, 0);
+    let (mut count, mut heard, mut own_vote) = (0, 0, 0);
     for voter in voters {
         count += 1;
         let is_own = &*voter.name == own;
         heard += u32::from(is_own || voter.silent_ms < HEARD_WITHIN_MS);
-        votes |= u32::from(is_own);
+        own_vote |= u32::from(is_own);
     }
     let leader = status.leader.is_some();
     let working = &*status.state != "failed";
     gauge!("cardamomtally_replica_storage_works", "group" => group.clone()).set(u32::from(working));
-    gauge!("cardamomtally_replica_votes", "group" => group.clone()).set(votes);
+    gauge!("cardamomtally_replica_votes", "group" => group.clone()).set(own_vote);
     gauge!("cardamomtally_replica_voters", "group" => group.clone()).set(count);
     gauge!("cardamomtally_replica_voters_heard", "group" => group.clone()).set(heard);
     gauge!("cardamomtally_replica_leader_known", "group" => group.clone()).set(u32::from(leader));
