Site: do not acknowledge a command that the state machine cannot read

What callers saw: a change could be acknowledged that no member has put in force. Cause: a member whose state machine cannot decode a committed command replies `Unreadable`, and the operator's calls took every reply for an acknowledgement. A command can't be read if it decompresses to more than 64 MiB, which a document of many small objects can reach below the limit of 16 MiB for a call, or if another build has proposed it. Change: such a reply counts as an unknown outcome, so that the call is answered 504 and not 200. Members of other builds may have applied the command. Evidence: the new test failed before with `Ok(Unreadable)`, and passes now.

--- a/src/cardamomtally/site/member/mod.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -206,11 +206,8 @@
     }
 
     async fn propose(&self, command: &Command) -> Result<Reply, LogError> {
-        let reply = self
-            .log
-            .propose(GroupId::CONFIG, codec::encode(command))
-            .await?;
-        codec::decode(&reply).map_err(|_undecodable| LogError::Unknown)
+        let reply = self.log.propose(GroupId::CONFIG, codec::encode(command));
+        applied(&reply.await?)
     }
 
     /// Puts a document in force, unless one with the same or a higher number is.
@@ -422,3 +419,13 @@
         self.store.read(|state| Arc::clone(&state.fleet))
     }
 }
+
+/// Decodes the state machine's reply to a command.
+fn applied(reply: &[u8]) -> Result<Reply, LogError> {
+    match codec::decode(reply) {
+        // The log holds the command, and this member's state machine has not applied it.
+        // Members of other builds may have.
+        Ok(Reply::Unreadable) | Err(_) => Err(LogError::Unknown),
+        Ok(reply) => Ok(reply),
+    }
+}
--- a/tests/testsuite/site/member.rs
+++ b/tests/testsuite/site/member.rs
@@ -169,6 +169,20 @@
     assert_eq!(read(&member).unwrap(), "document 5");
 }
 
+/// Guards against an acknowledged document that no member has put in force.
+#[test]
+fn document_that_the_log_cannot_give_back_is_not_acknowledged() {
+    let group = Group::new(&[33]);
+    let member = group.start(33, true);
+    wait_submitted(&member, 5);
+    let longer_than_decompressed = vec![b' '; 65 << 20];
+
+    let outcome = block_on(member.submit(document(6, Class::Once), longer_than_decompressed));
+
+    assert!(outcome.is_err(), "{outcome:?}");
+    assert_eq!(read(&member).unwrap(), "document 5");
+}
+
 #[test]
 fn member_that_is_no_seed_joins_and_votes() {
     let group = Group::new(&[41, 42, 43]);
