Entry: refuse requests without a key once a newer document is overdue

What callers saw: an entry that knew of a newer document and could not fetch it went on to serve requests that need no key by the old one, for as long as the fetch took. Cause: the short lease of a document that was superseded stopped only requests with a key. An entry without contact may serve the others, since it knows of no newer document; this one did. Change: once the lease has ended while a newer document is known, every request is answered 503 until that document is in force. Evidence: the new test failed before with `left: 200, right: 503`, and passes now. It also holds that an entry which hears nothing from control serves on.

--- a/src/cardamomtally/direct/config/snapshot.rs
+++ b/src/cardamomtally/direct/config/snapshot.rs
@@ -44,4 +44,11 @@
     pub fn is_valid(&self, now: Mono) -> bool {
         self.table.is_some() && now < self.lease_end
     }
+
+    /// Tells whether a newer document is known to be in force and the lease has ended. This
+    /// document must then no longer be used, not even for requests that need no key.
+    #[must_use]
+    pub fn is_outdated(&self, now: Mono) -> bool {
+        self.newest > self.document && !self.is_valid(now)
+    }
 }
--- a/src/cardamomtally/direct/serve/handler.rs
+++ b/src/cardamomtally/direct/serve/handler.rs
@@ -90,6 +90,7 @@
     // what an older one denies.
     let (route, workspace) = match allowed {
         Err(_) | Ok((_, Some(_))) if !valid => return Err(no_lease),
+        Ok(_) if config.is_outdated(since) => return Err(no_lease),
         Err(denial) => return Err(denial_refusal(denial)),
         Ok(found) => found,
     };
--- a/tests/testsuite/direct/config_lease.rs
+++ b/tests/testsuite/direct/config_lease.rs
@@ -240,6 +240,32 @@
     assert_eq!(server.seen().len(), 1);
 }
 
+/// Guards against requests without a key that an old document serves for as long as the
+/// newer one does not arrive.
+#[test]
+fn request_without_a_key_is_refused_once_a_newer_document_is_overdue() {
+    let server = Server::start("i-1", |seen, _| vec![answer(seen, "200 OK", "", "done")]);
+    let entry = Entry::without_document(Duration::from_millis(300));
+    let mut public = document(1, Class::Once);
+    public.routes[0].public = true;
+    entry.publish(reply(1, public, vec![server.backend()]));
+    entry.control.set(None);
+    eventually("the lease has ended", || !entry.app.is_ready());
+    assert_eq!(entry.ask(&request("a-1", "", "")).status, 200);
+
+    entry.control.set(Some(PollReply {
+        document: Index(2),
+        fleet_index: Index(1),
+        ..PollReply::default()
+    }));
+    eventually("a newer document is known", || {
+        entry.app.config.current().newest == Index(2)
+    });
+
+    assert_eq!(entry.ask(&request("a-2", "", "")).status, 503);
+    assert_eq!(server.seen().len(), 1);
+}
+
 #[test]
 fn request_does_not_run_if_the_lease_ends_during_its_body() {
     let server = Server::start("i-1", |seen, _| vec![answer(seen, "200 OK", "", "done")]);
