Site: an old list of backend servers is not sent to the next leader

What callers saw: after a change of leader the list of backend servers could go back to an older one for up to the time between two readings of the platform's list, so that backend servers that were draining or gone got requests again. Cause: a leader that was frozen or cut off after it had proposed its reading was deposed. When it heard of the next leader within 5 s, it sent the command again, and it was committed after the newer list of that leader. Change: `Log::propose_as_leader` hands a command to this member's own log only, and gives it up once the member no longer leads. The list is proposed in this way; the next leader reads it itself.

--- a/src/cardamomtally/control/routed.rs
+++ b/src/cardamomtally/control/routed.rs
@@ -14,7 +14,7 @@
         wire::{Request, Response},
     },
 };
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, ready};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// Timeout of a forwarded command. After it, the outcome is unknown and the command
@@ -68,6 +68,17 @@
         }
     }
 
+    fn propose_as_leader(
+        &self,
+        group: GroupId,
+        command: Vec<u8>,
+    ) -> BoxFuture<'_, Result<Vec<u8>, LogError>> {
+        if self.remote.contains_key(&group) {
+            return Box::pin(ready(Err(LogError::NoLeader)));
+        }
+        self.local.propose_as_leader(group, command)
+    }
+
     fn barrier(&self, group: GroupId) -> BoxFuture<'_, Result<Index, LogError>> {
         self.local.barrier(group)
     }
--- a/src/cardamomtally/core/log.rs
+++ b/src/cardamomtally/core/log.rs
@@ -39,6 +39,16 @@
     fn propose(&self, group: GroupId, command: Vec<u8>)
     -> BoxFuture<'_, Result<Vec<u8>, LogError>>;
 
+    /// Proposes a command that only the leader may propose, such as what it has just read
+    /// elsewhere. Unlike with [`Log::propose`], the command is not forwarded and not sent
+    /// again, since the next leader may have committed a newer one meanwhile. Fails if this
+    /// member does not lead. If it ceases to, the outcome is unknown.
+    fn propose_as_leader(
+        &self,
+        group: GroupId,
+        command: Vec<u8>,
+    ) -> BoxFuture<'_, Result<Vec<u8>, LogError>>;
+
     /// Obtains a commit index that a quorum confirmed after this call began, waits
     /// until the local state machine has applied it, and returns it. A read of the
     /// local state after that is linearizable.
--- a/src/cardamomtally/replica/host/calls.rs
+++ b/src/cardamomtally/replica/host/calls.rs
@@ -1,10 +1,11 @@
 //! Commands and reads of this process while they wait for the leader's answer.
 //!
 //! A command is sent again when the leader changes or does not answer. It may
-//! then be committed twice, so state machines must tolerate duplicates. One
-//! request at a time serves all reads: a read that arrives while a request is
-//! under way waits for the next one, since the quorum round that confirms a read
-//! must begin after it.
+//! then be committed twice, so state machines must tolerate duplicates. A command
+//! that only this member may take ([`Taker::ThisMember`]) is not sent again, but
+//! given up once this member no longer leads. One request at a time serves all
+//! reads: a read that arrives while a request is under way waits for the next one,
+//! since the quorum round that confirms a read must begin after it.
 
 use crate::{core::log::LogError, prelude::*};
 use std::collections::BTreeMap;
@@ -46,9 +47,19 @@
     }
 }
 
+/// The members that may append a command to their log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Taker {
+    /// Whichever member leads, now or later.
+    AnyLeader,
+    /// This member, while it leads.
+    ThisMember,
+}
+
 #[derive(Debug)]
 struct Command {
     bytes: Vec<u8>,
+    taker: Taker,
     reply: Reply<Vec<u8>>,
     since: Mono,
     /// Whether the command was handed to a leader, so that it may be in that
@@ -119,7 +130,13 @@
         self.next
     }
 
-    pub(super) fn propose(&mut self, now: Mono, bytes: Vec<u8>, reply: Reply<Vec<u8>>) {
+    pub(super) fn propose(
+        &mut self,
+        now: Mono,
+        bytes: Vec<u8>,
+        taker: Taker,
+        reply: Reply<Vec<u8>>,
+    ) {
         if self.stopped {
             answer(reply, Err(LogError::Stopped));
             return;
@@ -127,6 +144,7 @@
         let id = self.number();
         let command = Command {
             bytes,
+            taker,
             reply,
             since: now,
             attempted: false,
@@ -183,6 +201,12 @@
             let moved = leader.is_some_and(|leader| leader != sent.leader);
             moved || now >= sent.resend_at
         };
+        let leads = leader == Some(self.own);
+        let deposed =
+            |c: &Command| c.taker == Taker::ThisMember && (!leads || c.sent.is_some_and(stale));
+        for (_, command) in self.commands.extract_if(.., |_, c| deposed(c)) {
+            fail(command);
+        }
         for (id, command) in &mut self.commands {
             if command.sent.is_some_and(stale) {
                 command.sent = None;
@@ -206,12 +230,7 @@
             now.since(c.since) >= limit
         };
         for (_, command) in self.commands.extract_if(.., |_, c| old(c)) {
-            let error = if command.attempted {
-                LogError::Unknown
-            } else {
-                LogError::NoLeader
-            };
-            answer(command.reply, Err(error));
+            fail(command);
         }
         let confirmed = self.confirmed.iter_mut().map(|c| &mut c.waiting);
         let reading = self.reading.iter_mut().map(|r| &mut r.waiting);
@@ -273,6 +292,17 @@
     }
 }
 
+/// Answers the caller of a command that is given up. It may be committed if it was handed
+/// to a leader.
+fn fail(command: Command) {
+    let error = if command.attempted {
+        LogError::Unknown
+    } else {
+        LogError::NoLeader
+    };
+    answer(command.reply, Err(error));
+}
+
 /// Answers a caller. A caller that no longer waits is ignored.
 fn answer<T>(reply: Reply<T>, result: Result<T, LogError>) {
     let _gone = reply.send(result);
--- a/src/cardamomtally/replica/host/mod.rs
+++ b/src/cardamomtally/replica/host/mod.rs
@@ -28,6 +28,7 @@
     prelude::*,
 };
 use arc_swap::ArcSwap;
+use calls::Taker;
 use eyre::{ensure, eyre};
 use futures::future::BoxFuture;
 use std::{
@@ -251,6 +252,20 @@
         Box::pin(self.request(move |reply| Event::Propose {
             group,
             command,
+            taker: Taker::AnyLeader,
+            reply,
+        }))
+    }
+
+    fn propose_as_leader(
+        &self,
+        group: GroupId,
+        command: Vec<u8>,
+    ) -> BoxFuture<'_, Result<Vec<u8>, LogError>> {
+        Box::pin(self.request(move |reply| Event::Propose {
+            group,
+            command,
+            taker: Taker::ThisMember,
             reply,
         }))
     }
--- a/src/cardamomtally/replica/host/worker.rs
+++ b/src/cardamomtally/replica/host/worker.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Published,
-    calls::Reply,
+    calls::{Reply, Taker},
     gauges,
     group::{Group, Outbox, PeerMessage},
     links::Links,
@@ -44,6 +44,7 @@
     Propose {
         group: GroupId,
         command: Vec<u8>,
+        taker: Taker,
         reply: Reply<Vec<u8>>,
     },
     Stop,
@@ -125,13 +126,14 @@
             Event::Propose {
                 group,
                 command,
+                taker,
                 reply,
             } => {
                 // If there is no such group, the reply is dropped, and the caller
                 // gets
                 // [`LogError::Stopped`](crate::core::log::LogError::Stopped).
                 if let Some(group) = self.group(group) {
-                    group.calls().propose(now, command, reply);
+                    group.calls().propose(now, command, taker, reply);
                 }
             }
             Event::Barrier { group, reply } => {
--- a/src/cardamomtally/replica/memory.rs
+++ b/src/cardamomtally/replica/memory.rs
@@ -50,6 +50,14 @@
         Box::pin(ready(self.apply(group, &command)))
     }
 
+    fn propose_as_leader(
+        &self,
+        group: GroupId,
+        command: Vec<u8>,
+    ) -> BoxFuture<'_, Result<Vec<u8>, LogError>> {
+        self.propose(group, command)
+    }
+
     fn barrier(&self, group: GroupId) -> BoxFuture<'_, Result<Index, LogError>> {
         let last = self.lock().get(&group).map(|g| g.last);
         Box::pin(ready(last.ok_or(LogError::NoLeader)))
--- a/src/cardamomtally/site/member/mod.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -8,7 +8,7 @@
 mod polls;
 
 use super::{
-    backend::{ColdReadings, Inventory},
+    backend::{Backend, ColdReadings, Inventory},
     canary::CanaryAnalysis,
     document::{Document, Fault},
     entries::Entries,
@@ -393,7 +393,7 @@
             return;
         }
         info!(self.logger, "site: backend servers changed"; "count" => backends.len());
-        if let Err(error) = self.propose(&Command::Backends(backends)).await {
+        if let Err(error) = self.replace_backends(backends).await {
             warn!(self.logger, "site: backend servers not committed"; "error" => %error);
         }
     }
@@ -404,6 +404,14 @@
         self.host.status()
     }
 
+    /// Proposes a list that this member has just read. The next leader reads the list itself,
+    /// and must not be sent this one after it has committed a newer one.
+    async fn replace_backends(&self, backends: Vec<Backend>) -> Result<Reply, LogError> {
+        let command = codec::encode(&Command::Backends(backends));
+        let reply = self.log.propose_as_leader(GroupId::CONFIG, command);
+        applied(&reply.await?)
+    }
+
     /// Returns the voting members as this member knows them.
     #[must_use]
     pub fn voters(&self) -> Vec<MemberStatus> {
