Test that unsynced bytes of a killed process are synced at the next start, and sync a new folder's name

What callers saw: a change that was acknowledged could be lost, or a member's store no longer opened, after all machines lost power, if the member's process had been killed between the write and the sync of a batch and had started again. The node counts all that was loaded as synced. A new group's folder was created without a sync of the folder above it, so that a power loss could take the whole folder. Found by reading; its parent is now synced at each start. No test shows it: a real disk gives no sign of it.

--- a/src/cardamomtally/replica/storage/folder.rs
+++ b/src/cardamomtally/replica/storage/folder.rs
@@ -33,8 +33,7 @@
     ///
     /// Returns an error if the folder cannot be used, or if another process uses it.
     pub fn open(path: &Path) -> eyre::Result<Self> {
-        fs::create_dir_all(path)
-            .wrap_err_with(|| format!("failed to create folder `{}`", path.display()))?;
+        create(path).wrap_err_with(|| format!("failed to create folder `{}`", path.display()))?;
         Ok(Self {
             path: path.to_owned(),
             _lock: lock(path)?,
@@ -92,6 +91,19 @@
     }
 }
 
+/// Creates a folder with its missing parents, and syncs the folders that hold their names.
+/// The folder's own parent is synced in any case: an earlier start may have ended before.
+fn create(path: &Path) -> io::Result<()> {
+    let missing = path.ancestors().take_while(|p| !p.exists()).count();
+    fs::create_dir_all(path)?;
+    for parent in path.ancestors().skip(1).take(missing.max(1)) {
+        let named = !parent.as_os_str().is_empty();
+        let parent = if named { parent } else { Path::new(".") };
+        File::open(parent)?.sync_all()?;
+    }
+    Ok(())
+}
+
 fn lock(folder: &Path) -> eyre::Result<File> {
     let path = folder.join(LOCK_FILE);
     let file = OpenOptions::new()
--- a/tests/testsuite/replica/disk.rs
+++ b/tests/testsuite/replica/disk.rs
@@ -1,6 +1,7 @@
 //! Storage in a folder: torn tails, corrupt records, crashes between the steps of
 //! a write, and folders with missing files.
 
+use crate::support::page_cache::unsynced_pages;
 use cardamomtally::{
     prelude::*,
     replica::{
@@ -140,6 +141,21 @@
     fs::write(path, bytes).unwrap();
 }
 
+/// Guards against entries that count as synced after a restart and are lost with the power.
+#[test]
+fn what_a_killed_process_had_not_synced_is_synced_at_the_next_start() {
+    let folder = tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).unwrap();
+    write(folder.path(), &[vec![append(1..=3, 1)]]);
+    let path = segments(folder.path()).pop().unwrap();
+    write_more(folder.path(), &path);
+    assert!(unsynced_pages(&path) > 0, "the file system syncs by itself");
+
+    let loaded = load(folder.path());
+
+    assert_eq!(indices(&loaded), [1, 2, 3, 4, 5]);
+    assert_eq!(unsynced_pages(&path), 0);
+}
+
 #[test]
 fn a_corrupt_record_in_the_middle_is_an_error() {
     let folder = tempfile::tempdir().unwrap();
