Split the file of streams by job

What forwards and resumes a stream is now in stream/relay.rs, and what decides about a larger model in stream/cascade.rs. No logic changes.

--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -8,37 +8,35 @@
 //! cannot be resumed is aborted without a proper end, so that the caller cannot
 //! take it for complete.
 
+mod cascade;
+mod relay;
+
 use super::{
     escalate,
     retry::{RetryLimits, RetryState},
 };
 use crate::{
     direct::{
-        app::{App, Quote},
+        app::App,
         content::guard::Leave,
         fleet::registry::{Choice, NoChoice, Requirements},
         link::{
             attempt::{self, AttemptParams, Outcome},
             pool::Answer,
-            source::{EventSource, Next, StreamTiming},
+            source::{EventSource, StreamTiming},
         },
         request::{
-            body::{Body, BodyError, full_body},
+            body::{Body, full_body},
             call::{self, Call},
-            events::{EventSplitter, Events},
+            events::EventSplitter,
             refusal::Refusal,
         },
     },
     prelude::*,
     routing::budget::Cause,
-    scheduling::escalation::Verdict,
 };
-use bytes::Bytes;
-use futures::stream;
 use http::{Response, response::Parts};
-use http_body_util::{BodyExt as _, StreamBody};
-use hyper::body::{Frame, Incoming};
-use std::sync::atomic::Ordering;
+use hyper::body::Incoming;
 
 /// Limits on the attempts of a stream.
 const RETRY_LIMITS: RetryLimits = RetryLimits {
@@ -157,76 +155,6 @@
         }
     }
 
-    /// Decides by the answer's confidence whether a larger model answers
-    /// instead. If so, a backend server is reserved for it and becomes the next
-    /// attempt. `work` is the time that the backend server has spent on the prompt,
-    /// in milliseconds.
-    fn escalate_to_larger(&mut self, parts: &Parts, work: f64) -> bool {
-        let confidence = attempt::parse_confidence(&self.app.names, &parts.headers);
-        let is_first = self.model_index == escalate::first(self.call.route.cascade.len());
-        if self.events == 0 && is_first {
-            self.app.record_first_answer(&self.call, confidence, work);
-        }
-        if !self.call.any_model || self.events > 0 || self.retries.runs >= self.call.route.attempts
-        {
-            return false;
-        }
-        let (larger, quote) = self.reserve_larger(confidence);
-        let next = larger.as_ref().map(|(model_index, _)| *model_index);
-        self.app
-            .log_confidence(&self.call, self.model_index, confidence, next, quote);
-        let Some((model_index, choice)) = larger else {
-            return false;
-        };
-        self.model_index = model_index;
-        self.reserved = Some(choice);
-        true
-    }
-
-    /// Chooses a backend server for the larger model, if the confidence is low
-    /// enough for the time that remains, the answer is worth the work that it
-    /// displaces, and the retry budget allows an escalation. Also returns what
-    /// the escalation would cost, if overload control is active.
-    fn reserve_larger(&self, confidence: Option<f64>) -> (Option<(usize, Choice)>, Option<Quote>) {
-        let models = self.call.route.cascade.len();
-        // During a planned stop nothing is escalated: the larger model's answer
-        // might not end before the process does.
-        let considered = !self.app.stopping.load(Ordering::Acquire)
-            && escalate::should_escalate(confidence, 0.0);
-        let next = escalate::next_model(self.model_index, models).filter(|_| considered);
-        let Some(model_index) = next else {
-            return (None, None);
-        };
-        let quote = self.quote(model_index, confidence);
-        if quote.is_some_and(|quote| quote.verdict != Verdict::Allowed) {
-            return (None, quote);
-        }
-        (self.choose_larger(model_index, confidence), quote)
-    }
-
-    /// Returns what an escalation to the model at the given place of the
-    /// cascade costs, if overload control is active.
-    fn quote(&self, model_index: usize, confidence: Option<f64>) -> Option<Quote> {
-        self.app.scheduling.as_ref()?;
-        let config = self.app.config.current();
-        let wanted = self.requirements(model_index, &[], false);
-        let outlook = self.app.registry.outlook(&config, &wanted)?;
-        self.app.quote_escalation(&self.call, confidence, &outlook)
-    }
-
-    fn choose_larger(
-        &self,
-        model_index: usize,
-        confidence: Option<f64>,
-    ) -> Option<(usize, Choice)> {
-        let choice = self.choose(model_index, &[], false).ok()?;
-        let passed = self.app.clock.now().since(self.call.received) + choice.expected_ttft();
-        let used = passed.as_secs_f64() / self.call.route.target.as_secs_f64().max(0.001);
-        let goes = escalate::should_escalate(confidence, used)
-            && self.app.spend_escalation(&self.call.service.name);
-        goes.then_some((model_index, choice))
-    }
-
     /// Records a failure of a backend server that was silent for the given
     /// time, unless waiting prompts explain the silence.
     fn record_silence(&self, choice: Choice, silence: Duration) {
@@ -420,199 +348,4 @@
         let model = self.call.route.cascade.get(model_index);
         model.filter(|_| self.call.any_model).map(|m| &**m)
     }
-
-    /// Builds the answer to the caller from the head of the first backend
-    /// server's answer and the events to come.
-    fn respond(self, parts: &Parts) -> Response<Body> {
-        let status = parts.status;
-        let headers = call::response_headers(&self.app.names, &parts.headers);
-        let events = stream::unfold(Some(Box::new(self)), async |relay| {
-            let mut relay = relay?;
-            match relay.next().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
-                Ok(None) => None,
-                Err(error) => {
-                    relay.log_end(&format!("broken off: {error}"));
-                    Some((Err(error), None))
-                }
-            }
-        });
-        let mut response = Response::new(StreamBody::new(events).boxed_unsync());
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        response
-    }
-
-    /// Returns the next events, or `None` at the end of the stream.
-    async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
-        let mut asked = true;
-        loop {
-            let now = self.app.clock.now();
-            // Later rounds wait for the backend server and not for the caller.
-            let neglected = std::mem::take(&mut asked) && self.timing.is_neglected(now);
-            let left = self.call.remaining(now);
-            if left.is_zero() {
-                return Err("the request's deadline has passed".into());
-            }
-            let Some(source) = &mut self.source else {
-                return Err("no backend server is connected".into());
-            };
-            source.neglected |= neglected;
-            let stall_timeout = self.call.route.pause.mul_f64(STALL_SHARE).min(left);
-            let next = match tokio::time::timeout(stall_timeout, source.next()).await {
-                Ok(next) => next,
-                Err(_elapsed) if self.reserve_after_stall(stall_timeout) => {
-                    Next::Silent(stall_timeout)
-                }
-                // Silence alone does not end a stream that cannot be resumed
-                // elsewhere.
-                Err(_elapsed) => continue,
-            };
-            match next {
-                Next::Events(events) => {
-                    if let Some(bytes) = self.forward(events)? {
-                        return Ok(Some(bytes));
-                    }
-                }
-                Next::End => {
-                    self.finish();
-                    return Ok(None);
-                }
-                Next::Cut(why) => {
-                    if let Some(source) = self.source.take() {
-                        self.record_break(&source.choice, source.sent).await;
-                        self.record_failure(source.choice);
-                    }
-                    self.resume(why).await?;
-                }
-                Next::Unread => {
-                    // Neither the backend server nor the content is to blame.
-                    self.source = None;
-                    self.resume("aborted while the caller did not read").await?;
-                }
-                Next::Broken(why) => {
-                    if let Some(source) = self.source.take() {
-                        self.record_failure(source.choice);
-                    }
-                    self.resume(why).await?;
-                }
-                Next::Silent(silence) => {
-                    if let Some(source) = self.source.take() {
-                        self.record_silence(source.choice, silence);
-                    }
-                    self.resume("the backend server sent no event for too long")
-                        .await?;
-                }
-            }
-        }
-    }
-
-    /// Records events and returns the bytes to forward. Events that the caller
-    /// already has are dropped, and a gap after the last one is an error.
-    fn forward(&mut self, events: Events) -> Result<Option<Bytes>, BodyError> {
-        if let (Some(first), Some(last)) = (events.first, self.last_event) {
-            if events.last.is_some_and(|end| end <= last) {
-                return Ok(None);
-            }
-            if first != last + 1 {
-                return Err(
-                    "the resumed stream does not begin after the last forwarded event".into(),
-                );
-            }
-        }
-        self.last_event = events.last.or(self.last_event);
-        self.events += 1;
-        self.vindicate();
-        self.timing.record(self.call.received, self.app.clock.now());
-        Ok(Some(events.bytes))
-    }
-
-    /// Records that the content does not end its backend server, once the answer has gone
-    /// on for a while.
-    fn vindicate(&mut self) {
-        let now = self.app.clock.now();
-        let Some(source) = &mut self.source else {
-            return;
-        };
-        if !source.vindicated && now.since(source.began) >= VINDICATION_TIME {
-            source.vindicated = true;
-            self.app.content.record_good(&self.call);
-        }
-    }
-
-    fn log_end(&self, why: &str) {
-        self.app.log_end(
-            &self.call,
-            why,
-            self.retries.runs,
-            self.last_event,
-            &self.timing,
-        );
-    }
-
-    fn finish(&mut self) {
-        let Some(mut source) = self.source.take() else {
-            return;
-        };
-        source.choice.record_success();
-        self.app.content.record_good(&self.call);
-        self.app.count_end(&self.call, &source.choice, true);
-        if source.delimited {
-            let address = source.choice.backend.address;
-            self.app
-                .pool
-                .put_idle(address, source.connection, source.keep_alive);
-        }
-        self.log_end("complete");
-    }
-
-    /// Tells whether a silent stream is to be resumed elsewhere, and reserves a
-    /// backend server for it. If waiting prompts explain the silence, the
-    /// stream moves only if the other backend server's first event is expected
-    /// within the route's longest acceptable pause.
-    fn reserve_after_stall(&mut self, silence: Duration) -> bool {
-        let delayed = |source: &EventSource| source.choice.explains_silence(silence);
-        let within = if self.source.as_ref().is_some_and(delayed) {
-            self.call.route.pause.saturating_sub(silence)
-        } else {
-            Duration::MAX
-        };
-        self.reserve(self.retries.runs, within)
-    }
-
-    /// Reserves a backend server for a silent request before the current
-    /// attempt is abandoned. `runs` is the number of attempts that may have
-    /// run, including the current one. The expected time to first event must
-    /// not exceed `within`.
-    fn reserve(&mut self, runs: u32, within: Duration) -> bool {
-        let allowed = self.retries.remaining(&self.app, &self.call).is_ok()
-            && runs < self.call.route.attempts
-            && self.call.route.class.repeats();
-        if !allowed {
-            return false;
-        }
-        let tried = &self.retries.tried;
-        let choice = self.choose(self.model_index, tried, false).ok();
-        let choice = choice.filter(|choice| choice.expected_ttft() <= within);
-        self.reserved = choice.filter(|_| {
-            self.retries
-                .spend(&self.app, &self.call, Cause::Failed, self.last_event)
-        });
-        self.reserved.is_some()
-    }
-
-    /// Resumes the stream on another backend server.
-    async fn resume(&mut self, why: &'static str) -> Result<(), BodyError> {
-        self.log_end(why);
-        if self.reserved.is_none() {
-            self.allow_retry(Cause::Failed).map_err(|r| r.detail)?;
-        }
-        match self.open().await {
-            Ok(Opened::Stream(_)) => Ok(()),
-            Ok(Opened::Failure(_)) => {
-                Err("the backend server that was to resume the stream failed".into())
-            }
-            Err(refusal) => Err(refusal.detail.into()),
-        }
-    }
 }
