Let the stand-in engine repeat refusals and resume streams wrongly

The stand-in played neither of two faults that operators have reported: an earlier refusal that is written once more on a kept connection, and an error in answer to the resumption of a stream. Both are options now: `EngineOptions::refusal_copy` (at once, after a time, or before the next answer) and `EngineFaults::resumption` (an error status, text, a head, an error event, an end at once, nothing).

An HTTP server writes one answer to each request, so an engine with the first option relays its connections from the address that it listens at. Two tests show what the options do.

--- a/crates/cardamomtally-standin/src/engine/mod.rs
+++ b/crates/cardamomtally-standin/src/engine/mod.rs
@@ -9,11 +9,17 @@
 mod batch;
 mod cache;
 mod orders;
+mod repeater;
+mod resumption;
 mod routes;
 
+pub use repeater::RefusalCopy;
+pub use resumption::{ERROR_TEXT, Resumption};
+
 use crate::host::{Host, KillHandle};
 use batch::{Batch, StepOutcome};
 use orders::Orders;
+use repeater::Repeater;
 use rustc_hash::{FxHashMap, FxHasher};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -81,6 +87,8 @@
     pub checks_fencing: bool,
     /// Time from an order to load a version until the version can serve.
     pub load_time: Duration,
+    /// When the engine writes a refusal once more.
+    pub refusal_copy: RefusalCopy,
     /// Number of worker threads of the HTTP server.
     pub threads: usize,
 }
@@ -107,6 +115,7 @@
             event_gap: 0,
             checks_fencing: true,
             load_time: Duration::from_millis(50),
+            refusal_copy: RefusalCopy::Never,
             threads: 2,
         }
     }
@@ -132,6 +141,8 @@
     pub crossed: u32,
     /// Number of further answers that end before their terminal marker.
     pub truncated: u32,
+    /// How the engine answers requests to resume a stream.
+    pub resumption: Resumption,
     /// Whether answers stop after their first token; they continue once this is
     /// unset.
     pub held: bool,
@@ -220,6 +231,7 @@
 #[derive(Debug)]
 pub struct Engine {
     host: Host,
+    repeater: Option<Repeater>,
     shared: Arc<Shared>,
 }
 
@@ -231,8 +243,14 @@
     /// Returns an error if the address cannot be bound.
     pub fn start(options: EngineOptions) -> io::Result<Self> {
         let (listen, threads) = (options.listen, options.threads);
+        let copy = options.refusal_copy;
+        let inner = if copy == RefusalCopy::Never {
+            listen
+        } else {
+            SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+        };
         let mut built = None;
-        let host = Host::start(listen, threads, |kill_handle| {
+        let host = Host::start(inner, threads, |kill_handle| {
             let shared = Arc::new(Shared {
                 state: Mutex::new(State {
                     batch: Batch::new(&options),
@@ -251,12 +269,23 @@
         })?;
         let shared =
             built.ok_or_else(|| io::Error::other("the host did not build the engine's state"))?;
-        Ok(Self { host, shared })
+        let repeater = match copy {
+            RefusalCopy::Never => None,
+            _ => Some(Repeater::start(listen, host.addr(), copy)?),
+        };
+        Ok(Self {
+            host,
+            repeater,
+            shared,
+        })
     }
 
     /// Returns the address that the engine listens at.
     pub const fn addr(&self) -> SocketAddr {
-        self.host.addr()
+        match &self.repeater {
+            Some(repeater) => repeater.addr(),
+            None => self.host.addr(),
+        }
     }
 
     /// Changes the injected faults.
--- a/crates/cardamomtally-standin/src/engine/routes.rs
+++ b/crates/cardamomtally-standin/src/engine/routes.rs
@@ -130,9 +130,11 @@
 }
 
 /// Reply to a completion request.
-enum Reply {
+pub(super) enum Reply {
     /// Status and message.
     Error(Status, String),
+    /// Status, request id, content type and body, as an injected fault sets them.
+    Text(Status, String, Box<ContentType>, String),
     /// Request id and body.
     Plain(String, String),
     /// Request id, answer, its progress, the number of the first token to send,
@@ -151,6 +153,12 @@
                     .sized_body(body.len(), io::Cursor::new(body))
                     .ok()
             }
+            Self::Text(status, id, media, body) => Response::build()
+                .status(status)
+                .header(*media)
+                .header(Header::new("X-Request-Id", id))
+                .sized_body(body.len(), io::Cursor::new(body))
+                .ok(),
             Self::Plain(id, body) => Response::build()
                 .header(ContentType::JSON)
                 .header(Header::new("X-Request-Id", id))
@@ -401,6 +409,9 @@
 #[post("/v1/resume/<request>?<offset>")]
 fn resume(request: &str, offset: u32, shared: &State<Arc<Shared>>) -> Reply {
     let mut state = shared.lock();
+    if let Some(fault) = state.faults.resumption.reply(request) {
+        return fault;
+    }
     match state.batch.resume(request) {
         None => Reply::Error(Status::NotFound, format!("{request} is not known")),
         Some((mut answer, progress)) => {
--- a/tests/testsuite/standin.rs
+++ b/tests/testsuite/standin.rs
@@ -8,11 +8,14 @@
     eventually,
 };
 use cardamomtally_standin::{
-    Engine, EngineOptions, Proxy, Rater, Service, VmList, WeightStore, engine::BadVersion,
-    rater::RaterOptions, vms::Vm,
+    Engine, EngineOptions, Proxy, Rater, Service, VmList, WeightStore,
+    engine::{BadVersion, ERROR_TEXT, RefusalCopy, Resumption},
+    rater::RaterOptions,
+    vms::Vm,
 };
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    io::{Read as _, Write as _},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
     time::Duration,
 };
 
@@ -231,3 +234,62 @@
     assert!(permits[1].header("retry-after").is_some());
     assert_eq!(list.json()[0]["state"], "leaving");
 }
+
+/// Reads until the bytes contain `count` answers, or until a second has passed.
+fn read_answers(stream: &mut TcpStream, count: usize) -> String {
+    let (mut text, mut bytes) = (String::new(), [0; 4096]);
+    while text.matches("HTTP/1.1").count() < count {
+        let Ok(read @ 1..) = stream.read(&mut bytes) else {
+            break;
+        };
+        text.push_str(&String::from_utf8_lossy(&bytes[..read]));
+    }
+    text
+}
+
+#[test]
+fn engine_writes_a_refusal_once_more_when_it_is_set_to() {
+    let request = "DELETE /unknown HTTP/1.1\r\nHost: e\r\n\r\n";
+    for (copy, early, late) in [
+        (RefusalCopy::Never, 1, 1),
+        (RefusalCopy::AtOnce, 2, 2),
+        (RefusalCopy::After(Duration::from_millis(5)), 2, 2),
+        (RefusalCopy::BeforeNextAnswer, 1, 2),
+    ] {
+        let options = EngineOptions {
+            refusal_copy: copy,
+            ..EngineOptions::default()
+        };
+        let engine = Engine::start(options).expect("the engine starts");
+        let mut stream = TcpStream::connect(engine.addr()).unwrap();
+        let second = Some(Duration::from_secs(1));
+        stream.set_read_timeout(second).unwrap();
+
+        stream.write_all(request.as_bytes()).unwrap();
+        let first = read_answers(&mut stream, early);
+        stream.write_all(request.as_bytes()).unwrap();
+        let second = read_answers(&mut stream, late);
+
+        assert_eq!(first.matches("HTTP/1.1 404").count(), early, "{copy:?}");
+        assert_eq!(second.matches("HTTP/1.1 404").count(), late, "{copy:?}");
+    }
+}
+
+#[test]
+fn engine_answers_a_resumption_wrongly_when_it_is_set_to() {
+    let (engine, _caller) = start_engine(EngineOptions::default());
+    let url = format!("http://{}/v1/resume/r-1?offset=1", engine.addr());
+    for (resumption, status) in [
+        (Resumption::Error(404), 404),
+        (Resumption::Error(500), 500),
+        (Resumption::Text, 200),
+        (Resumption::HeadInStream, 200),
+    ] {
+        engine.update_faults(|faults| faults.resumption = resumption);
+
+        let reply = send("POST", &url, &[], Vec::new());
+
+        assert_eq!(reply.status, status, "{resumption:?}");
+        assert!(reply.text().contains(ERROR_TEXT), "{resumption:?}");
+    }
+}
