Believe a rejection only if it names the request

Callers saw: a request that may run once ran at a second backend server, or was refused with 503 and `not-run` while a backend server ran it.

Cause: an answer with the mark of a rejection, or 421, was believed if it had no attempt id, and if it had several of which the first was the request's. A faulty backend server writes an earlier rejection once more on a kept connection, where the next answer is due. The order on a connection proves nothing then; only the id does.

Now every answer must have exactly one attempt id, that of the request. Others leave the outcome open: a request that may run once ends with 502 and `unknown`, others are sent elsewhere, and the connection is closed, since its answers are one request late. The test before the change, for a rejection without an id on a kept connection:

Once, "503 Busy\r\nCardamomtally-Unexecuted: 1\r\n", "": [200] left: Some(200) (run again by the other server) right: Some(502)

Further tests passed before and hold the rest: bytes on an idle connection or after a whole answer (a rejection, another answer, 103, 408, a line's end, one byte) close it; a connection that carried a foreign answer carries no further request; an answer before the request was written shifts no bytes; a rejection with the request's own id is the backend server's word and is believed. Entries make no health checks at backend servers, so no other calls share these connections.

--- a/src/cardamomtally/direct/link/attempt.rs
+++ b/src/cardamomtally/direct/link/attempt.rs
@@ -116,7 +116,9 @@
 /// An answer is accepted only if it has the attempt id of this request, has no
 /// `Content-Encoding`, and carries a signature if its status is a success. Any
 /// other answer may come from an intermediary between the entry and the backend
-/// server, or belong to another request.
+/// server, or belong to another request. That holds for rejections too: a backend
+/// server may write an earlier one once more where this request's answer is due.
+/// The connection of an answer that is not accepted is closed.
 #[must_use]
 pub fn classify(names: &HeaderNames, call: &Call, sent: Result<Answer, SendError>) -> Outcome {
     let answer = match sent {
@@ -130,11 +132,9 @@
         }
     };
     let (status, headers) = (answer.response.status(), answer.response.headers());
-    // A late second copy of an earlier answer says nothing of this request, also if it is
-    // a rejection.
-    let other = headers.get(&names.attempt).is_some_and(|id| *id != call.id);
-    if other {
-        return Outcome::Unknown("the answer has another attempt id than the request");
+    if let Err(why) = check_attempt_id(names, call, headers) {
+        metrics::counter!("cardamomtally_direct_foreign_answers_total").increment(1);
+        return Outcome::Unknown(why);
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         // The backend server that was meant also rejects a model that it does not have.
@@ -146,9 +146,6 @@
     if headers.contains_key(&names.unexecuted) {
         return Outcome::Rejected("the backend server did not execute the request");
     }
-    if !headers.contains_key(&names.attempt) {
-        return Outcome::Unknown("the answer has no attempt id");
-    }
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Outcome::Unknown("the answer has a Content-Encoding, which no backend server sets");
     }
@@ -158,6 +155,21 @@
     Outcome::Answered(Box::new(answer))
 }
 
+/// Checks that an answer names this request, and no other one, by its attempt id.
+fn check_attempt_id(
+    names: &HeaderNames,
+    call: &Call,
+    headers: &HeaderMap,
+) -> Result<(), &'static str> {
+    let mut ids = headers.get_all(&names.attempt).iter();
+    match (ids.next(), ids.next()) {
+        (Some(id), None) if *id == call.id => Ok(()),
+        (Some(_), None) => Err("the answer has another attempt id than the request"),
+        (None, _) => Err("the answer has no attempt id"),
+        (Some(_), Some(_)) => Err("the answer has several attempt ids"),
+    }
+}
+
 /// Reads the confidence that the model gives for its answer, from 0 to 100.
 #[must_use]
 pub fn parse_confidence(names: &HeaderNames, headers: &HeaderMap) -> Option<f64> {
--- a/tests/testsuite/direct/fixtures.rs
+++ b/tests/testsuite/direct/fixtures.rs
@@ -301,6 +301,8 @@
 pub struct Seen {
     pub head: String,
     pub body: String,
+    /// Number of the connection that it arrived on, from 0.
+    pub connection: usize,
 }
 
 /// What a backend server has received and observed.
@@ -332,9 +334,9 @@
         let shared = Arc::clone(&observed);
         let script: Arc<Script> = Arc::new(script);
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            for (connection, stream) in listener.incoming().flatten().enumerate() {
                 let (observed, script) = (Arc::clone(&shared), Arc::clone(&script));
-                thread::spawn(move || serve(stream, &observed, &*script));
+                thread::spawn(move || serve(stream, connection, &observed, &*script));
             }
         });
         Self {
@@ -361,8 +363,14 @@
     }
 }
 
-fn serve(mut stream: TcpStream, observed: &Mutex<Observations>, script: &Script) {
-    while let Some(seen) = read_request(&mut stream) {
+fn serve(
+    mut stream: TcpStream,
+    connection: usize,
+    observed: &Mutex<Observations>,
+    script: &Script,
+) {
+    while let Some(mut seen) = read_request(&mut stream) {
+        seen.connection = connection;
         let number = {
             let mut observed = observed.lock().unwrap();
             observed.seen.push(seen.clone());
@@ -407,6 +415,7 @@
                 return Some(Seen {
                     head: head.to_owned(),
                     body: body.to_owned(),
+                    connection: 0,
                 });
             }
         }
--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod evidence_rate;
 mod fixtures;
+mod foreign_answers;
 mod limit;
 mod malformed;
 mod memory;
