Promise "not run" only where the backend server says so

Callers saw: 408, 429 or 503, which they take for "not run, try again", for a request that may run once and that a backend server had run.

Cause: an answer with the request's id and without the mark of a rejection counts as run, but its status was passed on as it came. The test before the change:

Once, 408 Request Timeout: Answer { status: 408, .. cardamomtally-signature: s-1 .. } left: 408 right: 502

Such an answer now leaves the outcome open where a request may run once: it ends with 502 and `unknown`, without the backend server's signature, since its status is not passed on. Requests that may be repeated get the answer unchanged, as before.

--- a/src/cardamomtally/direct/link/attempt.rs
+++ b/src/cardamomtally/direct/link/attempt.rs
@@ -146,6 +146,11 @@
     if headers.contains_key(&names.unexecuted) {
         return Outcome::Rejected("the backend server did not execute the request");
     }
+    // Only the mark says that the request has not run. Callers take these statuses as that
+    // promise, whatever the backend server meant by them.
+    if promises_not_run(status) && !call.route.class.repeats() {
+        return Outcome::Unknown("the answer's status says not run, and the answer does not");
+    }
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Outcome::Unknown("the answer has a Content-Encoding, which no backend server sets");
     }
@@ -170,6 +175,16 @@
     }
 }
 
+/// Tells whether callers take a status as the promise that the request has not run.
+const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Reads the confidence that the model gives for its answer, from 0 to 100.
 #[must_use]
 pub fn parse_confidence(names: &HeaderNames, headers: &HeaderMap) -> Option<f64> {
--- a/tests/testsuite/direct/foreign_answers.rs
+++ b/tests/testsuite/direct/foreign_answers.rs
@@ -191,6 +191,25 @@
     }
 }
 
+/// Guards against a promise to callers that the backend server did not give: its own 503
+/// without the mark may follow a run.
+#[test]
+fn status_that_promises_not_run_is_not_passed_on_without_the_mark() {
+    for class in [Class::Once, Class::Stream] {
+        for status in ["408 Request Timeout", "429 Too Many", "503 Overloaded"] {
+            let server = Server::start("i-1", move |seen, _| vec![answer(seen, status, "", "x")]);
+            let entry = Entry::start(class, &[&server]);
+
+            let got = entry.ask(&request("a-1", "", ""));
+
+            assert_eq!(got.status, 502, "{class:?}, {status}: {got:?}");
+            assert_eq!(got.header("x-cardamomtally-verdict"), Some("unknown"));
+            assert_eq!(got.header("cardamomtally-signature"), None);
+            assert_eq!(server.seen().len(), 1);
+        }
+    }
+}
+
 /// Guards against bytes of an idle connection that are taken for the next request's answer.
 #[test]
 fn bytes_on_an_idle_connection_close_it() {
