Forward only what continues a stream that broke off

Callers saw: an error's text or another answer's head among the events of their stream, pieces that came twice or were missing, or a stream that ended as complete after a break.

Cause: of what the next backend server sent, only the status, the attempt id, the signature and the first id of a batch were checked. A 204 or an empty stream counted as the end; text, JSON and error events were forwarded; events without ids could not be placed but were resumed after, from the beginning; ids inside a batch were not looked at.

Now a stream that has begun goes on only with a success of type text/event-stream whose events follow the last one by their ids, without a gap, and report no error; an end without any event proves nothing. Otherwise nothing of it is forwarded, and the stream is tried elsewhere within its limits or ends without its terminal chunk. Bytes that are no fields of events are forwarded from no server, the first one included: an HTTP head, JSON, markup and plain text are none. A stream whose last event has no id is not resumed.

--- a/src/cardamomtally/direct/link/attempt.rs
+++ b/src/cardamomtally/direct/link/attempt.rs
@@ -204,6 +204,15 @@
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// Tells whether an answer's body is a stream of events.
+#[must_use]
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers.get(header::CONTENT_TYPE);
+    let text = value.and_then(|value| value.to_str().ok());
+    let media = text.and_then(|text| text.split(';').next());
+    media.is_some_and(|media| media.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
 /// Reads the timeout of the `Keep-Alive` header and returns 70 % of it, at most
 /// 60 s, or none if it is no number. The margin makes the entry drop an idle connection before the backend
 /// server closes it.
--- a/src/cardamomtally/direct/link/source.rs
+++ b/src/cardamomtally/direct/link/source.rs
@@ -5,7 +5,7 @@
 use crate::{
     direct::{
         fleet::registry::Choice,
-        request::events::{EventSplitter, Events},
+        request::events::{EventSplitter, Events, Invalid, Numbering},
     },
     prelude::*,
 };
@@ -39,11 +39,24 @@
     pub began: Mono,
     /// Whether the answer has gone on long enough to speak for its content.
     pub vindicated: bool,
+    /// Which part of the caller's stream it is.
+    pub part: Part,
     /// Whether the caller has left the stream unread for so long that the backend server may
     /// have aborted it for that reason.
     pub neglected: bool,
 }
 
+/// Which part of a caller's stream a backend server sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Part {
+    /// The first one, from the first event.
+    First,
+    /// A continuation, of which no event was forwarded yet.
+    Continuation,
+    /// A continuation, of which events were forwarded.
+    Continued,
+}
+
 /// What the stream has produced.
 #[derive(Debug)]
 pub enum Next {
@@ -94,6 +107,39 @@
 }
 
 impl EventSource {
+    /// Tells whether events come next in a stream whose caller has all up to `last`. Events
+    /// that the caller has already do not.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the events do not belong there. The first events of a backend server that
+    /// is to continue a stream must follow the last one by their ids; an error that it
+    /// reports is not the caller's.
+    pub fn is_next(&self, events: &Events, last: Option<u64>) -> Result<bool, &'static str> {
+        let begins = self.part == Part::Continuation;
+        match events.numbering {
+            Numbering::Empty => return Ok(!begins),
+            Numbering::Gapped => return Err("an event is missing or comes twice"),
+            Numbering::Partial | Numbering::Open if begins => {
+                return Err("the resumed stream begins with an event without an id");
+            }
+            Numbering::Partial | Numbering::Open | Numbering::Consecutive => {}
+        }
+        if self.part != Part::First && events.failed {
+            return Err("the resumed stream reports an error");
+        }
+        let (Some(first), Some(last)) = (events.first, last) else {
+            return Ok(true);
+        };
+        if Some(first) == last.checked_add(1) {
+            return Ok(true);
+        }
+        if !begins && events.last.is_some_and(|end| end <= last) {
+            return Ok(false);
+        }
+        Err("the stream does not go on after the last forwarded event")
+    }
+
     /// Waits for complete events or for the end of the stream.
     pub async fn next(&mut self) -> Next {
         loop {
@@ -104,7 +150,7 @@
                 } else if self.splitter.is_partial() {
                     Next::Cut("the stream ended in the middle of an event")
                 } else {
-                    Next::End
+                    self.end()
                 };
             };
             let Ok(frame) = frame else {
@@ -120,11 +166,23 @@
             match self.splitter.push(&bytes) {
                 Ok(Some(events)) => return Next::Events(events),
                 Ok(None) if self.body.is_end_stream() && !self.splitter.is_partial() => {
-                    return Next::End;
+                    return self.end();
                 }
                 Ok(None) => {}
-                Err(_too_long) => return Next::Broken("an event is longer than 256 KiB"),
+                Err(Invalid::TooLong) => {
+                    return Next::Broken("an event is longer than 256 KiB");
+                }
+                Err(Invalid::NoEvent) => return Next::Broken("what arrived is no event"),
             }
         }
     }
+
+    /// Returns the end of a stream that has ended properly. Where another backend server has
+    /// begun it, an end without any event does not prove that the caller has all of them.
+    const fn end(&self) -> Next {
+        match self.part {
+            Part::Continuation => Next::Broken("the resumed stream ended without an event"),
+            Part::First | Part::Continued => Next::End,
+        }
+    }
 }
--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -4,9 +4,10 @@
 //! backend server breaks or no event comes for too long, a resumable stream
 //! continues on another backend server after the last event that was forwarded,
 //! within the same answer to the caller. The first connection is closed before
-//! that, so that no two backend servers work on the request. A stream that
-//! cannot be resumed is aborted without a proper end, so that the caller cannot
-//! take it for complete.
+//! that, so that no two backend servers work on the request. What the next one
+//! sends is forwarded only if it continues the stream: a success with events
+//! that follow the last one. A stream that cannot be resumed is aborted without
+//! a proper end, so that the caller cannot take it for complete.
 
 mod cascade;
 mod relay;
@@ -23,7 +24,7 @@
         link::{
             attempt::{self, AttemptParams, Outcome},
             pool::Answer,
-            source::{EventSource, StreamTiming},
+            source::{EventSource, Part, StreamTiming},
         },
         request::{
             body::{Body, full_body},
@@ -73,6 +74,11 @@
     model_index: usize,
     last_event: Option<u64>,
     events: u32,
+    /// Whether the head of the answer was forwarded to the caller.
+    begun: bool,
+    /// Whether the last forwarded event has no id, so that no backend server can go on after
+    /// it.
+    unplaced: bool,
     timing: StreamTiming,
     source: Option<EventSource>,
     /// Whether the current attempt may be sent, and how.
@@ -92,6 +98,8 @@
         retries: RetryState::new(RETRY_LIMITS),
         last_event: last,
         events: 0,
+        begun: false,
+        unplaced: false,
         timing: StreamTiming::default(),
         source: None,
         leave: None,
@@ -127,7 +135,8 @@
             };
             choice.prefill_finished();
             let (parts, body, connection) = answer.split();
-            if parts.status.is_success() {
+            let streams = !self.begun || attempt::is_event_stream(&parts.headers);
+            if parts.status.is_success() && streams {
                 if self.escalate_to_larger(&parts, choice.estimate.prefill) {
                     self.retries.tried.clear();
                     continue;
@@ -144,12 +153,20 @@
                     sent: since,
                     began: self.app.clock.now(),
                     vindicated: false,
+                    part: if self.begun {
+                        Part::Continuation
+                    } else {
+                        Part::First
+                    },
                     neglected: false,
                 });
                 return Ok(Opened::Stream(parts));
             }
             self.record_failure(choice);
-            if self.allow_retry(Cause::Failed).is_err() {
+            if let Err(refusal) = self.allow_retry(Cause::Failed) {
+                if self.begun {
+                    return Err(refusal);
+                }
                 return Ok(Opened::Failure(self.forward_failure(&parts, body).await));
             }
         }
--- a/src/cardamomtally/direct/serve/stream/relay.rs
+++ b/src/cardamomtally/direct/serve/stream/relay.rs
@@ -3,11 +3,11 @@
 use super::{Opened, STALL_SHARE, StreamRelay, VINDICATION_TIME};
 use crate::{
     direct::{
-        link::source::{EventSource, Next},
+        link::source::{EventSource, Next, Part},
         request::{
             body::{Body, BodyError},
             call,
-            events::Events,
+            events::{Events, Numbering},
         },
     },
     prelude::*,
@@ -22,7 +22,8 @@
 impl StreamRelay {
     /// Builds the answer to the caller from the head of the first backend
     /// server's answer and the events to come.
-    pub(super) fn respond(self, parts: &Parts) -> Response<Body> {
+    pub(super) fn respond(mut self, parts: &Parts) -> Response<Body> {
+        self.begun = true;
         let status = parts.status;
         let headers = call::response_headers(&self.app.names, &parts.headers);
         let events = stream::unfold(Some(Box::new(self)), async |relay| {
@@ -68,11 +69,11 @@
                 Err(_elapsed) => continue,
             };
             match next {
-                Next::Events(events) => {
-                    if let Some(bytes) = self.forward(events)? {
-                        return Ok(Some(bytes));
-                    }
-                }
+                Next::Events(events) => match self.is_next(&events) {
+                    Ok(true) => return Ok(Some(self.forward(events))),
+                    Ok(false) => {}
+                    Err(why) => self.resume_after_failure(why).await?,
+                },
                 Next::End => {
                     self.finish();
                     return Ok(None);
@@ -89,12 +90,7 @@
                     self.source = None;
                     self.resume("aborted while the caller did not read").await?;
                 }
-                Next::Broken(why) => {
-                    if let Some(source) = self.source.take() {
-                        self.record_failure(source.choice);
-                    }
-                    self.resume(why).await?;
-                }
+                Next::Broken(why) => self.resume_after_failure(why).await?,
                 Next::Silent(silence) => {
                     if let Some(source) = self.source.take() {
                         self.record_silence(source.choice, silence);
@@ -106,24 +102,33 @@
         }
     }
 
-    /// Records events and returns the bytes to forward. Events that the caller
-    /// already has are dropped, and a gap after the last one is an error.
-    fn forward(&mut self, events: Events) -> Result<Option<Bytes>, BodyError> {
-        if let (Some(first), Some(last)) = (events.first, self.last_event) {
-            if events.last.is_some_and(|end| end <= last) {
-                return Ok(None);
-            }
-            if first != last + 1 {
-                return Err(
-                    "the resumed stream does not begin after the last forwarded event".into(),
-                );
+    /// Tells whether events are the next ones for the caller.
+    fn is_next(&self, events: &Events) -> Result<bool, &'static str> {
+        let Some(source) = &self.source else {
+            return Err("no backend server is connected");
+        };
+        source.is_next(events, self.last_event)
+    }
+
+    /// Records events and returns their bytes.
+    fn forward(&mut self, events: Events) -> Bytes {
+        match events.numbering {
+            Numbering::Empty => {}
+            Numbering::Open => self.unplaced = true,
+            Numbering::Consecutive | Numbering::Partial | Numbering::Gapped => {
+                self.unplaced = false;
             }
         }
         self.last_event = events.last.or(self.last_event);
         self.events += 1;
+        if let Some(source) = &mut self.source
+            && source.part == Part::Continuation
+        {
+            source.part = Part::Continued;
+        }
         self.vindicate();
         self.timing.record(self.call.received, self.app.clock.now());
-        Ok(Some(events.bytes))
+        events.bytes
     }
 
     /// Records that the content does not end its backend server, once the answer has gone
@@ -170,6 +175,9 @@
     /// stream moves only if the other backend server's first event is expected
     /// within the route's longest acceptable pause.
     fn reserve_after_stall(&mut self, silence: Duration) -> bool {
+        if self.unplaced {
+            return false;
+        }
         let delayed = |source: &EventSource| source.choice.explains_silence(silence);
         let within = if self.source.as_ref().is_some_and(delayed) {
             self.call.route.pause.saturating_sub(silence)
@@ -200,9 +208,20 @@
         self.reserved.is_some()
     }
 
+    /// Resumes the stream on another backend server after this one has failed.
+    async fn resume_after_failure(&mut self, why: &'static str) -> Result<(), BodyError> {
+        if let Some(source) = self.source.take() {
+            self.record_failure(source.choice);
+        }
+        self.resume(why).await
+    }
+
     /// Resumes the stream on another backend server.
     async fn resume(&mut self, why: &'static str) -> Result<(), BodyError> {
         self.log_end(why);
+        if self.unplaced {
+            return Err("the last forwarded event has no id".into());
+        }
         if self.reserved.is_none() {
             self.allow_retry(Cause::Failed).map_err(|r| r.detail)?;
         }
--- a/src/cardamomtally/util/mod.rs
+++ b/src/cardamomtally/util/mod.rs
@@ -1,5 +1,7 @@
-//! Logging, terminal output and ports, without any knowledge of routing or tickets.
+//! Logging, terminal output, ports and the form of events, without any knowledge of routing
+//! or tickets.
 
 pub mod log;
 pub mod ports;
 pub mod shell;
+pub mod sse;
--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of entries that call backend servers themselves.
 
+mod broken_streams;
 mod budget;
 mod callers;
 mod cascade;
