Take no body that begins with another answer

Callers saw: a signed success whose body was the beginning of an earlier rejection.

Cause: a body with a length consists of the next bytes on the connection. If a backend server writes an earlier answer between the head and the body of this one, these are the other answer's. The test before the change:

Once, "Content-Length: 14\r\n": Answer { status: 200, .. body: "HTTP/1.1 503 B" }

A body that begins with a status line now counts only if no bytes follow it within 30 ms and the connection stays open. As many bytes as came between are left over, and the HTTP library ends the connection then; a sound answer with such a body has none. A body that ends with its connection can't be told apart, and is not taken either. In chunks such bytes are no valid HTTP, and in streams they are no events, as before.

--- a/src/cardamomtally/direct/link/attempt.rs
+++ b/src/cardamomtally/direct/link/attempt.rs
@@ -204,6 +204,15 @@
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// Tells whether a body begins with the status line of an answer: its backend server may have
+/// written an earlier answer between this one's head and body.
+#[must_use]
+pub fn begins_with_head(body: &[u8]) -> bool {
+    let rest = body.strip_prefix(b"HTTP/1.");
+    let code = rest.and_then(|rest| rest.get(2..5));
+    code.is_some_and(|code| code.iter().all(u8::is_ascii_digit))
+}
+
 /// Tells whether an answer's body is a stream of events.
 #[must_use]
 pub fn is_event_stream(headers: &HeaderMap) -> bool {
--- a/src/cardamomtally/direct/link/pool.rs
+++ b/src/cardamomtally/direct/link/pool.rs
@@ -43,6 +43,10 @@
 /// Largest number of idle connections per address.
 const MAX_IDLE_PER_BACKEND: usize = 64;
 
+/// Time in which bytes that follow an answer are expected to arrive, if they were written
+/// together with it.
+const EXCESS_WAIT: Duration = Duration::from_millis(30);
+
 /// Size of the buffer for a request on its way to a backend server, as a multiple of that for
 /// the response. A prompt is sent at once and its response arrives in small events.
 const REQUEST_BUFFER_FACTOR: u32 = 4;
@@ -111,6 +115,13 @@
         self.sender.is_ready() && now.since(self.idle_since) < self.idle_limit
     }
 
+    /// Waits shortly and tells whether the connection has ended: the backend server has sent
+    /// bytes after its answer, or has closed it.
+    pub async fn has_ended_soon(&self) -> bool {
+        tokio::time::sleep(EXCESS_WAIT).await;
+        self.sender.is_closed()
+    }
+
     async fn send(&mut self, request: Outgoing) -> Result<Response<Incoming>, SendError> {
         self.sender
             .try_send_request(request)
--- a/src/cardamomtally/direct/serve/plain.rs
+++ b/src/cardamomtally/direct/serve/plain.rs
@@ -230,6 +230,11 @@
             return AttemptResult::Broken("the answer's body broke off");
         }
     };
+    // The length of a body is that of its own bytes. If others came before them, as many are
+    // left over.
+    if attempt::begins_with_head(&body) && connection.has_ended_soon().await {
+        return AttemptResult::Unknown("another answer came between the answer's head and body");
+    }
     if attempt::is_delimited(&parts.headers) {
         let keep_alive = attempt::parse_keep_alive(&parts.headers);
         app.pool
--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -194,11 +194,13 @@
     }
 
     async fn forward_failure(&self, parts: &Parts, body: Incoming) -> Response<Body> {
-        // If the body of an error answer breaks off or is too long, its status is still
-        // forwarded, with an empty body.
+        // If the body of an error answer breaks off, is too long or begins with another
+        // answer, its status is still forwarded, with an empty body.
         let left = self.call.remaining(self.app.clock.now());
         let read = tokio::time::timeout(left, self.app.memory.read(body)).await;
-        let body = read.ok().and_then(Result::ok).unwrap_or_default();
+        let body = read.ok().and_then(Result::ok);
+        let body = body.filter(|body| !attempt::begins_with_head(body));
+        let body = body.unwrap_or_default();
         let mut response = Response::new(full_body(body));
         *response.status_mut() = parts.status;
         *response.headers_mut() = call::response_headers(&self.app.names, &parts.headers);
--- a/tests/testsuite/direct/foreign_answers.rs
+++ b/tests/testsuite/direct/foreign_answers.rs
@@ -210,6 +210,45 @@
     }
 }
 
+/// Guards against a signed success whose body begins with the copy's bytes.
+#[test]
+fn refusal_between_the_head_and_the_body_of_an_answer_reaches_no_caller() {
+    for class in [Class::Once, Class::Stream] {
+        for framing in [
+            "Content-Length: 14\r\n",
+            "Transfer-Encoding: chunked\r\n",
+            "",
+        ] {
+            for id in ["Cardamomtally-Attempt: a-earlier\r\n", ""] {
+                let copy = refusal(REFUSALS[0], id);
+                let server = Server::start("i-1", move |seen, _| {
+                    let Action::Send(head) = stream_head(seen, "") else {
+                        unreachable!("a head is sent")
+                    };
+                    let head = head.replace("Transfer-Encoding: chunked\r\n", framing);
+                    let body = if framing.starts_with('T') {
+                        "e\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"
+                    } else {
+                        "id: 1\ndata: a\n"
+                    };
+                    vec![send(&(head + &copy + body)), Action::Close]
+                });
+                let entry = Entry::start(class, &[&server]);
+
+                let got = entry.ask(&request("a-1", "", ""));
+
+                let what = format!("{class:?}, {framing:?}, {id:?}: {got:?}");
+                assert!(!got.body.contains("HTTP/1.1"), "{what}");
+                assert!(!got.body.contains("Unexecuted"), "{what}");
+                assert!(!NOT_RUN.contains(&got.status), "{what}");
+                let looks_whole =
+                    got.status == 200 && (class == Class::Once || got.body.ends_with("0\r\n\r\n"));
+                assert!(!looks_whole, "{what}");
+            }
+        }
+    }
+}
+
 /// Guards against bytes of an idle connection that are taken for the next request's answer.
 #[test]
 fn bytes_on_an_idle_connection_close_it() {
