Open a connection for each call of a backend server

Callers saw: the answer of an earlier call of a plain service, with a success status, and requests that failed with an unknown outcome although their engine ran them.

Cause: the agent kept connections and took the next bytes on them for the next answer. A model engine's completions name their request and were refused then, so no caller was told "not run"; a plain service's answers, load reports, orders' answers, permits and scores name nothing.

Now the agent's client and that of the rating service keep no connections, so that nothing arrives on one that belongs to another call. An agent calls the engine on its own machine a few times a second; the connections cost little there. What they cost under load was not measured.

--- a/src/cardamomtally/agent/http_engine.rs
+++ b/src/cardamomtally/agent/http_engine.rs
@@ -34,6 +34,10 @@
 
 /// Builds an HTTP client that follows no redirects and uses no proxy.
 ///
+/// It opens a connection for each call. On a connection that is kept, a faulty server may
+/// write an earlier answer once more, and a plain service, a load report or an order's
+/// answer does not name the call that it belongs to.
+///
 /// # Errors
 ///
 /// Returns an error if the client cannot be built.
@@ -42,6 +46,7 @@
         .no_proxy()
         .redirect(Policy::none())
         .connect_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
+        .pool_max_idle_per_host(0)
         .tcp_nodelay(true)
         .build()
         .wrap_err("failed to build the HTTP client")
--- a/src/cardamomtally/entry/rating.rs
+++ b/src/cardamomtally/entry/rating.rs
@@ -146,6 +146,9 @@
             .no_proxy()
             .redirect(reqwest::redirect::Policy::none())
             .timeout(settings.timeout.0)
+            // A score does not name the answer that it rates, so that an earlier one on a
+            // kept connection could not be told from it.
+            .pool_max_idle_per_host(0)
             .build()
             .wrap_err("failed to build the rating client")?;
         let url = format!("{}/rate", url.trim_end_matches('/'));
--- /dev/null
+++ b/tests/testsuite/agent/faulty_engine.rs
@@ -0,0 +1,110 @@
+//! Engines that write an earlier answer once more, or answer a resumption wrongly.
+
+use super::{
+    fixtures::attempt,
+    harness::{VERSION, chat, options, run_head, start_agent},
+};
+use bytes::Bytes;
+use cardamomtally::{
+    agent::http_engine::HttpEngine,
+    core::engine::{Engine as _, EngineCall},
+    prelude::*,
+};
+use cardamomtally_standin::{
+    EngineOptions,
+    engine::{BadVersion, RefusalCopy},
+};
+use futures::TryStreamExt as _;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+};
+
+/// Guards against an earlier refusal that is taken for the answer of a request that runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_answered_although_its_engine_writes_an_earlier_refusal_again() {
+    for copy in [
+        RefusalCopy::AtOnce,
+        RefusalCopy::After(Duration::from_millis(10)),
+        RefusalCopy::BeforeNextAnswer,
+    ] {
+        let options = EngineOptions {
+            refusal_copy: copy,
+            ..options()
+        };
+        let agent = start_agent(options, "").await;
+        let refuse = |share| {
+            let bad = BadVersion {
+                errors: share,
+                ..BadVersion::default()
+            };
+            agent.engine.update_faults(|faults| {
+                faults.bad.insert(VERSION.to_owned(), bad);
+            });
+        };
+
+        for round in 0..5 {
+            refuse(1.0);
+            let refused = agent
+                .run(attempt(2 * round + 1), &run_head(), chat("spruce", 5))
+                .await;
+            refuse(0.0);
+            let ran = agent
+                .run(attempt(2 * round + 2), &run_head(), chat("spruce", 5))
+                .await;
+
+            assert!(refused.failure().is_some(), "{copy:?}: {refused:?}");
+            assert!(ran.complete_body().is_some(), "{copy:?}, {round}: {ran:?}");
+        }
+    }
+}
+
+/// Reads one request without a body.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut text = String::new();
+    let mut bytes = [0; 1024];
+    while !text.ends_with("\r\n\r\n") {
+        let count = stream.read(&mut bytes).await.ok().filter(|c| *c > 0)?;
+        text.push_str(&String::from_utf8_lossy(&bytes[..count]));
+    }
+    Some(text)
+}
+
+/// Guards against an answer of an earlier call for plain services, which need not name the
+/// request that they answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_of_a_plain_service_gets_no_copy_of_an_earlier_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut earlier: Option<String> = None;
+                while let Some(head) = read_head(&mut stream).await {
+                    let path = head.split(' ').nth(1).unwrap().to_owned();
+                    let length = path.len();
+                    let own = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{path}");
+                    let sent = earlier.replace(own.clone()).unwrap_or(own);
+                    stream.write_all(sent.as_bytes()).await.unwrap();
+                }
+            });
+        }
+    });
+    let engine = HttpEngine::new(&url, Duration::from_secs(5)).unwrap();
+
+    for number in 1..=4 {
+        let call = EngineCall {
+            request: attempt(number).request,
+            attempt: attempt(number),
+            method: "GET".to_owned(),
+            path: format!("/jobs/{number}"),
+            media: None,
+            body: Bytes::new(),
+            priority: 5,
+        };
+        let answer = engine.call(call).await.unwrap();
+        let body: Vec<Bytes> = answer.body.try_collect().await.unwrap();
+
+        assert_eq!(body.concat(), format!("/jobs/{number}").into_bytes());
+    }
+}
--- a/tests/testsuite/agent/mod.rs
+++ b/tests/testsuite/agent/mod.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod attempts;
 mod crashes;
+mod faulty_engine;
 mod fixtures;
 mod guard;
 mod harness;
