End a stream visibly if its engine does not continue it

Callers saw: an error's text or another answer's head among the events of their stream, a stream that ended with `[DONE]` after its engine had failed, or one that lacked an event.

Cause: the agent did not look at the content type of a resumed answer, and let pass events without data, whatever their lines were. An error event, data with an `error` member and `[DONE]` at once counted as the rest of the answer. Events that arrived with a faulty one were counted and not forwarded, so that a resumption began after them. The tests before the change:

stream_whose_engine_does_not_continue_it..: Text: .. the engine has failed .. text_that_is_no_event..: Ok(b"HTTP/1.1 503 Busy\r\nX-Request-Id: 1\r\n\r\n") resumption_begins_before..: left: 2 right: 1

Now the lines of an event must be fields, a resumed answer must be a stream of events, and an error in it or `[DONE]` at once, unless the usage came before, is an answer cut short: it is resumed again within the limit, then fails. A faulty event takes those that came with it out of the count. The test of the resumption calls the renamed method; what it checks is the same.

--- a/src/cardamomtally/agent/pump.rs
+++ b/src/cardamomtally/agent/pump.rs
@@ -251,7 +251,7 @@
         // Admission control must learn of a possible cold restart now, not after
         // the resumption.
         self.parts.coordinator.on_early_close();
-        checker.discard_partial();
+        checker.resume();
         let offset = checker.events();
         let request = self.job.attempt.request;
         let call = self.parts.engine.resume(request, offset);
@@ -260,6 +260,9 @@
         };
         let target = &self.job.head.target;
         check_request_id(target, request, answer.echoed.as_deref()).map_err(Failure::Fault)?;
+        if AnswerFormat::of(target, answer.status, &answer.media) != AnswerFormat::Stream {
+            return Err(failure);
+        }
         slog::info!(self.parts.log, "stream: resumed at the engine";
             "attempt" => %self.job.attempt, "event" => offset);
         Ok(answer.body)
--- a/src/cardamomtally/agent/validation.rs
+++ b/src/cardamomtally/agent/validation.rs
@@ -4,13 +4,17 @@
 //! body, and ends a stream with a marker. Each event of a stream is forwarded once
 //! it is checked; a JSON body is forwarded only when it is complete. The body of a
 //! plain service is forwarded as it arrives; the HTTP library checks its length.
+//!
+//! A stream that was resumed must go on with events of the answer. An error that the engine
+//! reports instead, or a terminal marker alone, is not the rest of the answer.
 
 use crate::{
     core::id::RequestId,
     net::run::{Target, Usage},
+    util::sse,
 };
 use bytes::Bytes;
-use serde::Deserialize;
+use serde::{Deserialize, de::IgnoredAny};
 use std::{borrow::Cow, fmt};
 
 /// Data of the event that ends a stream.
@@ -97,6 +101,7 @@
     #[serde(borrow)]
     id: Option<Cow<'a, str>>,
     usage: Option<BodyUsage>,
+    error: Option<IgnoredAny>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -114,6 +119,8 @@
     request: String,
     buffer: Vec<u8>,
     events: u64,
+    /// Number of complete events when the stream was last resumed, if it was.
+    resumed_at: Option<u64>,
     done: bool,
     usage: Usage,
 }
@@ -127,6 +134,7 @@
             request: request.to_string(),
             buffer: Vec::new(),
             events: 0,
+            resumed_at: None,
             done: false,
             usage: Usage::default(),
         }
@@ -151,10 +159,11 @@
         self.format
     }
 
-    /// Discards the start of an event that was cut off, before the stream is
-    /// resumed.
-    pub fn discard_partial(&mut self) {
+    /// Prepares for the bytes of a resumed stream: discards the start of an event that was
+    /// cut off.
+    pub fn resume(&mut self) {
         self.buffer.clear();
+        self.resumed_at = Some(self.events);
     }
 
     /// Takes bytes of the answer and returns those that may be forwarded.
@@ -204,12 +213,16 @@
     }
 
     fn check_events(&mut self) -> Result<Bytes, Fault> {
-        let mut end = 0;
+        let (mut end, before) = (0, (self.events, self.usage));
         while !self.done
             && let Some(length) = event_length(&self.buffer[end..])
         {
             let event = self.buffer[end..end + length].to_vec();
-            self.check_event(&event)?;
+            if let Err(fault) = self.check_event(&event) {
+                // None of these events is forwarded, so a resumption begins before them.
+                (self.events, self.usage) = before;
+                return Err(fault);
+            }
             end += length;
         }
         let passed = Bytes::copy_from_slice(&self.buffer[..end]);
@@ -221,6 +234,13 @@
     }
 
     fn check_event(&mut self, event: &[u8]) -> Result<(), Fault> {
+        let fields = || sse::lines(event).filter(|line| !line.is_empty());
+        if !fields().all(sse::is_field) {
+            return Err(Fault::Malformed);
+        }
+        if self.resumed_at.is_some() && fields().any(sse::is_error_type) {
+            return Err(Fault::Truncated);
+        }
         let text = std::str::from_utf8(event).map_err(|_e| Fault::Malformed)?;
         let data: String = text
             .lines()
@@ -228,6 +248,7 @@
             .map(str::trim_start)
             .collect();
         if data == DONE {
+            self.check_end()?;
             self.done = true;
         } else if !data.is_empty() {
             self.check_body(data.as_bytes())?;
@@ -236,6 +257,16 @@
         Ok(())
     }
 
+    /// Checks the terminal marker. Right after a resumption it does not prove that all of the
+    /// answer has come, unless the usage, which is last in an answer, came before.
+    fn check_end(&self) -> Result<(), Fault> {
+        let at_once = self.resumed_at == Some(self.events);
+        if at_once && self.usage == Usage::default() {
+            return Err(Fault::Truncated);
+        }
+        Ok(())
+    }
+
     fn check_body(&mut self, body: &[u8]) -> Result<(), Fault> {
         let parsed: Body<'_> = serde_json::from_slice(body).map_err(|error| {
             if error.is_eof() {
@@ -249,6 +280,9 @@
             Some(_) => return Err(Fault::WrongRequest),
             None => return Err(Fault::MissingId),
         }
+        if self.resumed_at.is_some() && parsed.error.is_some() {
+            return Err(Fault::Truncated);
+        }
         if let Some(usage) = parsed.usage {
             self.usage = Usage {
                 prompt: usage.prompt_tokens,
--- a/tests/testsuite/agent/faulty_engine.rs
+++ b/tests/testsuite/agent/faulty_engine.rs
@@ -12,7 +12,7 @@
 };
 use cardamomtally_standin::{
     EngineOptions,
-    engine::{BadVersion, RefusalCopy},
+    engine::{BadVersion, ERROR_TEXT, RefusalCopy, Resumption},
 };
 use futures::TryStreamExt as _;
 use tokio::{
@@ -108,3 +108,37 @@
         assert_eq!(body.concat(), format!("/jobs/{number}").into_bytes());
     }
 }
+
+/// Guards against an error's text or another answer's head in a stream, and against a stream
+/// that looks complete although its engine has failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_whose_engine_does_not_continue_it_ends_visibly_after_its_last_event() {
+    for resumption in [
+        Resumption::Error(404),
+        Resumption::Error(500),
+        Resumption::Error(503),
+        Resumption::Text,
+        Resumption::TextInStream,
+        Resumption::HeadInStream,
+        Resumption::ErrorEvent,
+        Resumption::ErrorData,
+        Resumption::EndsAtOnce,
+        Resumption::Empty,
+    ] {
+        let agent = start_agent(options(), "").await;
+        agent.engine.update_faults(|faults| {
+            faults.truncated = 1;
+            faults.resumption = resumption;
+        });
+
+        let ran = agent.run(attempt(1), &run_head(), chat("spruce", 5)).await;
+
+        let body = ran.body();
+        assert_eq!(ran.complete_body(), None, "{resumption:?}");
+        assert!(ran.failure().is_some(), "{resumption:?}: {ran:?}");
+        assert_eq!(body.matches("spruce.").count(), 5, "{resumption:?}: {body}");
+        for foreign in [ERROR_TEXT, "HTTP/1.1", "[DONE]"] {
+            assert!(!body.contains(foreign), "{resumption:?}: {body}");
+        }
+    }
+}
--- a/tests/testsuite/agent/validation.rs
+++ b/tests/testsuite/agent/validation.rs
@@ -104,7 +104,7 @@
     push(&mut checker, &event(&id, "one")).unwrap();
     push(&mut checker, &half[..20]).unwrap();
 
-    checker.discard_partial();
+    checker.resume();
     let resumed = push(&mut checker, &half).unwrap();
 
     assert_eq!(resumed, Bytes::from(half));
@@ -142,3 +142,31 @@
 
     assert_eq!(outcome, Err(Fault::TooLong));
 }
+
+/// Guards against a lost event: events that arrive with a faulty one are not forwarded.
+#[test]
+fn resumption_begins_before_events_that_came_with_a_faulty_one() {
+    let id = request().to_string();
+    let mut checker = Checker::new(AnswerFormat::Stream, request());
+    push(&mut checker, &event(&id, "one")).unwrap();
+
+    let cut = event(&id, "two") + "data: {\"id\":\n\n";
+
+    assert_eq!(push(&mut checker, &cut), Err(Fault::Truncated));
+    assert_eq!(checker.events(), 1);
+}
+
+/// Guards against a head, an error page or another service's text in a stream.
+#[test]
+fn text_that_is_no_event_is_rejected() {
+    for text in [
+        "HTTP/1.1 503 Busy\r\nX-Request-Id: 1\r\n\r\n",
+        "overloaded\n\n",
+        "try later\n\n",
+        "<html>\n\n",
+    ] {
+        let mut checker = Checker::new(AnswerFormat::Stream, request());
+
+        assert_eq!(push(&mut checker, text), Err(Fault::Malformed), "{text:?}");
+    }
+}
