Let an entry check which attempt an agent's answer names

No caller saw it: agents write one answer to each request. But an entry took a refusal on a kept connection for its own by the order alone, and one that says `not-run` allows a second run. The test before the change, with an agent that writes a refusal of another attempt:

Rejected(Rejection { status: 503, verdict: NotRun, .. })

Now agents name the attempt in refusals and answers, and an entry that finds another one takes the outcome as open, and asks. An answer without a name counts as before, since agents of the former version give none; refuse it once none of them runs.

--- a/src/cardamomtally/agent/problem.rs
+++ b/src/cardamomtally/agent/problem.rs
@@ -4,7 +4,7 @@
 use crate::{
     core::id::AttemptId,
     daemon::problem::Document,
-    net::run::{INCARNATION_HEADER, LOAD_HEADER},
+    net::run::{ATTEMPT_HEADER, INCARNATION_HEADER, LOAD_HEADER},
 };
 use rocket::{
     Request,
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub struct Problem {
     document: Document<Extra>,
+    attempt: Option<AttemptId>,
     incarnation: String,
     load: String,
     retry: bool,
@@ -47,6 +48,7 @@
         let detail = rejection.reason.as_ref();
         Box::new(Self {
             document: Document::new(status.code, rejection.verdict, detail, extra),
+            attempt,
             incarnation: parts.incarnation.to_string(),
             load: serde_json::to_string(&load).unwrap_or_default(),
             retry: rejection.retry,
@@ -57,6 +59,9 @@
 impl<'r> Responder<'r, 'static> for Problem {
     fn respond_to(self, _request: &'r Request<'_>) -> response::Result<'static> {
         let mut answer = self.document.to_response();
+        if let Some(attempt) = self.attempt {
+            answer.set_header(Header::new(ATTEMPT_HEADER, attempt.to_string()));
+        }
         answer.set_header(Header::new(INCARNATION_HEADER, self.incarnation));
         answer.set_header(Header::new(LOAD_HEADER, self.load));
         if self.retry {
--- a/src/cardamomtally/agent/routes.rs
+++ b/src/cardamomtally/agent/routes.rs
@@ -79,6 +79,7 @@
 
 /// A stream of frames with the agent's headers.
 pub struct Frames {
+    attempt: AttemptId,
     incarnation: String,
     load: String,
     stream: Pin<Box<dyn Stream<Item = Vec<u8>> + Send>>,
@@ -91,9 +92,15 @@
 }
 
 impl Frames {
-    fn new(parts: &Parts, reader: Reader, guard: Option<Arc<RequestGuard>>) -> Self {
+    fn new(
+        parts: &Parts,
+        attempt: AttemptId,
+        reader: Reader,
+        guard: Option<Arc<RequestGuard>>,
+    ) -> Self {
         let load = parts.coordinator.view().load;
         Self {
+            attempt,
             incarnation: parts.incarnation.to_string(),
             load: serde_json::to_string(&load).unwrap_or_default(),
             stream: Box::pin(frames(reader, guard)),
@@ -104,6 +111,7 @@
 impl<'r> Responder<'r, 'r> for Frames {
     fn respond_to(self, request: &'r Request<'_>) -> response::Result<'r> {
         Response::build_from(ByteStream(self.stream).respond_to(request)?)
+            .header(Header::new(ATTEMPT_HEADER, self.attempt.to_string()))
             .header(Header::new(INCARNATION_HEADER, self.incarnation))
             .header(Header::new(LOAD_HEADER, self.load))
             .ok()
@@ -198,7 +206,7 @@
     // An agent that is stopping still serves this request. The request tracker is
     // closed then and returns no guard, so the request is served uncounted.
     let guard = parts.requests.try_start(u32::MAX).map(Arc::new);
-    Ok(Frames::new(parts, reader, guard))
+    Ok(Frames::new(parts, attempt, reader, guard))
 }
 
 /// A response with the agent's incarnation in a header.
@@ -286,7 +294,7 @@
             &not_run("the attempt has ended"),
         ));
     };
-    let frames = Frames::new(parts, reader, Some(Arc::clone(&request_guard)));
+    let frames = Frames::new(parts, attempt, reader, Some(Arc::clone(&request_guard)));
     let job = pump::Job {
         attempt,
         head,
--- a/src/cardamomtally/entry/agents.rs
+++ b/src/cardamomtally/entry/agents.rs
@@ -193,9 +193,10 @@
     async fn open(
         &self,
         request: RequestBuilder,
+        attempt: AttemptId,
         wait: Duration,
     ) -> Result<AnswerStream, CallError> {
-        let response = send(request, wait).await?;
+        let response = send(request, Some(attempt), wait).await?;
         let headers = response.headers();
         let incarnation = incarnation_of(headers);
         let load = load_of(headers);
@@ -210,7 +211,7 @@
         let url = format!("http://{agent}/attempts/{attempt}/{verb}");
         // A lost message needs no retry: both messages only speed up what the
         // agent does later on its own.
-        let _ignored = send(self.client.post(url), AGENT_REPLY_TIMEOUT).await;
+        let _ignored = send(self.client.post(url), Some(attempt), AGENT_REPLY_TIMEOUT).await;
     }
 }
 
@@ -225,7 +226,7 @@
                 .header(ATTEMPT_HEADER, call.attempt.to_string())
                 .header(HEAD_HEADER, head)
                 .body(call.body);
-            self.open(request, call.timeout).await
+            self.open(request, call.attempt, call.timeout).await
         }
         .boxed()
     }
@@ -238,7 +239,8 @@
     ) -> BoxFuture<'_, Result<AnswerStream, CallError>> {
         async move {
             let url = format!("http://{agent}/attempts/{attempt}?from={from}");
-            self.open(self.client.get(url), AGENT_REPLY_TIMEOUT).await
+            self.open(self.client.get(url), attempt, AGENT_REPLY_TIMEOUT)
+                .await
         }
         .boxed()
     }
@@ -250,7 +252,7 @@
     ) -> BoxFuture<'_, Result<StatusReply, CallError>> {
         async move {
             let url = format!("http://{agent}/attempts/{attempt}/ask");
-            let response = send(self.client.post(url), AGENT_REPLY_TIMEOUT).await?;
+            let response = send(self.client.post(url), Some(attempt), AGENT_REPLY_TIMEOUT).await?;
             let incarnation = incarnation_of(response.headers());
             let status = read_json(response).await?;
             Ok(StatusReply {
@@ -272,13 +274,18 @@
     fn probe(&self, agent: Name) -> BoxFuture<'_, Result<Probe, CallError>> {
         async move {
             let request = self.client.get(format!("http://{agent}/probe"));
-            read_json(send(request, PROBE_TIMEOUT).await?).await
+            read_json(send(request, None, PROBE_TIMEOUT).await?).await
         }
         .boxed()
     }
 }
 
-async fn send(request: RequestBuilder, wait: Duration) -> Result<Response, CallError> {
+/// Sends a call that concerns an attempt, or the agent itself.
+async fn send(
+    request: RequestBuilder,
+    attempt: Option<AttemptId>,
+    wait: Duration,
+) -> Result<Response, CallError> {
     let sent = tokio::time::timeout(wait, request.send()).await;
     let response = match sent {
         Ok(Ok(response)) => response,
@@ -288,12 +295,23 @@
         Ok(Err(error)) => return Err(CallError::Ambiguous(error.to_string())),
         Err(_elapsed) => return Err(CallError::Ambiguous("no answer in time".to_owned())),
     };
+    if attempt.is_some_and(|attempt| names_another(response.headers(), attempt)) {
+        let reason = "the agent's answer names another attempt";
+        return Err(CallError::Ambiguous(reason.to_owned()));
+    }
     if response.status().is_success() {
         return Ok(response);
     }
     Err(rejection(&response))
 }
 
+/// Returns whether an answer belongs to another attempt. An agent of an earlier version names
+/// none.
+fn names_another(headers: &HeaderMap, attempt: AttemptId) -> bool {
+    let named = headers.get(ATTEMPT_HEADER);
+    named.is_some_and(|named| named.as_bytes() != attempt.to_string().as_bytes())
+}
+
 fn rejection(response: &Response) -> CallError {
     let headers = response.headers();
     let word = headers.get(VERDICT_HEADER).and_then(|v| v.to_str().ok());
--- a/tests/testsuite/agent/mod.rs
+++ b/tests/testsuite/agent/mod.rs
@@ -5,7 +5,7 @@
 mod attempts;
 mod crashes;
 mod faulty_engine;
-mod fixtures;
+pub mod fixtures;
 mod guard;
 mod harness;
 mod orders;
--- a/tests/testsuite/entry/mod.rs
+++ b/tests/testsuite/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry.
 
+mod agents;
 mod fakes;
 mod frames;
 mod http;
