--- a/tests/testsuite/direct/foreign_answers.rs
+++ b/tests/testsuite/direct/foreign_answers.rs
@@ -249,6 +249,22 @@
     }
 }
 
+/// Guards against the loss of answers whose content is HTTP.
+#[test]
+fn body_that_begins_like_a_head_is_passed_on_if_nothing_follows_it() {
+    let body = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for class in [Class::Once, Class::Repeatable] {
+        let server = Server::start("i-1", move |seen, _| vec![answer(seen, "200 OK", "", body)]);
+        let entry = Entry::start(class, &[&server]);
+
+        for number in 0..2 {
+            let got = entry.ask(&request(&format!("a-{number}"), "", ""));
+
+            assert_eq!((got.status, &*got.body), (200, body), "{class:?}");
+        }
+    }
+}
+
 /// Guards against bytes of an idle connection that are taken for the next request's answer.
 #[test]
 fn bytes_on_an_idle_connection_close_it() {
