--- a/tests/testsuite/entry/mod.rs
+++ b/tests/testsuite/entry/mod.rs
@@ -6,5 +6,6 @@
 mod http;
 mod once;
 mod process;
+mod rating;
 mod repeat;
 mod small;
