Reset the connection of an HTTP/1.0 caller whose answer breaks off

Callers saw: a stream that ended as if it were complete, if they speak HTTP/1.0, as some proxies do by default.

Cause: such a caller gets no chunks; the end of the connection is that of the answer. The entry closed it in the same way when the stream broke off. The test before the change:

break_resets_the_connection_of_a_caller_that_gets_no_chunks: the end looks proper: HTTP/1.0 200 OK ..

Now the connection is reset then. Callers of HTTP/1.1 see the missing last chunk; theirs are closed as before, since a reset may cost them events that wait to be sent.

--- a/src/cardamomtally/direct/listener.rs
+++ b/src/cardamomtally/direct/listener.rs
@@ -12,7 +12,7 @@
 };
 use crate::prelude::*;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use hyper::{
     body::{Body as _, Incoming},
     server::conn::http1,
@@ -26,7 +26,7 @@
     io,
     os::fd::{AsRawFd as _, RawFd},
     pin::Pin,
-    sync::atomic::{AtomicU32, AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     task::{Context, Poll},
 };
 use tokio::{
@@ -59,9 +59,20 @@
     bytes: AtomicU64,
     /// Since when the caller's socket has taken nothing; 0 if it takes bytes.
     blocked: AtomicU64,
+    /// Whether the end of the connection is that of the answer, as in HTTP/1.0.
+    unframed: AtomicBool,
+    /// Whether the connection is reset when it is dropped.
+    reset: AtomicBool,
 }
 
 impl Activity {
+    /// Makes the end of the connection visible as that of a broken answer. Where answers are
+    /// framed, the missing end shows it, and a reset could cost the caller events.
+    fn break_off(&self) {
+        let unframed = self.unframed.load(Ordering::Acquire);
+        self.reset.store(unframed, Ordering::Release);
+    }
+
     fn begin(&self) {
         self.busy.fetch_add(1, Ordering::AcqRel);
     }
@@ -120,6 +131,15 @@
     }
 }
 
+impl Drop for TrackedStream {
+    fn drop(&mut self) {
+        if self.activity.reset.load(Ordering::Acquire) {
+            // Setting the option fails only if the connection has ended already.
+            let _ended = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -258,6 +278,7 @@
         tokio::select! {
             ended = connection.as_mut() => {
                 if let Err(error) = ended {
+                    activity.break_off();
                     debug!(app.log, "listen: connection closed with an error"; "error" => %error);
                 }
                 return;
@@ -271,6 +292,7 @@
                 let blocked = Mono(activity.blocked.load(Ordering::Acquire));
                 // The descriptor is open, since the connection owns its socket.
                 if unread.exceeded(blocked, now, || untaken(descriptor)) {
+                    activity.break_off();
                     metrics::counter!("cardamomtally_direct_unread_callers_total").increment(1);
                     warn!(app.log, "listen: caller does not read its response; disconnected";
                         "peer" => peer.map(|peer| peer.to_string()),
@@ -394,6 +416,8 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     activity.begin();
+    let unframed = request.version() < Version::HTTP_11;
+    activity.unframed.store(unframed, Ordering::Release);
     let busy = BusyGuard {
         activity,
         clock: Arc::clone(&app.clock),
--- a/tests/testsuite/direct/broken_streams.rs
+++ b/tests/testsuite/direct/broken_streams.rs
@@ -5,7 +5,10 @@
     stream_end, stream_head,
 };
 use cardamomtally::{prelude::*, site::document::Class};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::{
+    io::{Read as _, Write as _},
+    sync::atomic::{AtomicUsize, Ordering},
+};
 
 /// Number of events of a whole stream.
 const COUNT: u64 = 6;
@@ -294,3 +297,23 @@
         assert_eq!(dechunk(&got.body), (text_of(1), false), "{got:?}");
     }
 }
+
+/// Guards against a break that looks like the end: callers of HTTP/1.0 get no chunks, and the
+/// end of the connection is that of the answer.
+#[test]
+fn break_resets_the_connection_of_a_caller_that_gets_no_chunks() {
+    let server = Server::start("i-1", |seen, _| {
+        vec![stream_head(seen, ""), events(1..=BEFORE), Action::Close]
+    });
+    let entry = Entry::start(Class::Stream, &[&server]);
+    let mut caller = entry.connect();
+    let text = request("a-1", "", "").replace("HTTP/1.1", "HTTP/1.0");
+    caller.write_all(text.as_bytes()).unwrap();
+
+    let mut bytes = Vec::new();
+    let end = caller.read_to_end(&mut bytes);
+
+    let got = String::from_utf8_lossy(&bytes);
+    assert!(got.ends_with(&text_of(BEFORE)), "{got}");
+    assert!(end.is_err(), "the end looks proper: {got}");
+}
