Test both faults on the whole path, and for requests that may run once

A caller of entry, agent and engine sees its events, one error event and nothing of what the engine sent in place of the rest. An engine's refusal that is written twice makes no request that may run once count as not run, and each runs once.

--- a/tests/testsuite/agent/faulty_engine.rs
+++ b/tests/testsuite/agent/faulty_engine.rs
@@ -8,6 +8,7 @@
 use cardamomtally::{
     agent::http_engine::HttpEngine,
     core::engine::{Engine as _, EngineCall},
+    net::run::{Frame, RunHead},
     prelude::*,
 };
 use cardamomtally_standin::{
@@ -43,19 +44,28 @@
             });
         };
 
-        for round in 0..5 {
+        for round in 0..6 {
+            let head = RunHead {
+                repeatable: round % 2 == 0,
+                agent: Some(agent.incarnation),
+                ..run_head()
+            };
             refuse(1.0);
             let refused = agent
-                .run(attempt(2 * round + 1), &run_head(), chat("spruce", 5))
+                .run(attempt(2 * round + 1), &head, chat("spruce", 5))
                 .await;
             refuse(0.0);
             let ran = agent
-                .run(attempt(2 * round + 2), &run_head(), chat("spruce", 5))
+                .run(attempt(2 * round + 2), &head, chat("spruce", 5))
                 .await;
 
-            assert!(refused.failure().is_some(), "{copy:?}: {refused:?}");
+            let Some(Frame::Failed { verdict, .. }) = refused.frames.last() else {
+                panic!("{copy:?}: {refused:?}")
+            };
+            assert_ne!(*verdict, Verdict::NotRun, "{copy:?}: {refused:?}");
             assert!(ran.complete_body().is_some(), "{copy:?}, {round}: {ran:?}");
         }
+        assert_eq!(agent.engine.counters().accepted, 12, "{copy:?}");
     }
 }
 
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -8,6 +8,7 @@
     site::PARTNER,
     small::{LARGE, SMALL, WORKSPACE, first_ticket, small, start_serving},
 };
+use cardamomtally_standin::engine::{ERROR_TEXT, Resumption};
 use std::{
     io::{BufRead as _, BufReader, Lines},
     process::{Child, ChildStderr, Command, Stdio},
@@ -166,3 +167,37 @@
         !started.iter().any(is_running)
     });
 }
+
+/// Guards against an error's text in a caller's stream, and against one that looks complete.
+#[test]
+fn caller_of_a_stream_that_its_engine_does_not_continue_sees_the_break_alone() {
+    let site = start_serving(small());
+    let caller = site.caller("entry-1", WORKSPACE);
+    for (resumption, number) in [
+        Resumption::Error(500),
+        Resumption::TextInStream,
+        Resumption::HeadInStream,
+        Resumption::ErrorEvent,
+        Resumption::EndsAtOnce,
+    ]
+    .into_iter()
+    .zip(0..)
+    {
+        for name in ["gla-e1", "dun-e1"] {
+            site.engine(name).update_faults(|faults| {
+                faults.truncated = 1;
+                faults.resumption = resumption;
+            });
+        }
+        let tag = format!("spruce{number}");
+
+        let reply = caller.stream(SMALL, &tag, 5);
+
+        let text = reply.text();
+        assert_eq!(text.matches(&*format!("{tag}.")).count(), 5, "{text}");
+        assert_eq!(text.matches("event: error").count(), 1, "{text}");
+        for foreign in [ERROR_TEXT, "HTTP/1.1", "[DONE]"] {
+            assert!(!text.contains(foreign), "{resumption:?}: {text}");
+        }
+    }
+}
