--- a/src/cardamomtally/direct/link/attempt.rs
+++ b/src/cardamomtally/direct/link/attempt.rs
@@ -116,7 +116,9 @@
 /// An answer is accepted only if it has the attempt id of this request, has no
 /// `Content-Encoding`, and carries a signature if its status is a success. Any
 /// other answer may come from an intermediary between the entry and the backend
-/// server, or belong to another request.
+/// server, or belong to another request. That holds for rejections too: a backend
+/// server may write an earlier one once more where this request's answer is due.
+/// The connection of an answer that is not accepted is closed.
 #[must_use]
 pub fn classify(names: &HeaderNames, call: &Call, sent: Result<Answer, SendError>) -> Outcome {
     let answer = match sent {
@@ -130,11 +132,9 @@
         }
     };
     let (status, headers) = (answer.response.status(), answer.response.headers());
-    // A late second copy of an earlier answer says nothing of this request, also if it is
-    // a rejection.
-    let other = headers.get(&names.attempt).is_some_and(|id| *id != call.id);
-    if other {
-        return Outcome::Unknown("the answer has another attempt id than the request");
+    if let Err(why) = check_attempt_id(names, call, headers) {
+        metrics::counter!("cardamomtally_direct_foreign_answers_total").increment(1);
+        return Outcome::Unknown(why);
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         // The backend server that was meant also rejects a model that it does not have.
@@ -146,8 +146,10 @@
     if headers.contains_key(&names.unexecuted) {
         return Outcome::Rejected("the backend server did not execute the request");
     }
-    if !headers.contains_key(&names.attempt) {
-        return Outcome::Unknown("the answer has no attempt id");
+    // Only the mark says that the request has not run. Callers take these statuses as that
+    // promise, whatever the backend server meant by them.
+    if promises_not_run(status) && !call.route.class.repeats() {
+        return Outcome::Unknown("the answer's status says not run, and the answer does not");
     }
     if headers.contains_key(header::CONTENT_ENCODING) {
         return Outcome::Unknown("the answer has a Content-Encoding, which no backend server sets");
@@ -158,6 +160,31 @@
     Outcome::Answered(Box::new(answer))
 }
 
+/// Checks that an answer names this request, and no other one, by its attempt id.
+fn check_attempt_id(
+    names: &HeaderNames,
+    call: &Call,
+    headers: &HeaderMap,
+) -> Result<(), &'static str> {
+    let mut ids = headers.get_all(&names.attempt).iter();
+    match (ids.next(), ids.next()) {
+        (Some(id), None) if *id == call.id => Ok(()),
+        (Some(_), None) => Err("the answer has another attempt id than the request"),
+        (None, _) => Err("the answer has no attempt id"),
+        (Some(_), Some(_)) => Err("the answer has several attempt ids"),
+    }
+}
+
+/// Tells whether callers take a status as the promise that the request has not run.
+const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Reads the confidence that the model gives for its answer, from 0 to 100.
 #[must_use]
 pub fn parse_confidence(names: &HeaderNames, headers: &HeaderMap) -> Option<f64> {
@@ -177,6 +204,24 @@
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// Tells whether a body begins with the status line of an answer: its backend server may have
+/// written an earlier answer between this one's head and body.
+#[must_use]
+pub fn begins_with_head(body: &[u8]) -> bool {
+    let rest = body.strip_prefix(b"HTTP/1.");
+    let code = rest.and_then(|rest| rest.get(2..5));
+    code.is_some_and(|code| code.iter().all(u8::is_ascii_digit))
+}
+
+/// Tells whether an answer's body is a stream of events.
+#[must_use]
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers.get(header::CONTENT_TYPE);
+    let text = value.and_then(|value| value.to_str().ok());
+    let media = text.and_then(|text| text.split(';').next());
+    media.is_some_and(|media| media.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
 /// Reads the timeout of the `Keep-Alive` header and returns 70 % of it, at most
 /// 60 s, or none if it is no number. The margin makes the entry drop an idle connection before the backend
 /// server closes it.
--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of entries that call backend servers themselves.
 
+mod broken_streams;
 mod budget;
 mod callers;
 mod cascade;
@@ -9,6 +10,7 @@
 mod endless;
 mod evidence_rate;
 mod fixtures;
+mod foreign_answers;
 mod limit;
 mod malformed;
 mod memory;
