Read the platform's list of VMs element by element

Seen: one element that an agent cannot read (a state of another name, bytes that are no UTF-8, 1e999, deep nesting) made the whole list of VMs unreadable, so that no agent learned any more that its VM leaves. Cause: HttpPlatform::vms decoded the array as a whole, as the list of engines was. Before: agent::vms::unreadable_vm_leaves_the_others_in_force failed: "unknown variant `gone`, expected `live` or `leaving` at line 1 column 57" for the list. Fix: the list is read by ListReader, without a name since the document is the array. A list that is cut short stays an error. The agent counts what is left out in cardamomtally_skipped_list_elements_total and logs it.

--- a/src/cardamomtally/agent/external.rs
+++ b/src/cardamomtally/agent/external.rs
@@ -5,7 +5,7 @@
         platform::{Platform, Vm},
         weights::{Permit, WeightStore},
     },
-    net::bounded,
+    net::list::{ListReader, SkippedLog},
 };
 use eyre::{WrapErr as _, bail};
 use futures::future::BoxFuture;
@@ -88,15 +88,17 @@
 pub struct HttpPlatform {
     client: Client,
     url: String,
+    skipped: SkippedLog,
 }
 
 impl HttpPlatform {
     /// Builds a client for the list at a URL.
     #[must_use]
-    pub fn new(client: Client, url: &str) -> Self {
+    pub fn new(client: Client, url: &str, skipped: SkippedLog) -> Self {
         Self {
             client,
             url: url.trim_end_matches('/').to_owned(),
+            skipped,
         }
     }
 }
@@ -110,9 +112,20 @@
                 .timeout(Duration::from_secs(CALL_TIMEOUT_SECS))
                 .send()
                 .await
+                .wrap_err("failed to request the platform's list of VMs")?;
+            let mut vms = Vec::new();
+            let mut reader = ListReader::default();
+            let add = |vm| {
+                vms.push(vm);
+                Ok(())
+            };
+            // What is left of the list without its VMs is an empty one.
+            let _empty: [Vm; 0] = reader
+                .read_page(response, None, add)
+                .await
                 .wrap_err("failed to read the platform's list of VMs")?;
-            let vms = bounded::read_json(response).await;
-            vms.wrap_err("failed to decode the platform's list of VMs")
+            self.skipped.record(&reader.into_skipped());
+            Ok(vms)
         })
     }
 }
--- a/src/cardamomtally/agent/mod.rs
+++ b/src/cardamomtally/agent/mod.rs
@@ -40,7 +40,7 @@
     daemon::{Context, http, request_tracker::RequestTracker},
     lease::{Identity, Lease, Poller},
     ledger::client::Client,
-    net::{nng, transport::Transport, wire::Role},
+    net::{list::SkippedLog, nng, transport::Transport, wire::Role},
     settings::AgentSettings,
     timeline::Recorder,
 };
@@ -282,7 +282,7 @@
         lease: poller,
         claims: Arc::new(Client::start(&settings.control, transport)),
         weights: weights(&settings, &client),
-        platform: platform(&settings, client),
+        platform: platform(&settings, client, &context),
         incarnation,
     };
     serve(settings, context, dependencies).await
@@ -305,7 +305,12 @@
     }
 }
 
-fn platform(settings: &AgentSettings, client: reqwest::Client) -> Option<Arc<dyn Platform>> {
+fn platform(
+    settings: &AgentSettings,
+    client: reqwest::Client,
+    context: &Context,
+) -> Option<Arc<dyn Platform>> {
     let url = settings.platform.url.as_ref()?;
-    Some(Arc::new(HttpPlatform::new(client, url)))
+    let skipped = SkippedLog::new("vms", context.log.clone(), Arc::clone(&context.clock));
+    Some(Arc::new(HttpPlatform::new(client, url, skipped)))
 }
--- a/tests/testsuite/agent/mod.rs
+++ b/tests/testsuite/agent/mod.rs
@@ -12,3 +12,4 @@
 mod process;
 mod records;
 mod validation;
+mod vms;
