--- a/src/cardamomtally/direct/serve/plain.rs
+++ b/src/cardamomtally/direct/serve/plain.rs
@@ -131,7 +131,7 @@
         return left;
     }
     left.mul_f64(ATTEMPT_TIME_SHARE)
-        .max(call.route.target * 2)
+        .max(call.route.target.saturating_mul(2))
         .min(left)
 }
 
--- a/tests/testsuite/direct/malformed.rs
+++ b/tests/testsuite/direct/malformed.rs
@@ -5,6 +5,7 @@
     fixtures::{Entry, Server, answer, request},
     unscheduled::report,
 };
+use crate::site::fixtures::document;
 use cardamomtally::{
     core::clock::SystemClock,
     direct::{
@@ -105,3 +106,24 @@
     assert_eq!(report("3,x,96,100").load, None);
     assert_eq!(report("3,x,96,100").ignored, Some("load"));
 }
+
+/// Guards against requests that fail because a time of a document is too long to be added
+/// or multiplied.
+#[test]
+fn absurd_time_in_a_document_does_not_end_a_request() {
+    for class in [Class::Repeatable, Class::Once] {
+        let server = Server::start("i-1", |seen, _| vec![answer(seen, "200 OK", "", "done")]);
+        let mut absurd = document(1, class);
+        absurd.routes[0].attempts = 3;
+        absurd.routes[0].target = Duration::MAX;
+        absurd.routes[0].pause = Duration::MAX;
+        absurd.routes[0].timeout = Duration::MAX;
+        absurd.limits.head_time = Duration::MAX;
+        absurd.limits.idle_time = Duration::MAX;
+        let entry = Entry::with(absurd, &[&server]);
+
+        let got = entry.ask(&request("a-1", "", ""));
+
+        assert_eq!((got.status, got.body.as_str()), (200, "done"), "{class:?}");
+    }
+}
