Keep a long duration of a roll-out from becoming a short one

Seen: an order with a `duration_s` of 2^64 ms or more was accepted and ran with the remainder, which may be a millisecond. Cause: the milliseconds were cut to 64 bits. Fix: the conversion saturates.

--- a/src/cardamomtally/site/member/mod.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -258,7 +258,7 @@
             since_latest: since_latest.map(|since| since.as_millis() as u64),
             service,
             target,
-            duration: duration.as_millis() as u64,
+            duration: u64::try_from(duration.as_millis()).unwrap_or(u64::MAX),
             wall: self.wall_ms(),
         };
         Ok(self.propose(&command).await?)
--- a/tests/testsuite/site/member.rs
+++ b/tests/testsuite/site/member.rs
@@ -354,6 +354,22 @@
     assert_eq!(read(&members[2]).as_deref(), Some("document 5"));
 }
 
+/// Guards against an order with a very long duration that is cut to a short one.
+#[test]
+fn rollout_with_an_absurd_duration_does_not_become_a_short_one() {
+    let group = Group::new(&[75]);
+    let member = group.start(75, true);
+    wait_submitted(&member, 5);
+    // 2^64 milliseconds and one more.
+    let duration = Duration::new(18_446_744_073_709_551, 617_000_000);
+
+    let ordered = member.roll_out("drafts".into(), "v2".into(), duration);
+    block_on(ordered).unwrap();
+
+    let rollout = block_on(member.rollout("drafts")).unwrap().unwrap();
+    assert_eq!(rollout.duration, u64::MAX);
+}
+
 #[test]
 fn rollout_of_a_leader_whose_time_of_day_jumps_ahead_goes_on() {
     let group = Group::new(&[74]);
