Add a caller's prompt tokens without overflow

Seen: a request whose parts of the prompt add up to 2^32 tokens or more panicked in a debug build; a release build took the remainder, and so a short prompt. Cause: the sum of numbers that the caller gives was not checked. Before: direct::malformed::absurd_number_of_prompt_tokens_does_not_end_a_request: "attempt to add with overflow". Fix: the sum saturates.

--- a/src/cardamomtally/direct/request/call.rs
+++ b/src/cardamomtally/direct/request/call.rs
@@ -175,7 +175,8 @@
 /// Builds the prompt from its shared parts and the total number of its tokens.
 #[must_use]
 pub fn prompt(shared: &[PromptPart], tokens: u32) -> Prompt {
-    let sum: u32 = shared.iter().map(|part| part.tokens).sum();
+    let add = |sum: u32, part: &PromptPart| sum.saturating_add(part.tokens);
+    let sum = shared.iter().fold(0, add);
     Prompt {
         prefix: shared.last().map(|part| part.id),
         shared: sum,
--- a/tests/testsuite/direct/malformed.rs
+++ b/tests/testsuite/direct/malformed.rs
@@ -14,7 +14,7 @@
             registry::{Registry, Requirements},
             statement::Load,
         },
-        request::prompt::Prompt,
+        request::{call, prompt::Prompt},
     },
     prelude::*,
     site::document::{Class, Service},
@@ -127,3 +127,13 @@
         assert_eq!((got.status, got.body.as_str()), (200, "done"), "{class:?}");
     }
 }
+
+/// Guards against the loss of a request whose caller names more tokens than can be counted.
+#[test]
+fn absurd_number_of_prompt_tokens_does_not_end_a_request() {
+    let parts = call::parse_parts("a:4294967295,b:4294967295");
+
+    let prompt = call::prompt(&parts, u32::MAX);
+
+    assert_eq!((prompt.shared, prompt.own), (u32::MAX, 0));
+}
