--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -1,14 +1,16 @@
 //! Fuzz tests for the decoders of bytes that come from the network or from disk.
 //!
 //! They guard against decoders that panic or allocate unbounded memory on
-//! malformed input. Each decoder gets arbitrary bytes and damaged copies of valid
-//! input. The number of cases and the random seed are fixed, so each run tests the
-//! same inputs. The peak memory of a decoder must stay below a constant plus a
-//! multiple of the length of its input.
+//! malformed input. Each decoder gets arbitrary bytes, damaged copies of valid input, and
+//! odd values (nested very deeply, with huge lengths or numbers) on their own and within
+//! valid input. The number of cases, which `CARDAMOMTALLY_SEEDS` replaces, and the random
+//! seed are fixed, so each run tests the same inputs. The peak memory of a decoder must
+//! stay below a constant plus a multiple of the length of its input.
 
 use crate::support::{
     Ticket,
     meter::peak_bytes,
+    odd,
     small::{LARGE, SMALL, WORKSPACE},
 };
 use bytes::Bytes;
@@ -23,13 +25,20 @@
         id::{AttemptId, GroupId, Incarnation, Index, RequestId},
         log::StateMachine,
     },
+    direct::{
+        exchange::peers::Message as Datagram,
+        fleet::statement::Statement,
+        request::{call, names::HeaderNames},
+    },
     entry::{call::Completion, frames::FrameReader},
     ledger::{self, command::Command},
     net::{
-        codec, delta,
+        codec, compress, delta,
+        elements::{ElementLimits, ElementScanner, Excess},
         run::{Frame, Probe, RunHead, Usage},
         wire::{Identity, Poll, Request, Response, Role},
     },
+    prelude::Mono,
     replica::{
         peers::{Body, Envelope},
         storage::{
@@ -37,11 +46,20 @@
             frame::{self, End},
         },
     },
+    scheduling::account::{table::Row, wire},
     settings::{self, AgentSettings, ControlSettings, EntrySettings, units::Size},
+    site::{
+        backend::Backend,
+        document::Document,
+        poll::{Poll as SitePoll, PollReply},
+        state::{self, Command as SiteCommand, Fleet},
+        transfer::{Part, PartRequest},
+    },
 };
 use futures::FutureExt as _;
+use http::{HeaderMap, HeaderValue, StatusCode, header::RETRY_AFTER};
 use proptest::{
-    prelude::{Just, Strategy, any, prop_oneof},
+    prelude::{Strategy, any, prop_oneof},
     sample::Index as Position,
     test_runner::{Config as Cases, RngAlgorithm, TestRng, TestRunner},
 };
@@ -64,8 +82,16 @@
 /// addition to [`FIXED_BYTES`].
 const BYTES_PER_INPUT_BYTE: usize = 1_024;
 
-/// Generates damaged copies of valid inputs, arbitrary bytes, and CBOR with huge
-/// length fields. Without valid inputs it generates arbitrary bytes only.
+/// Returns the number of inputs for each decoder: `CARDAMOMTALLY_SEEDS`, or [`CASE_COUNT`]
+/// if it is not set.
+fn case_count() -> u32 {
+    let count = std::env::var("CARDAMOMTALLY_SEEDS").ok();
+    count.map_or(CASE_COUNT, |n| n.parse().unwrap())
+}
+
+/// Generates damaged copies of valid inputs, arbitrary bytes, odd values, and valid inputs
+/// of which a part is replaced by an odd value. Without valid inputs it generates arbitrary
+/// bytes only.
 fn hostile_inputs(good: Vec<Vec<u8>>) -> impl Strategy<Value = Vec<u8>> {
     let arbitrary = proptest::collection::vec(any::<u8>(), 0..INPUT_BYTES);
     if good.is_empty() {
@@ -73,7 +99,7 @@
     }
     let position = any::<Position>();
     let damage = proptest::collection::vec((any::<Position>(), any::<u8>()), 0..6);
-    let copy = proptest::sample::select(good);
+    let copy = proptest::sample::select(good.clone());
     let damaged =
         (copy, damage, position, any::<bool>()).prop_map(|(mut bytes, damage, cut, whole)| {
             for (at, byte) in damage {
@@ -87,34 +113,45 @@
             }
             bytes
         });
-    prop_oneof![1 => arbitrary, 3 => damaged, 1 => Just(huge_lengths())].boxed()
+    let odd = || proptest::sample::select(odd_values());
+    let replaced = (
+        proptest::sample::select(good),
+        odd(),
+        any::<[Position; 2]>(),
+    )
+        .prop_map(|(bytes, odd, ends)| {
+            let mut ends = ends.map(|at| at.index(bytes.len() + 1));
+            ends.sort_unstable();
+            [&bytes[..ends[0]], &odd, &bytes[ends[1]..]].concat()
+        });
+    prop_oneof![1 => arbitrary, 3 => damaged, 1 => odd(), 2 => replaced].boxed()
 }
 
-/// Returns CBOR whose length fields announce far more items than it contains, to
-/// find decoders that allocate by the announced length.
-fn huge_lengths() -> Vec<u8> {
-    let array = [0x9b, 0x00, 0x00, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff];
-    let string = [0x5b, 0x00, 0x00, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff];
-    [array, string].concat()
+/// Returns the odd values of all formats.
+fn odd_values() -> Vec<Vec<u8>> {
+    [odd::cbor(), odd::json(), odd::toml()].concat()
 }
 
-/// Runs a decoder on hostile inputs and checks its peak memory on each.
+/// Runs a decoder on hostile inputs and on all odd values, and checks its peak memory on each.
 fn fuzz_bytes(good: Vec<Vec<u8>>, decode: impl Fn(&[u8])) {
+    let measure = |bytes: &[u8]| {
+        let peak = peak_bytes(|| decode(bytes));
+        let limit = FIXED_BYTES + BYTES_PER_INPUT_BYTE * bytes.len();
+        let excess = format!("{peak} bytes for an input of {}", bytes.len());
+        (peak > limit).then_some(excess)
+    };
+    for odd in odd_values() {
+        assert_eq!(measure(&odd), None);
+    }
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let cases = Cases {
-        cases: CASE_COUNT,
+        cases: case_count(),
         failure_persistence: None,
         ..Cases::default()
     };
     let mut runner = TestRunner::new_with_rng(cases, rng);
     let outcome = runner.run(&hostile_inputs(good), |bytes| {
-        let peak = peak_bytes(|| decode(&bytes));
-        let limit = FIXED_BYTES + BYTES_PER_INPUT_BYTE * bytes.len();
-        proptest::prop_assert!(
-            peak <= limit,
-            "{peak} bytes for an input of {}",
-            bytes.len()
-        );
+        proptest::prop_assert_eq!(measure(&bytes), None);
         Ok(())
     });
     outcome.unwrap();
@@ -461,3 +498,192 @@
         }
     });
 }
+
+#[test]
+fn messages_of_a_site() {
+    let backend = Backend {
+        instance: "i-1".into(),
+        service: "s".into(),
+        address: "10.0.0.9:80".parse().unwrap(),
+        centre: "north".into(),
+        version: "v1".into(),
+        slots: 4,
+        ready: true,
+        cold_left: Some(9),
+        cold_until: 9,
+    };
+    let fleet = Fleet {
+        backends: vec![backend.clone()],
+        ..Fleet::default()
+    };
+    let good = vec![
+        codec::encode(&SitePoll::default()),
+        codec::encode(&PollReply {
+            fleet: Some(fleet),
+            ..PollReply::default()
+        }),
+        codec::encode(&PartRequest::default()),
+        codec::encode(&SiteCommand::Backends(vec![backend])),
+        codec::encode(&SiteCommand::Submit(Box::default())),
+        compress::compress(&codec::encode(&Document::default())),
+    ];
+
+    fuzz_bytes(good, |bytes| {
+        let poll = codec::decode::<SitePoll>(bytes).is_ok();
+        let reply = codec::decode::<PollReply>(bytes);
+        if let Ok(reply) = &reply {
+            codec::decode::<PollReply>(&codec::encode(reply)).unwrap();
+        }
+        let part = codec::decode::<Part>(bytes).is_ok();
+        let wanted = codec::decode::<PartRequest>(bytes).is_ok();
+        let store = Arc::<state::Store>::default();
+        let mut machine = state::Machine::new(store);
+        machine.apply(Index(1), bytes);
+        let restored = machine.restore(bytes).is_ok();
+        assert!(!(poll && part && wanted && restored && bytes.is_empty()));
+    });
+}
+
+#[test]
+fn compressed_messages() {
+    let good = vec![compress::compress(&codec::encode(&Document::default()))];
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let cases = Cases {
+        cases: case_count(),
+        failure_persistence: None,
+        ..Cases::default()
+    };
+    let mut runner = TestRunner::new_with_rng(cases, rng);
+    let outcome = runner.run(&hostile_inputs(good), |bytes| {
+        let plain = compress::decompress(&bytes);
+        proptest::prop_assert!(plain.is_err() || plain.unwrap().len() <= 64 << 20);
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+#[test]
+fn datagrams_between_entries() {
+    let good = vec![
+        codec::encode(&Datagram {
+            entry: "entry-1".into(),
+            sums: Some(vec![(7, 40)]),
+            replaced: vec![9],
+            ..Datagram::default()
+        }),
+        codec::encode(&Datagram {
+            entry: "entry-1".into(),
+            account: Some(account_figures().remove(0).into()),
+            ..Datagram::default()
+        }),
+    ];
+
+    fuzz_bytes(good, |bytes| {
+        if let Ok(message) = codec::decode::<Datagram>(bytes) {
+            let again = codec::decode::<Datagram>(&codec::encode(&message)).unwrap();
+            assert_eq!(again, message);
+        }
+    });
+}
+
+fn account_figures() -> Vec<Vec<u8>> {
+    let row = Row {
+        prefill_ms: 40.0,
+        in_flight: 3.0,
+        memory: 9_000.0,
+        ..Row::default()
+    };
+    let header = wire::Header {
+        entries: 3,
+        ..wire::Header::default()
+    };
+    let rows = [(7, &row, wire::PREFILL), (9_000, &row, wire::ALL)];
+    wire::encode(header, &rows, &wire::Pools::default(), Mono(5_000_000))
+}
+
+#[test]
+fn figures_of_the_account() {
+    fuzz_bytes(account_figures(), |bytes| {
+        // An age that is greater than the uptime must not underflow.
+        if let Some(message) = wire::decode(bytes, Mono(0)) {
+            assert!(message.rows.len() <= bytes.len());
+            for (key, row, _) in message.rows {
+                assert!(key <= wire::MAX_KEY && row.memory.is_finite());
+            }
+        }
+    });
+}
+
+#[test]
+fn headers_of_engines_and_callers() {
+    let names = HeaderNames::default();
+    let id = HeaderValue::from_static("a-1");
+    let good = ["3,2,96,100", "0.5", "1", "ab:30,cd:40", "4000000000,9"];
+
+    fuzz_text(&good, |text| {
+        let prompt = call::prompt(&call::parse_parts(text), call::parse_tokens(text).0);
+        assert!(prompt.own <= u32::MAX - prompt.shared || prompt.own == 0);
+        let Ok(value) = HeaderValue::from_str(text) else {
+            return;
+        };
+        let fields = [&names.load, &names.limit, &names.leaving, &RETRY_AFTER];
+        let mut headers: HeaderMap = fields
+            .map(|name| (name.clone(), value.clone()))
+            .into_iter()
+            .collect();
+        headers.insert(names.attempt.clone(), id.clone());
+        let told = Statement::read(&names, &id, StatusCode::SERVICE_UNAVAILABLE, &headers).unwrap();
+        assert!(told.limit.is_none_or(|rate| rate > 0.0 && rate.is_finite()));
+    });
+}
+
+/// An element that a scanner has found, or why it was not passed on.
+type Found = Result<Vec<u8>, Excess>;
+
+/// Returns the elements that a scanner finds in a document that arrives in pieces, and the
+/// rest of the document.
+fn scan(document: &[u8], piece: usize) -> (Vec<Found>, Option<Vec<u8>>) {
+    let limits = ElementLimits {
+        bytes: 64 << 10,
+        depth: 32,
+    };
+    let mut scanner = ElementScanner::new(Some("items"), limits);
+    let mut found = Vec::new();
+    for piece in document.chunks(piece.max(1)) {
+        let read = scanner.push(piece, |element| found.push(element.map(<[u8]>::to_vec)));
+        if read.is_err() {
+            return (found, None);
+        }
+    }
+    (found, scanner.finish().ok())
+}
+
+/// Guards against elements that are lost, joined or cut, however the document arrives.
+#[test]
+fn elements_of_a_list() {
+    let good = [
+        r#"{"items":[{"a":"]"},[1,{"b":"\"}], ""],[" ],"next":null}"#,
+        r#"{"more":{"items":[1]},"x":"items","items":[]}"#,
+    ];
+    let good = good.iter().map(|text| text.as_bytes().to_vec()).collect();
+
+    fuzz_bytes(good, |bytes| {
+        let whole = scan(bytes, bytes.len());
+        assert_eq!(scan(bytes, 7), whole);
+        let read = serde_json::from_slice::<serde_json::Map<_, serde_json::Value>>(bytes);
+        let listed = read
+            .ok()
+            .and_then(|page| page.get("items")?.as_array().cloned());
+        if let (Some(listed), (found, Some(_))) = (listed, whole) {
+            let decode = |element: &Found| match element {
+                Ok(bytes) => serde_json::from_slice(bytes).ok(),
+                Err(_) => None,
+            };
+            assert_eq!(found.len(), listed.len());
+            for (found, listed) in found.iter().zip(&listed) {
+                let decoded: Option<serde_json::Value> = decode(found);
+                assert!(decoded.is_none_or(|decoded| decoded == *listed));
+            }
+        }
+    });
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod link;
 mod membership;
 pub mod meter;
+pub mod odd;
 pub mod process;
 pub mod settings;
 pub mod site;
