--- a/tests/testsuite/agent/mod.rs
+++ b/tests/testsuite/agent/mod.rs
@@ -13,3 +13,4 @@
 mod process;
 mod records;
 mod validation;
+mod vms;
