Let a member whose write failed take part again once its disk works

What callers saw: two disks were full for 4.5 s, one after the other. From then on no configuration was acknowledged and no read was answered, although all disks had room and all processes ran; once the entries' leases had ended, every request was refused (CONFIG). Cause: the first write that failed ended the member's part for good. The role `failed` was final, the storage thread had ended, and the process ran on without either. Change: the storage thread drops what is queued and reopens the storage, with pauses of 0.1 to 1 s, until that succeeds or it is stopped. The node then starts again from what is stored, as after a restart, but for the state machine, which keeps what it has applied. Batches carry an incarnation number, so that those of the failed node are never written. Proposers that wait for an entry are told to send it again; requests of this process wait for a leader and get `NoLeader` or `Unknown` after the usual time. The log tells when a member is out and when it is back, and each minute that it stays out; the failures and the time out are metrics. A check of `a_member_with_a_full_disk_no_longer_counts` was replaced: a read at the member that is out gets `NoLeader` in place of `Stopped`, since the member comes back. It still gets no answer from the state machine. In the simulation a failed disk works again after a random time, in place of a restart after all faults; the failed batch may be stored in part.

--- a/src/cardamomtally/replica/host/gauges.rs
+++ b/src/cardamomtally/replica/host/gauges.rs
@@ -2,13 +2,14 @@
 //! storage does not work, one without a vote, and a group without a majority.
 
 use super::{GroupStatus, Suffrage};
+use crate::prelude::*;
 use metrics::gauge;
 
 /// Time without a message after which a voter counts as not heard, in milliseconds.
 const HEARD_WITHIN_MS: u64 = 1_000;
 
-/// Sets the gauges of a group from its status.
-pub(super) fn set(status: &GroupStatus, own: &str) {
+/// Sets the gauges of a group from its status and from how long its storage has not worked.
+pub(super) fn set(status: &GroupStatus, out: Duration, own: &str) {
     let group = status.group.0.to_string();
     let voters = status.members.iter();
     let voters = voters.filter(|m| m.suffrage == Suffrage::Voter);
@@ -20,7 +21,9 @@
         own_vote |= u32::from(is_own);
     }
     let leader = status.leader.is_some();
-    let working = &*status.state != "failed";
+    let working = !matches!(&*status.state, "failed" | "unrestored");
+    gauge!("cardamomtally_replica_storage_out_seconds", "group" => group.clone())
+        .set(out.as_secs_f64());
     gauge!("cardamomtally_replica_storage_works", "group" => group.clone()).set(u32::from(working));
     gauge!("cardamomtally_replica_votes", "group" => group.clone()).set(own_vote);
     gauge!("cardamomtally_replica_voters", "group" => group.clone()).set(count);
--- a/src/cardamomtally/replica/host/mod.rs
+++ b/src/cardamomtally/replica/host/mod.rs
@@ -12,6 +12,7 @@
 mod group;
 mod links;
 mod options;
+mod recovery;
 mod worker;
 
 pub use options::{GroupSpec, GroupStatus, HostOptions, MemberStatus, Suffrage};
--- a/src/cardamomtally/replica/host/worker.rs
+++ b/src/cardamomtally/replica/host/worker.rs
@@ -15,7 +15,7 @@
     },
     timeline::Recorder,
 };
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 
 /// Maximum events that are handled before the nodes are flushed.
@@ -170,9 +170,13 @@
         for PeerMessage { to, body } in outbox.messages {
             self.send(now, &to, group, body);
         }
+        let subject = format!("member {} group {}", self.name, group.0);
+        for warning in outbox.warnings {
+            warn!(self.log, "replica: {}", warning; "group" => group.0);
+            self.events.record("replica", &subject, warning);
+        }
         for note in outbox.notes {
             info!(self.log, "replica: {}", note; "group" => group.0);
-            let subject = format!("member {} group {}", self.name, group.0);
             self.events.record("replica", &subject, note);
         }
     }
@@ -220,7 +224,11 @@
         }
         *at = now + GAUGES_INTERVAL;
         for group in &self.groups {
-            gauges::set(&group.status(now, &self.links), &self.name);
+            gauges::set(
+                &group.status(now, &self.links),
+                group.out_for(now),
+                &self.name,
+            );
         }
     }
 
--- a/src/cardamomtally/replica/node/election.rs
+++ b/src/cardamomtally/replica/node/election.rs
@@ -18,7 +18,7 @@
         match self.lifecycle.role() {
             Role::Joining | Role::Learner => self.send_hellos(now),
             Role::Follower | Role::Candidate => self.campaign(now, true, false),
-            Role::Leader | Role::Failed | Role::Stopped => {}
+            Role::Leader | Role::Failed | Role::Stopped | Role::Unrestored => {}
         }
     }
 
--- a/src/cardamomtally/replica/node/follower.rs
+++ b/src/cardamomtally/replica/node/follower.rs
@@ -207,9 +207,12 @@
         self.log.reset(snapshot.index, snapshot.term);
         self.configs.reset(&snapshot);
         self.commit = snapshot.index;
-        self.applied = snapshot.index;
-        self.effects.apply.clear();
-        self.effects.restore = Some(Arc::clone(&snapshot));
+        // A member whose storage was reopened may have applied more than that.
+        if snapshot.index > self.applied {
+            self.applied = snapshot.index;
+            self.effects.apply.clear();
+            self.effects.restore = Some(Arc::clone(&snapshot));
+        }
         self.effects
             .writes
             .push(Write::Install(Arc::clone(&snapshot)));
--- a/src/cardamomtally/replica/node/lifecycle.rs
+++ b/src/cardamomtally/replica/node/lifecycle.rs
@@ -18,15 +18,16 @@
     Candidate,
     /// Leads the group.
     Leader,
-    /// Stopped taking part after its disk failed or its state machine could not
-    /// restore a snapshot.
+    /// Takes no part since a write failed, until its storage works again.
     Failed,
     /// Was stopped.
     Stopped,
+    /// Takes no part since its state machine could not restore a snapshot.
+    Unrestored,
 }
 
 /// Roles by the name of their state in the chart.
-const ROLES: [(&str, Role); 7] = [
+const ROLES: [(&str, Role); 8] = [
     ("joining", Role::Joining),
     ("learner", Role::Learner),
     ("follower", Role::Follower),
@@ -34,6 +35,7 @@
     ("leader", Role::Leader),
     ("failed", Role::Failed),
     ("stopped", Role::Stopped),
+    ("unrestored", Role::Unrestored),
 ];
 
 /// How the configuration in force lists this member.
@@ -44,7 +46,7 @@
     Voter,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Events {
     added: Event,
     admitted: Event,
@@ -53,11 +55,13 @@
     elected: Event,
     deposed: Event,
     disk_failed: Event,
+    reopened: Event,
+    restore_failed: Event,
     stop: Event,
 }
 
 /// The state chart and the current state.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Lifecycle {
     chart: Chart,
     state: State,
@@ -85,6 +89,8 @@
             elected: event("elected")?,
             deposed: event("deposed")?,
             disk_failed: event("disk-failed")?,
+            reopened: event("reopened")?,
+            restore_failed: event("restore-failed")?,
             stop: event("stop")?,
         };
         let roles = ROLES
@@ -112,6 +118,11 @@
         self.chart.is_final(self.state)
     }
 
+    /// Returns whether the member takes part in the protocol.
+    pub(super) fn takes_part(&self) -> bool {
+        !self.has_ended() && self.role() != Role::Failed
+    }
+
     /// Fires the events that bring the role in line with the configuration.
     pub(super) fn set_membership(&mut self, listed: Membership) {
         match listed {
@@ -142,6 +153,14 @@
         self.fire(self.events.disk_failed);
     }
 
+    pub(super) fn reopen(&mut self) {
+        self.fire(self.events.reopened);
+    }
+
+    pub(super) fn fail_restore(&mut self) {
+        self.fire(self.events.restore_failed);
+    }
+
     pub(super) fn stop(&mut self) {
         self.fire(self.events.stop);
     }
--- a/src/cardamomtally/replica/storage/mod.rs
+++ b/src/cardamomtally/replica/storage/mod.rs
@@ -34,7 +34,7 @@
     Install(Arc<Snapshot>),
 }
 
-/// What was stored when the member started.
+/// What was stored when the storage was opened, or reopened after a failed write.
 #[derive(Clone, Debug, Default)]
 pub struct Loaded {
     /// Term, vote and cluster number.
@@ -77,7 +77,8 @@
     /// Returns the member's identity, drawn when the storage was formatted.
     fn identity(&self) -> MemberId;
 
-    /// Returns what was stored at start. Later calls return an empty value.
+    /// Returns what was stored when the storage was opened or reopened. Later calls return
+    /// an empty value.
     fn load(&mut self) -> Loaded;
 
     /// Writes a batch and syncs it. After an error the storage must be opened again with
--- a/tests/testsuite/replica/mod.rs
+++ b/tests/testsuite/replica/mod.rs
@@ -9,3 +9,4 @@
 mod power;
 mod script;
 mod simulation;
+mod writer;
--- a/tests/testsuite/replica/model.rs
+++ b/tests/testsuite/replica/model.rs
@@ -42,6 +42,20 @@
         }
         Some(batch.seq)
     }
+
+    /// Stores some of the queued batches and some writes of the next one, and drops the
+    /// others, as a failed write does.
+    pub fn fail(&mut self, batches: usize, writes: usize) {
+        for _ in 0..batches {
+            self.sync_one();
+        }
+        if let Some(torn) = self.queue.front() {
+            for write in torn.writes.iter().take(writes) {
+                self.durable.apply(write);
+            }
+        }
+        self.queue.clear();
+    }
 }
 
 /// A state machine in which the first command for a ticket wins.
@@ -141,6 +155,8 @@
     pub snapshots: usize,
     pub reads: usize,
     pub repairs: usize,
+    /// Members whose storage was reopened after a failed write.
+    pub reopened: usize,
 }
 
 impl Coverage {
@@ -151,6 +167,7 @@
             snapshots: self.snapshots + other.snapshots,
             reads: self.reads + other.reads,
             repairs: self.repairs + other.repairs,
+            reopened: self.reopened + other.reopened,
         }
     }
 }
