--- a/tests/testsuite/replica/cluster.rs
+++ b/tests/testsuite/replica/cluster.rs
@@ -154,7 +154,7 @@
 }
 
 #[test]
-fn runs_cover_commands_elections_snapshots_reads_and_repairs() {
+fn runs_cover_commands_elections_snapshots_reads_repairs_and_reopened_disks() {
     let runs = (1..12).map(|seed| {
         let mut sim = Sim::new(plan(seed));
         sim.run().unwrap();
@@ -168,7 +168,10 @@
         coverage.elections > 11 && coverage.snapshots > 0,
         "{coverage:?}"
     );
-    assert!(coverage.repairs > 0, "{coverage:?}");
+    assert!(
+        coverage.repairs > 0 && coverage.reopened > 0,
+        "{coverage:?}"
+    );
 }
 
 #[test]
--- a/tests/testsuite/replica/model.rs
+++ b/tests/testsuite/replica/model.rs
@@ -42,6 +42,20 @@
         }
         Some(batch.seq)
     }
+
+    /// Stores some of the queued batches and some writes of the next one, and drops the
+    /// others, as a failed write does.
+    pub fn fail(&mut self, batches: usize, writes: usize) {
+        for _ in 0..batches {
+            self.sync_one();
+        }
+        if let Some(torn) = self.queue.front() {
+            for write in torn.writes.iter().take(writes) {
+                self.durable.apply(write);
+            }
+        }
+        self.queue.clear();
+    }
 }
 
 /// A state machine in which the first command for a ticket wins.
@@ -142,6 +156,8 @@
     pub reads: usize,
     pub repairs: usize,
     pub wiped: usize,
+    /// Members whose storage was reopened after a failed write.
+    pub reopened: usize,
 }
 
 impl Coverage {
@@ -153,6 +169,7 @@
             reads: self.reads + other.reads,
             repairs: self.repairs + other.repairs,
             wiped: self.wiped + other.wiped,
+            reopened: self.reopened + other.reopened,
         }
     }
 }
