Commit by the majority alone

From 2 * losses + 1 voters on a majority is as many; with fewer the rule could not make up for the missing majority.

--- a/src/cardamomtally/replica/node/leader.rs
+++ b/src/cardamomtally/replica/node/leader.rs
@@ -153,7 +153,7 @@
                 peer.unwrap_or_default()
             }
         });
-        let Some(index) = nth_highest(matched.collect(), self.commit_quorum()) else {
+        let Some(index) = nth_highest(matched.collect(), self.configs.quorum()) else {
             return;
         };
         // An entry of an earlier term may still be replaced by another leader,
@@ -165,14 +165,6 @@
         }
     }
 
-    /// Returns the number of voters that must have synced an entry before it is committed:
-    /// a quorum, and one more than the disks that may be lost at once, if there are so many
-    /// voters.
-    fn commit_quorum(&self) -> usize {
-        let survives = (self.options.losses + 1).min(self.configs.voters().count());
-        self.configs.quorum().max(survives)
-    }
-
     pub(super) fn on_append_reply(&mut self, now: Mono, from: &Sender, reply: AppendReply) {
         let Some(peer) = self.responding_peer(now, from.id, reply.term) else {
             return;
--- a/src/cardamomtally/settings/control.rs
+++ b/src/cardamomtally/settings/control.rs
@@ -144,8 +144,7 @@
     #[serde(default)]
     pub peer_port: Option<u16>,
     /// Number of members whose disks may be lost at once. A group that others may join keeps
-    /// twice as many voters and one more, as soon as it has them; an entry is committed once
-    /// one more member than this has synced it.
+    /// twice as many voters and one more, as soon as it has them.
     #[serde(default = "default_losses")]
     pub losses: u8,
     /// Whether this member may take part in forming a new group.
