Let the control thread wait while a member takes no part

What was seen: found by reading; no measurement of a process. The control thread would poll without a pause, from the failed write until the disk works again. Cause: `Node::deadline` returned the election timer, which has expired and which nothing sets while the member takes no part. The control thread then never waits for an event. Change: such a member asks to be called at the usual interval. Evidence: the script's test failed before (`deadline(now) > now`) and passes now, with the other tests of replica::script, replica::live and replica::writer (19).

--- a/src/cardamomtally/replica/node/mod.rs
+++ b/src/cardamomtally/replica/node/mod.rs
@@ -436,7 +436,8 @@
         let wake = now + self.options.heartbeat / 2;
         match &self.leader_state {
             Some(leader) => wake.min(leader.next_heartbeat()),
-            None => wake.min(self.timer),
+            None if self.lifecycle.takes_part() => wake.min(self.timer),
+            None => wake,
         }
     }
 
--- a/tests/testsuite/replica/script.rs
+++ b/tests/testsuite/replica/script.rs
@@ -303,3 +303,16 @@
     assert!(effects.apply.is_empty() && effects.restore.is_none());
     assert!(!script.nodes[2].may_compact(applied));
 }
+
+/// Guards against a control thread that never waits while a member takes no part, since its
+/// election timer has expired and nothing sets it.
+#[test]
+fn a_member_whose_write_failed_asks_for_no_time_that_has_passed() {
+    let mut script = Script::new(None);
+    script.nodes[2].fail();
+    script.now = script.now + Duration::from_secs(5);
+
+    script.nodes[2].tick(script.now);
+
+    assert!(script.nodes[2].deadline(script.now) > script.now);
+}
