Test storage with a process that ends, or one change that fails, between any two changes

The model of the files played a full disk and failing syncs for whole writes only, so that a failed sync of the folder never followed a sync of a file that succeeded. It now ends the process, or fails one change, anywhere within a write or a start.

Also guards the replay beside a former image, the removal of voters that are gone for good, and the forwarding of a former voter's request to a leader that it does not know.

--- a/tests/testsuite/replica/cluster.rs
+++ b/tests/testsuite/replica/cluster.rs
@@ -127,6 +127,55 @@
     sim.recover()
 }
 
+/// Machines that are gone for good must not count as voters for ever: two of three seeds are
+/// replaced, one after the other, by machines with other names.
+#[test]
+fn a_group_bears_a_further_loss_after_members_were_replaced_under_other_names() {
+    let mut sim = Sim::new(Plan {
+        nodes: 5,
+        seeds: Some(3),
+        losses: 1,
+        ..plan(3)
+    });
+    sim.remove(3);
+    sim.remove(4);
+    sim.accept().unwrap();
+    for (gone, successor) in [(0, 3), (1, 4)] {
+        sim.remove(gone);
+        sim.run_for(Duration::from_secs(1)).unwrap();
+        sim.add(successor);
+        sim.run_for(Duration::from_secs(5)).unwrap();
+    }
+
+    sim.pause(2, Duration::from_secs(60));
+    sim.run_for(Duration::from_secs(1)).unwrap();
+
+    assert_eq!(sim.accept(), Ok(()));
+}
+
+/// A voter that was removed while it was frozen knows neither of that nor of the members
+/// that joined meanwhile. If one of these leads, only the others can tell it of the voter.
+#[test]
+fn a_voter_removed_while_frozen_comes_back_to_a_leader_that_it_does_not_know() {
+    let mut sim = Sim::new(Plan {
+        nodes: 5,
+        seeds: Some(3),
+        losses: 1,
+        ..plan(3)
+    });
+    sim.remove(4);
+    sim.run_for(Duration::from_secs(4)).unwrap();
+    sim.pause(3, Duration::from_secs(1_000));
+    sim.run_for(Duration::from_secs(4)).unwrap();
+    sim.add(4);
+    sim.run_for(Duration::from_secs(4)).unwrap();
+    sim.let_lead(4).unwrap();
+
+    sim.pause(3, Duration::ZERO);
+
+    assert_eq!(sim.recover(), Ok(()));
+}
+
 /// The table of losses in docs/decisions/replica.md.
 #[test]
 fn nothing_accepted_is_lost_when_disks_are_lost_and_all_others_lose_power() {
--- a/tests/testsuite/replica/disk.rs
+++ b/tests/testsuite/replica/disk.rs
@@ -2,10 +2,11 @@
 //! a write, and folders with missing files.
 
 use cardamomtally::{
+    net::codec,
     prelude::*,
     replica::{
         entry::{Entry, HardState, Member, Members, Payload, Snapshot},
-        storage::{Loaded, Storage as _, Write, disk::Disk},
+        storage::{Loaded, Storage as _, Write, disk::Disk, frame},
     },
 };
 use std::{
@@ -311,3 +312,23 @@
 
     assert!(error.to_string().contains("is in use"), "{error}");
 }
+
+/// Replaces the image by one in the format of earlier versions, which does not name the first
+/// segment of the log.
+fn store_former_image(folder: &Path, image: &Snapshot) {
+    let bytes = frame::frame(&codec::encode(image));
+    fs::write(folder.join("image"), bytes).unwrap();
+}
+
+#[test]
+fn a_former_image_opens_beside_some_of_the_segments_that_it_replaced() {
+    let folder = tempfile::tempdir().unwrap();
+    for first in [1, 4, 7, 10] {
+        write(folder.path(), &[vec![append(first..=first + 2, 1)]]);
+    }
+    store_former_image(folder.path(), &snapshot(9, 1));
+
+    fs::remove_file(segments(folder.path()).remove(1)).unwrap();
+
+    assert_eq!(indices(&load(folder.path())), [10, 11, 12]);
+}
--- a/tests/testsuite/replica/files.rs
+++ b/tests/testsuite/replica/files.rs
@@ -49,6 +49,18 @@
     /// Bytes that the disk still takes, or `None` if it is not full.
     space: Option<usize>,
     syncs_fail: bool,
+    /// Number of changes to files and names until the process ends, or `None` if it does
+    /// not. All later ones are refused.
+    changes_left: Option<usize>,
+    /// Number of changes before the one that fails, while those after it succeed.
+    until_failure: Option<usize>,
+}
+
+/// How the file system answers a change.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outcome {
+    Done,
+    Fails,
 }
 
 /// A folder. Its clones share their files.
@@ -65,6 +77,8 @@
             stuck: BTreeSet::new(),
             space: None,
             syncs_fail: false,
+            changes_left: None,
+            until_failure: None,
         })))
     }
 
@@ -82,6 +96,16 @@
         self.inner().syncs_fail = fail;
     }
 
+    /// Lets the process end after so many more changes, or go on if `changes` is `None`.
+    pub fn set_changes_left(&self, changes: Option<usize>) {
+        self.inner().changes_left = changes;
+    }
+
+    /// Lets one change fail after so many others, or none if `changes` is `None`.
+    pub fn set_failure_after(&self, changes: Option<usize>) {
+        self.inner().until_failure = changes;
+    }
+
     /// Loses power. Each name that was created, renamed or removed since the last sync of
     /// the folder is found in its old or its new state, whatever became of the others.
     /// What was appended to a file since its last sync is there, missing or torn.
@@ -107,6 +131,34 @@
 }
 
 impl Inner {
+    /// Counts a change, and decides whether it fails.
+    fn count_change(&mut self) -> io::Result<Outcome> {
+        match &mut self.changes_left {
+            Some(0) => return Err(io::Error::other("the process has ended")),
+            Some(left) => *left -= 1,
+            None => {}
+        }
+        match self.until_failure {
+            Some(0) => {
+                self.until_failure = None;
+                Ok(Outcome::Fails)
+            }
+            Some(left) => {
+                self.until_failure = Some(left - 1);
+                Ok(Outcome::Done)
+            }
+            None => Ok(Outcome::Done),
+        }
+    }
+
+    /// Counts a change that has no effect if it fails.
+    fn begin_change(&mut self) -> io::Result<()> {
+        match self.count_change()? {
+            Outcome::Done => Ok(()),
+            Outcome::Fails => Err(io::Error::other("the change failed")),
+        }
+    }
+
     fn lose_unsynced_bytes(&mut self) {
         for file in &mut self.files {
             let length = self.rng.random_range(file.synced..=file.bytes.len());
@@ -139,8 +191,9 @@
     }
 
     fn sync_names(&mut self) -> io::Result<()> {
+        let outcome = self.count_change()?;
         let changed = self.changed_names();
-        if self.syncs_fail {
+        if self.syncs_fail || outcome == Outcome::Fails {
             self.stuck.extend(changed);
             return Err(io::Error::other("the sync failed"));
         }
@@ -159,7 +212,7 @@
     }
 
     fn sync_file(&mut self, id: FileId) -> io::Result<()> {
-        let fails = self.syncs_fail;
+        let fails = self.count_change()? == Outcome::Fails || self.syncs_fail;
         let file = &mut self.files[id];
         if fails {
             file.dropped.push(file.synced..file.bytes.len());
@@ -181,6 +234,7 @@
 
     fn create(&self, name: &str) -> io::Result<Box<dyn AppendFile>> {
         let inner = &mut *self.inner();
+        inner.begin_change()?;
         if inner.names.contains_key(name) {
             return Err(ErrorKind::AlreadyExists.into());
         }
@@ -193,6 +247,7 @@
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         let inner = &mut *self.inner();
+        inner.begin_change()?;
         let id = inner.names.get(from).copied().ok_or(ErrorKind::NotFound)?;
         inner.bind(from, None);
         inner.bind(to, Some(id));
@@ -200,7 +255,9 @@
     }
 
     fn remove(&self, name: &str) -> io::Result<()> {
-        self.inner().bind(name, None);
+        let inner = &mut *self.inner();
+        inner.begin_change()?;
+        inner.bind(name, None);
         Ok(())
     }
 
@@ -218,7 +275,12 @@
 impl AppendFile for ModelFile {
     fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
         let inner = &mut *self.files.inner();
-        let fits = inner.space.unwrap_or(bytes.len()).min(bytes.len());
+        let limit = match inner.count_change() {
+            Ok(Outcome::Done) => bytes.len(),
+            // A write that fails, or during which the process ends, may have written a part.
+            Ok(Outcome::Fails) | Err(_) => inner.rng.random_range(0..bytes.len()),
+        };
+        let fits = inner.space.unwrap_or(bytes.len()).min(limit);
         inner.space = inner.space.map(|space| space - fits);
         inner.files[self.id].bytes.extend(&bytes[..fits]);
         if fits < bytes.len() {
--- a/tests/testsuite/replica/power.rs
+++ b/tests/testsuite/replica/power.rs
@@ -215,6 +215,111 @@
     Ok(())
 }
 
+/// Ends the process between two changes to the files, during a write or a start, with or
+/// without a loss of power. Checks that the next start that completes finds all batches
+/// before the interrupted one and, of that one, none or some of the writes.
+fn end_between_changes(seed: u64) -> Result<(), String> {
+    let files = ModelFiles::new(seed);
+    let mut script = Script::new(seed);
+    let (mut disk, _empty) = open(&files).map_err(|e| format!("{e:#}"))?;
+    let id = disk.identity();
+    for batch in 0..BATCHES {
+        let before = script.stored.clone();
+        let writes = script.batch();
+        files.set_changes_left(Some(script.rng.random_range(0..24)));
+        if disk.write(&writes).is_ok() && script.rng.random() {
+            files.set_changes_left(None);
+            continue;
+        }
+        // Each of these starts may be interrupted as well.
+        loop {
+            if script.rng.random() {
+                files.lose_power();
+            }
+            let ends = script.rng.random_ratio(1, 2);
+            let left = script.rng.random_range(0..16);
+            files.set_changes_left(ends.then_some(left));
+            match open(&files) {
+                Ok((opened, _loaded)) => {
+                    disk = opened;
+                    break;
+                }
+                Err(_) if ends => {}
+                Err(error) => return Err(format!("after batch {batch}: {error:#}")),
+            }
+        }
+        files.set_changes_left(None);
+        drop(disk);
+        files.lose_power();
+        let (opened, loaded) = open(&files).map_err(|e| format!("after batch {batch}: {e:#}"))?;
+        disk = opened;
+        if disk.identity() != id {
+            return Err(format!("after batch {batch}: another identity"));
+        }
+        holds_some_of(&loaded, before, &writes).map_err(|e| format!("after batch {batch}: {e}"))?;
+        script.go_on_from(loaded);
+    }
+    Ok(())
+}
+
+/// Lets a single change to the files fail, among others that succeed, and then starts again
+/// or goes on with the same process. Checks that all that was written since is found after
+/// losses of power.
+fn fail_one_change(seed: u64) -> Result<(), String> {
+    let files = ModelFiles::new(seed);
+    let mut script = Script::new(seed);
+    let (mut disk, _empty) = open(&files).map_err(|e| format!("{e:#}"))?;
+    for batch in 0..BATCHES {
+        let before = script.stored.clone();
+        let writes = script.batch();
+        if script.rng.random_ratio(1, 3) {
+            files.set_failure_after(Some(script.rng.random_range(0..16)));
+        }
+        let written = disk.write(&writes);
+        files.set_failure_after(None);
+        if written.is_ok() && script.rng.random_ratio(7, 8) {
+            continue;
+        }
+        let restarts = written.is_ok() || script.rng.random();
+        if restarts {
+            drop(disk);
+            if script.rng.random_ratio(1, 3) {
+                files.lose_power();
+            }
+            let (opened, loaded) =
+                open(&files).map_err(|e| format!("after batch {batch}: {e:#}"))?;
+            disk = opened;
+            holds_some_of(&loaded, before, &writes)
+                .map_err(|e| format!("after batch {batch}: {e}"))?;
+            script.go_on_from(loaded);
+        } else {
+            let reopened = disk.reopen();
+            reopened.map_err(|e| format!("after batch {batch}: {e:#}"))?;
+            let loaded = disk.load();
+            holds_some_of(&loaded, before, &writes)
+                .map_err(|e| format!("after batch {batch}: {e}"))?;
+            script.go_on_from(loaded);
+        }
+    }
+    Ok(())
+}
+
+/// Checks that a storage holds what it held before and none or some of the writes, from the
+/// first one on.
+fn holds_some_of(loaded: &Loaded, before: Loaded, writes: &[Write]) -> Result<(), String> {
+    let mut expected = before;
+    let mut agrees = agree(loaded, &expected);
+    for write in writes {
+        expected.apply(write);
+        agrees |= agree(loaded, &expected);
+    }
+    if agrees {
+        Ok(())
+    } else {
+        Err(format!("{loaded:?}, {expected:?}"))
+    }
+}
+
 fn failing_seeds(play: impl Fn(u64) -> Result<(), String>) -> Vec<u64> {
     let count = std::env::var("CARDAMOMTALLY_SEEDS").ok();
     let seeds = count.map_or(SEEDS, |n| n.parse().unwrap());
@@ -235,3 +340,13 @@
 fn nothing_synced_is_lost_after_writes_that_were_refused_short_or_not_synced() {
     assert_eq!(failing_seeds(fail_writes_at_random), Vec::<u64>::new());
 }
+
+#[test]
+fn nothing_synced_is_lost_if_the_process_ends_between_any_two_changes_to_the_files() {
+    assert_eq!(failing_seeds(end_between_changes), Vec::<u64>::new());
+}
+
+#[test]
+fn nothing_synced_is_lost_after_a_single_change_to_the_files_has_failed() {
+    assert_eq!(failing_seeds(fail_one_change), Vec::<u64>::new());
+}
--- a/tests/testsuite/replica/simulation.rs
+++ b/tests/testsuite/replica/simulation.rs
@@ -239,6 +239,42 @@
         self.crash(i, self.micros + time.as_micros() as u64);
     }
 
+    /// Ends the node's process, which never starts again.
+    pub fn remove(&mut self, i: usize) {
+        self.crash(i, u64::MAX);
+    }
+
+    /// Lets a node's process start that was kept from it.
+    pub fn add(&mut self, i: usize) {
+        self.slots[i].down_until = 0;
+    }
+
+    /// Runs without faults until a command is accepted.
+    pub fn accept(&mut self) -> Result<(), Violation> {
+        let before = self.history.accepted;
+        for _ in 0..2_000 {
+            self.step()?;
+            if self.history.accepted > before {
+                return Ok(());
+            }
+        }
+        Err(Violation::Stall(self.describe()))
+    }
+
+    /// Restarts the leaders until a certain node leads.
+    pub fn let_lead(&mut self, i: usize) -> Result<(), Violation> {
+        for _ in 0..100 {
+            let leads = |s: &Slot| s.node.as_ref().is_some_and(|n| n.role() == Role::Leader);
+            match self.slots.iter().position(leads) {
+                Some(leader) if leader == i => return Ok(()),
+                Some(leader) => self.lose_power(leader, Duration::from_millis(100)),
+                None => {}
+            }
+            self.run_for(Duration::from_millis(1_500))?;
+        }
+        Err(Violation::Stall(self.describe()))
+    }
+
     fn start(&mut self, i: usize) {
         let now = self.now(i);
         let seeds = self.plan.seeds.unwrap_or(self.slots.len());
