--- a/src/cardamomtally/replica/storage/disk.rs
+++ b/src/cardamomtally/replica/storage/disk.rs
@@ -71,6 +71,8 @@
     /// Returns an error if the files cannot be used, or if they hold a corrupt record
     /// that is not at the end of the log. In the last case the error is [`Corrupt`].
     pub fn open_files(files: Box<dyn Files>, segment_bytes: u64) -> eyre::Result<Self> {
+        // The process before may have ended after a failed sync of the folder.
+        image::store_again(&*files)?;
         let log = OpenLog::open(&*files, None)?;
         Ok(Self {
             files,
