--- a/tests/testsuite/replica/disk.rs
+++ b/tests/testsuite/replica/disk.rs
@@ -3,10 +3,11 @@
 
 use crate::support::page_cache::unsynced_pages;
 use cardamomtally::{
+    net::codec,
     prelude::*,
     replica::{
         entry::{Entry, HardState, Member, Members, Payload, Snapshot},
-        storage::{Loaded, Storage as _, Write, disk::Disk},
+        storage::{Loaded, Storage as _, Write, disk::Disk, frame},
     },
 };
 use std::{
@@ -273,6 +274,28 @@
     assert_eq!(indices(&load(folder.path())), [8]);
 }
 
+/// A loss of power brings back a removed segment whose entries a later one, which stays
+/// removed, had replaced. Its last entry must not be compared with the snapshot's.
+#[test]
+fn replaced_entries_in_a_removed_segment_that_came_back_are_not_replayed() {
+    let folder = tempfile::tempdir().unwrap();
+    write(folder.path(), &[vec![append(1..=10, 1)]]);
+    let path = segments(folder.path()).remove(0);
+    let old = fs::read(&path).unwrap();
+    write(folder.path(), &[vec![append(8..=10, 2)]]);
+    write(
+        folder.path(),
+        &[
+            vec![append(11..=12, 2)],
+            vec![Write::Compact(snapshot(10, 2))],
+        ],
+    );
+
+    fs::write(&path, old).unwrap();
+
+    assert_eq!(indices(&load(folder.path())), [11, 12]);
+}
+
 #[test]
 fn a_corrupt_snapshot_is_an_error() {
     let folder = tempfile::tempdir().unwrap();
@@ -327,3 +350,38 @@
 
     assert!(error.to_string().contains("is in use"), "{error}");
 }
+
+/// Replaces the image by one in the format of earlier versions, which does not name the first
+/// segment of the log.
+fn store_former_image(folder: &Path, image: &Snapshot) {
+    let bytes = frame::frame(&codec::encode(image));
+    fs::write(folder.join("image"), bytes).unwrap();
+}
+
+#[test]
+fn a_former_image_opens_beside_some_of_the_segments_that_it_replaced() {
+    let folder = tempfile::tempdir().unwrap();
+    for first in [1, 4, 7, 10] {
+        write(folder.path(), &[vec![append(first..=first + 2, 1)]]);
+    }
+    store_former_image(folder.path(), &snapshot(9, 1));
+
+    fs::remove_file(segments(folder.path()).remove(1)).unwrap();
+
+    assert_eq!(indices(&load(folder.path())), [10, 11, 12]);
+}
+
+/// A former version has removed two segments without a sync, the second of which replaced
+/// entries of the first one. Only the first one is found again after a loss of power.
+#[test]
+fn a_former_image_does_not_drop_later_entries_for_replaced_ones_that_came_back() {
+    let folder = tempfile::tempdir().unwrap();
+    write(folder.path(), &[vec![append(1..=10, 1)]]);
+    write(folder.path(), &[vec![append(8..=10, 2)]]);
+    write(folder.path(), &[vec![append(11..=12, 2)]]);
+    store_former_image(folder.path(), &snapshot(10, 2));
+
+    fs::remove_file(segments(folder.path()).remove(1)).unwrap();
+
+    assert_eq!(indices(&load(folder.path())), [11, 12]);
+}
