--- a/src/cardamomtally/replica/storage/segments.rs
+++ b/src/cardamomtally/replica/storage/segments.rs
@@ -63,6 +63,10 @@
     unsynced: Option<Unsynced>,
 ) -> eyre::Result<Segments> {
     let numbers = numbers(files)?;
+    let first = match snapshot {
+        Some(_) => first.max(after_last_gap(&numbers)),
+        None => first,
+    };
     let (covered, live) = numbers.split_at(numbers.partition_point(|n| *n < first));
     let mut found = Segments {
         closed: covered.iter().copied().map(Segment::covered).collect(),
@@ -83,6 +87,15 @@
     Ok(found)
 }
 
+/// Returns the number after the last one that is missing, or 0 if none is. Segments are
+/// removed from the oldest on, so that those before it were removed too and came back. An
+/// image of an earlier version does not name the first segment.
+fn after_last_gap(numbers: &[u64]) -> u64 {
+    let pairs = numbers.windows(2);
+    let gap = pairs.rev().find(|pair| pair[0] + 1 != pair[1]);
+    gap.map_or(0, |pair| pair[1])
+}
+
 impl Segment {
     /// A segment all of whose entries a snapshot covers.
     fn covered(number: u64) -> Self {
--- a/tests/testsuite/replica/simulation.rs
+++ b/tests/testsuite/replica/simulation.rs
@@ -10,7 +10,7 @@
     replica::{
         entry::{Entry, Payload},
         message::Packet,
-        node::{Effects, Node, NodeOptions, ReadDone, Rule},
+        node::{Effects, Node, NodeOptions, ReadDone, Role, Rule},
     },
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
