--- a/src/cardamomtally/replica/host/gauges.rs
+++ b/src/cardamomtally/replica/host/gauges.rs
@@ -1,23 +1,22 @@
 //! Metrics of a member's part in its groups. They tell apart, from outside, a member whose
 //! storage does not work, one without a vote, and a group without a majority.
 
-use super::{GroupStatus, Suffrage};
+use super::{GroupStatus, Suffrage, group::Group, links::Links};
 use crate::prelude::*;
 use metrics::gauge;
 
-/// Time without a message after which a voter counts as not heard, in milliseconds.
-const HEARD_WITHIN_MS: u64 = 1_000;
-
-/// Sets the gauges of a group from its status and from how long its storage has not worked.
-pub(super) fn set(status: &GroupStatus, out: Duration, own: &str) {
+/// Sets the gauges of a group.
+pub(super) fn set(group: &Group, links: &Links, now: Mono) {
+    let status: GroupStatus = group.status(now, links);
+    let (own, out) = (group.node.id(), group.out_for(now));
     let group = status.group.0.to_string();
     let voters = status.members.iter();
     let voters = voters.filter(|m| m.suffrage == Suffrage::Voter);
     let (mut count, mut heard, mut own_vote) = (0, 0, 0);
     for voter in voters {
         count += 1;
-        let is_own = &*voter.name == own;
-        heard += u32::from(is_own || voter.silent_ms < HEARD_WITHIN_MS);
+        let is_own = voter.id == own;
+        heard += u32::from(is_own || links.hears(now, &voter.name, voter.id));
         own_vote |= u32::from(is_own);
     }
     let leader = status.leader.is_some();
--- a/src/cardamomtally/replica/host/links.rs
+++ b/src/cardamomtally/replica/host/links.rs
@@ -1,7 +1,11 @@
 //! Tracks which members are alive, from the messages that arrive and nothing
 //! else, and decides when to ping a member or replace its connection.
 
-use crate::{prelude::*, replica::peers::Envelope, settings::control::GroupSettings};
+use crate::{
+    prelude::*,
+    replica::peers::{Body, Envelope},
+    settings::control::GroupSettings,
+};
 use std::collections::BTreeMap;
 
 /// Time without a message from a member after which its connection is presumed
@@ -23,6 +27,8 @@
     listed: bool,
     /// Whether any message from the member has arrived.
     known: bool,
+    /// Identity in the member's last message of the log. It changes when its disk is lost.
+    identity: Option<MemberId>,
     /// Time of the last message from the member, or of the start if there was none yet.
     heard: Mono,
     /// Time of the last message to the member, or `None` if there was none yet.
@@ -39,6 +45,7 @@
         Self {
             listed,
             known: false,
+            identity: None,
             heard: now,
             sent: None,
             renewed: now,
@@ -96,6 +103,12 @@
         link.heard = now;
         link.known = true;
         link.reads_packed = envelope.reads_packed;
+        // A forwarded message names another member than the one that sent it.
+        if let Body::Log(packet) = &envelope.body
+            && packet.name == envelope.from
+        {
+            link.identity = Some(packet.from);
+        }
         link.unheard = if envelope.hears {
             None
         } else {
@@ -111,6 +124,15 @@
         now.since(link.heard) < SILENCE_TIMEOUT
     }
 
+    /// Returns whether a member was heard within `SILENCE_TIMEOUT`. A process of its name
+    /// that has another identity is not this member.
+    pub(super) fn hears(&self, now: Mono, name: &Name, id: MemberId) -> bool {
+        self.links.get(name).is_some_and(|link| {
+            let same = link.identity.is_none_or(|identity| identity == id);
+            same && link.known && now.since(link.heard) < SILENCE_TIMEOUT
+        })
+    }
+
     /// Returns the time since the last message from a member, or zero if its link
     /// is not known.
     pub(super) fn silence(&self, now: Mono, name: &Name) -> Duration {
--- a/src/cardamomtally/replica/host/worker.rs
+++ b/src/cardamomtally/replica/host/worker.rs
@@ -226,11 +226,7 @@
         }
         *at = now + GAUGES_INTERVAL;
         for group in &self.groups {
-            gauges::set(
-                &group.status(now, &self.links),
-                group.out_for(now),
-                &self.name,
-            );
+            gauges::set(group, &self.links, now);
         }
     }
 
