--- a/src/cardamomtally/util/sse.rs
+++ b/src/cardamomtally/util/sse.rs
@@ -3,13 +3,21 @@
 //! What a backend server sends where events are due may be the text of an error, or the
 //! head of another answer. None of these consists of fields.
 
+use memchr::{memchr, memchr_iter};
+use std::iter;
+
 /// Fields that may stand without a value.
 const BARE_FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
 
 /// Returns the lines of events, without their ends.
 pub fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
-    let lines = bytes.split(|byte| *byte == b'\n');
-    lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+    let mut start = 0;
+    let ends = memchr_iter(b'\n', bytes).chain(iter::once(bytes.len()));
+    ends.map(move |end| {
+        let line = &bytes[start..end];
+        start = end + 1;
+        line.strip_suffix(b"\r").unwrap_or(line)
+    })
 }
 
 /// Tells whether a line that is not empty is a comment or a field of an event. The name of
@@ -17,7 +25,7 @@
 /// the lines of an HTTP head nor JSON, markup and plain text count as fields.
 #[must_use]
 pub fn is_field(line: &[u8]) -> bool {
-    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+    let Some(colon) = memchr(b':', line) else {
         return BARE_FIELDS.contains(&line);
     };
     let in_name = |byte: &u8| {
