Outlive the kernel's limits on file size and processor time

Cause: SIGXFSZ, which the kernel sends beside EFBIG, ends a process by default; SIGXCPU likewise, and SIGHUP in the daemons that reload nothing.

Change: the daemons handle these signals, so that the write fails with an error as on a full disk, which the member already bears.

--- a/src/cardamomtally/daemon/launch.rs
+++ b/src/cardamomtally/daemon/launch.rs
@@ -2,9 +2,12 @@
 //! context and the async runtime.
 
 use super::Context;
-use crate::settings::{
-    self, AgentSettings, ControlSettings, EntrySettings, Settings,
-    common::{HttpSettings, LogSettings, ProcessSettings, TimelineSettings},
+use crate::{
+    settings::{
+        self, AgentSettings, ControlSettings, EntrySettings, Settings,
+        common::{HttpSettings, LogSettings, ProcessSettings, TimelineSettings},
+    },
+    util::signals::{self, Outlived},
 };
 use clap::{Arg, Command, value_parser};
 use eyre::WrapErr as _;
@@ -112,5 +115,9 @@
         .enable_all()
         .build()
         .wrap_err("failed to start the runtime")?;
-    runtime.block_on(start(settings, context))
+    runtime.block_on(async {
+        let outlived = [Outlived::FileSize, Outlived::Hangup, Outlived::ProcessorTime];
+        signals::outlive(&outlived, &context.log).wrap_err("failed to handle signals")?;
+        start(settings, context).await
+    })
 }
--- a/src/cardamomtally/util/mod.rs
+++ b/src/cardamomtally/util/mod.rs
@@ -1,7 +1,8 @@
-//! Logging, terminal output, ports and the form of events, without any knowledge of routing
-//! or tickets.
+//! Logging, terminal output, signals, ports and the form of events, without any knowledge of
+//! routing or tickets.
 
 pub mod log;
 pub mod ports;
 pub mod shell;
+pub mod signals;
 pub mod sse;
