Open a member's storage later if the disk is full at its start

Cause: opening the storage writes (image, newest segment and a new one), and an error of that ended the process; only a running member bore a full disk.

Change: an error that may pass (no room, quota, limit on file size, EIO, time-out) leaves the member in the state failed, without an identity. The storage thread opens the folder later, as it does after a failed write. A new reason for which it cannot be reopened is logged.

--- a/src/cardamomtally/daemon/launch.rs
+++ b/src/cardamomtally/daemon/launch.rs
@@ -116,7 +116,11 @@
         .build()
         .wrap_err("failed to start the runtime")?;
     runtime.block_on(async {
-        let outlived = [Outlived::FileSize, Outlived::Hangup, Outlived::ProcessorTime];
+        let outlived = [
+            Outlived::FileSize,
+            Outlived::Hangup,
+            Outlived::ProcessorTime,
+        ];
         signals::outlive(&outlived, &context.log).wrap_err("failed to handle signals")?;
         start(settings, context).await
     })
--- a/src/cardamomtally/replica/host/calls.rs
+++ b/src/cardamomtally/replica/host/calls.rs
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Replaces the identity of this member, which was unknown while its storage could not be
+    /// used.
+    pub(super) const fn set_own(&mut self, own: MemberId) {
+        self.own = own;
+    }
+
     fn number(&mut self) -> u64 {
         self.next = self.next.wrapping_add(1);
         self.next
--- a/src/cardamomtally/replica/host/group.rs
+++ b/src/cardamomtally/replica/host/group.rs
@@ -154,12 +154,15 @@
         };
         let own = options.id;
         let node = Node::new(options, storage.load(), now)?;
+        let failure = storage.failure();
         let mut outbox = Outbox::default();
-        outbox.notes.push(opened_note(&node));
+        if failure.is_none() {
+            outbox.notes.push(opened_note(&node));
+        }
         // The control thread receives events until it drops the queue on
         // shutdown, so this call does not block forever when the queue is full.
         let report = move |written| drop(events.send(Event::Written { group: id, written }));
-        Ok(Self {
+        let mut group = Self {
             id,
             node,
             machine: spec.machine,
@@ -176,7 +179,11 @@
             outbox,
             readers: Readers::default(),
             outage: None,
-        })
+        };
+        if let Some(error) = failure {
+            group.storage_failed(now, error);
+        }
+        Ok(group)
     }
 
     pub(super) const fn calls(&mut self) -> &mut Calls {
--- a/src/cardamomtally/replica/host/mod.rs
+++ b/src/cardamomtally/replica/host/mod.rs
@@ -22,7 +22,7 @@
         MessageHandler, Transport,
         nng::{NngOptions, NngTransport},
     },
-    storage::{Storage, disk::Disk},
+    storage::{Storage, late::LateDisk},
 };
 use crate::{
     core::log::{Leader, Log, LogError},
@@ -79,7 +79,7 @@
         let segment = options.settings.segment.0;
         let storage = move |group: GroupId| -> eyre::Result<Box<dyn Storage>> {
             let folder = folder.join(format!("group-{}", group.0));
-            Ok(Box::new(Disk::open(&folder, segment)?))
+            Ok(Box::new(LateDisk::open(&folder, segment)?))
         };
         Self::start_with_storage(options, &storage)
     }
--- a/src/cardamomtally/replica/host/recovery.rs
+++ b/src/cardamomtally/replica/host/recovery.rs
@@ -26,13 +26,14 @@
         match written {
             Written::Synced(seq) => self.node.synced(now, seq),
             Written::Failed(error) => self.storage_failed(now, error),
+            Written::Unusable(error) => self.storage_unusable(error),
             Written::Reopened(reopened) => self.storage_reopened(now, reopened),
         }
     }
 
     /// Requests of this process wait for a leader meanwhile, within their usual time
     /// limits.
-    fn storage_failed(&mut self, now: Mono, error: String) {
+    pub(super) fn storage_failed(&mut self, now: Mono, error: String) {
         let group = self.id.0.to_string();
         counter!("cardamomtally_replica_storage_failures_total", "group" => group).increment(1);
         self.outbox.warnings.push(format!(
@@ -47,15 +48,25 @@
         self.answer_pending();
     }
 
+    fn storage_unusable(&mut self, error: String) {
+        let text = format!("storage cannot be reopened: {error}");
+        self.outbox.warnings.push(text);
+        if let Some(outage) = &mut self.outage {
+            outage.error = error;
+        }
+    }
+
     fn storage_reopened(&mut self, now: Mono, reopened: Reopened) {
         let out = self.out_for(now).as_secs_f64();
         self.outage = None;
-        if !self.node.reopen(reopened.loaded, now) {
+        if !self.node.reopen(reopened.identity, reopened.loaded, now) {
             return;
         }
+        self.calls().set_own(reopened.identity);
         self.writer.resume(reopened.incarnation);
         self.outbox.notes.push(format!(
-            "storage works again after {out:.1} s; this member takes part again, with the log to {} of term {}",
+            "storage works again after {out:.1} s; member {} takes part again, with the log to {} of term {}",
+            self.node.id(),
             self.node.last(),
             self.node.term().0
         ));
--- a/src/cardamomtally/replica/node/failure.rs
+++ b/src/cardamomtally/replica/node/failure.rs
@@ -23,12 +23,13 @@
     }
 
     /// Starts again with what the reopened storage holds, as after a restart, if a write
-    /// had failed. Returns whether it did.
+    /// had failed. Returns whether it did. `id` is the member's identity, which was unknown
+    /// before if the storage could not be used yet.
     ///
     /// The state machine keeps what it has applied, which is committed whether or not this
     /// member stores it. Entries up to that index are not applied again, and an older
     /// snapshot is not restored.
-    pub fn reopen(&mut self, loaded: Loaded, now: Mono) -> bool {
+    pub fn reopen(&mut self, id: MemberId, loaded: Loaded, now: Mono) -> bool {
         if self.role() != Role::Failed {
             return false;
         }
@@ -40,6 +41,7 @@
         let mut lifecycle = self.lifecycle.clone();
         lifecycle.reopen();
         let mut options = self.options.clone();
+        options.id = id;
         options.seed = self.rng.random();
         let mut node = Self::build(options, lifecycle, loaded, now);
         // Batches keep their order, so that a report of an earlier one counts for nothing.
--- a/src/cardamomtally/replica/storage/mod.rs
+++ b/src/cardamomtally/replica/storage/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The node returns [`Write`]s. A separate thread ([`writer`]) passes batches of
 //! them to a [`Storage`], which syncs once per batch, and reports back. [`disk`]
-//! stores them in a folder, whose files it uses through [`files`];
-//! [`memory::MemStorage`] stores nothing.
+//! stores them in a folder, whose files it uses through [`files`]; [`late`] waits for a
+//! folder that cannot be used yet; [`memory::MemStorage`] stores nothing.
 
 pub mod corrupt;
 pub mod disk;
@@ -11,6 +11,7 @@
 pub mod folder;
 pub mod frame;
 mod image;
+pub mod late;
 pub mod memory;
 mod replay;
 mod segments;
@@ -74,9 +75,16 @@
 
 /// Storage of one group of a member.
 pub trait Storage: Debug + Send {
-    /// Returns the member's identity, drawn when the storage was formatted.
+    /// Returns the member's identity, drawn when the storage was formatted. It is the default
+    /// one until the storage could be used for the first time.
     fn identity(&self) -> MemberId;
 
+    /// Returns why the storage could not be used yet, or `None` if it could. Until then it
+    /// must be opened with [`Storage::reopen`], as after a failed write.
+    fn failure(&self) -> Option<String> {
+        None
+    }
+
     /// Returns what was stored when the storage was opened or reopened. Later calls return
     /// an empty value.
     fn load(&mut self) -> Loaded;
--- a/src/cardamomtally/replica/storage/writer.rs
+++ b/src/cardamomtally/replica/storage/writer.rs
@@ -1,7 +1,8 @@
 //! The thread that writes and syncs, so that a slow disk does not delay
 //! heartbeats.
 //!
-//! After a failed write it reopens the storage until that succeeds. The node that queued
+//! After a failed write, or if the storage could not be used yet, it reopens the storage until
+//! that succeeds. The node that queued
 //! the batches of before is replaced then, so these are never written: each batch carries
 //! the incarnation of its node, the number of times that the storage was reopened.
 
@@ -36,6 +37,8 @@
     /// A write or sync failed with this error. No further batch is written until
     /// [`Writer::resume`].
     Failed(String),
+    /// The storage cannot be reopened, for another reason than the one told last.
+    Unusable(String),
     /// The storage works again.
     Reopened(Reopened),
 }
@@ -45,6 +48,8 @@
 pub struct Reopened {
     /// Number of times that the storage was reopened.
     pub incarnation: u64,
+    /// The member's identity. It may have been unknown before.
+    pub identity: MemberId,
     /// What is certain to be stored.
     pub loaded: Loaded,
 }
@@ -59,7 +64,7 @@
 
 impl Writer {
     /// Starts the thread. It calls `report` after each sync, which may cover
-    /// several batches.
+    /// several batches, and when the storage was reopened.
     ///
     /// # Errors
     ///
@@ -119,6 +124,8 @@
     batches: &'a Receiver<Batch>,
     report: &'a R,
     incarnation: u64,
+    /// Why the storage does not work, as told last.
+    reason: String,
     /// Pause before the next attempt to reopen the storage. Only a write that succeeds
     /// resets it: a nearly full disk may be reopened and then refuse the next write.
     pause: Duration,
@@ -130,8 +137,15 @@
         batches,
         report,
         incarnation: 0,
+        reason: String::new(),
         pause: MIN_REOPEN_PAUSE,
     };
+    if let Some(reason) = thread.storage.failure() {
+        thread.reason = reason;
+        if !thread.reopen() {
+            return;
+        }
+    }
     while let Ok(first) = batches.recv() {
         if first.incarnation != thread.incarnation {
             continue;
@@ -157,7 +171,8 @@
         }
         let begin = Instant::now();
         if let Err(error) = self.storage.write(&writes) {
-            (self.report)(Written::Failed(format!("{error:#}")));
+            self.reason = format!("{error:#}");
+            (self.report)(Written::Failed(self.reason.clone()));
             return Err(());
         }
         metrics::histogram!("cardamomtally_replica_sync_seconds").record(begin.elapsed());
@@ -174,18 +189,28 @@
                 return false;
             }
             self.pause = (self.pause * 2).min(MAX_REOPEN_PAUSE);
-            if self.storage.reopen().is_ok() {
-                break;
+            match self.storage.reopen() {
+                Ok(()) => break,
+                Err(error) => self.tell(format!("{error:#}")),
             }
         }
         self.incarnation += 1;
         (self.report)(Written::Reopened(Reopened {
             incarnation: self.incarnation,
+            identity: self.storage.identity(),
             loaded: self.storage.load(),
         }));
         true
     }
 
+    /// Reports why the storage cannot be reopened, unless that was told last.
+    fn tell(&mut self, reason: String) {
+        if reason != self.reason {
+            self.reason.clone_from(&reason);
+            (self.report)(Written::Unusable(reason));
+        }
+    }
+
     /// Drops batches for the length of a pause. Returns false if the thread is stopped.
     fn wait(&self) -> bool {
         let end = Instant::now() + self.pause;
--- a/tests/testsuite/replica/script.rs
+++ b/tests/testsuite/replica/script.rs
@@ -108,7 +108,8 @@
         let refused = self.nodes[to].flush(self.now).writes;
         assert!(!refused.is_empty());
         self.nodes[to].fail();
-        assert!(self.nodes[to].reopen(self.disks[to].clone(), self.now));
+        let id = self.nodes[to].id();
+        assert!(self.nodes[to].reopen(id, self.disks[to].clone(), self.now));
         self.flush(to);
     }
 
@@ -295,7 +296,8 @@
         hard: script.disks[2].hard,
         ..empty
     };
-    script.nodes[2].reopen(disk, script.now);
+    let id = script.nodes[2].id();
+    script.nodes[2].reopen(id, disk, script.now);
     let effects = script.nodes[2].flush(script.now);
 
     assert!(applied >= Index(3));
--- a/tests/testsuite/replica/simulation.rs
+++ b/tests/testsuite/replica/simulation.rs
@@ -529,7 +529,7 @@
         let now = self.now(i);
         let slot = &mut self.slots[i];
         if let Some(node) = slot.node.as_mut().filter(|_| slot.reopen_at <= self.micros)
-            && node.reopen(slot.disk.durable.clone(), now)
+            && node.reopen(node.id(), slot.disk.durable.clone(), now)
         {
             self.coverage.reopened += 1;
         }
