Refuse an order that its caller may have given up

Cause: orders hold nothing on which they were decided, and a member proposes what it finds in a socket however old it is. Ruled out as a mend: the closed connection alone (the test with an open one fails as well), the time of day.

--- a/src/cardamomtally/site/state.rs
+++ b/src/cardamomtally/site/state.rs
@@ -62,6 +62,10 @@
         /// that proposes this one has measured it. Former builds do not tell it.
         #[serde(rename = "a", default)]
         since_latest: Option<u64>,
+        /// Log index of the latest order for the service when this one was decided. Former
+        /// builds do not tell it.
+        #[serde(rename = "n", default)]
+        decided_on: Option<Index>,
     },
     /// Applies a step of a roll-out that the leader has decided.
     #[serde(rename = "p")]
@@ -75,6 +79,10 @@
         /// Whether the data centre must not be used.
         #[serde(rename = "o")]
         evacuated: bool,
+        /// Log index of the latest order for the data centre when this one was decided.
+        /// Former builds do not tell it.
+        #[serde(rename = "n", default)]
+        decided_on: Option<Index>,
     },
     /// Replaces the list of backend servers by a changed one.
     #[serde(rename = "b")]
@@ -93,6 +101,10 @@
     /// The command changed nothing, because it or something newer was in force already.
     #[serde(rename = "s")]
     Same,
+    /// The order was decided before another one for the same data centre or service took
+    /// effect, which says otherwise. It changed nothing.
+    #[serde(rename = "o")]
+    Overtaken,
     /// The command could not be decoded and changed nothing.
     #[serde(rename = "u")]
     Unreadable,
@@ -115,6 +127,24 @@
     pub evacuated: BTreeSet<Name>,
 }
 
+/// Log indexes of the latest orders, 0 if there was none. An order counts also if it changed
+/// nothing.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Orders {
+    /// Evacuations and their withdrawals, by data centre.
+    #[serde(rename = "c", default)]
+    pub centres: BTreeMap<Name, Index>,
+    /// Roll-outs, by service.
+    #[serde(rename = "s", default)]
+    pub services: BTreeMap<Name, Index>,
+}
+
+/// Returns whether another order has come since one was decided.
+fn is_overtaken(latest: Option<&Index>, decided_on: Option<Index>) -> bool {
+    let latest = latest.copied().unwrap_or_default();
+    decided_on.is_some_and(|decided_on| decided_on != latest)
+}
+
 /// The whole replicated state of a site.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct State {
@@ -130,6 +160,9 @@
     /// How long the latest roll-out of each service has run.
     #[serde(rename = "t", default)]
     pub progress: BTreeMap<Name, Progress>,
+    /// The latest orders, by which an order is told that was decided before them.
+    #[serde(rename = "l", default)]
+    pub orders: Orders,
 }
 
 impl State {
@@ -143,21 +176,31 @@
                 duration,
                 wall,
                 since_latest,
+                decided_on,
             } => {
                 let rollout = Rollout::new(target, duration, wall);
-                self.begin(index, &service, rollout, since_latest)
+                let repeated = self.repeats(&service, &rollout, since_latest);
+                let latest = self.orders.services.get(&service);
+                if !repeated && is_overtaken(latest, decided_on) {
+                    return Reply::Overtaken;
+                }
+                self.orders.services.insert(Arc::clone(&service), index);
+                self.change(index, |fleet| {
+                    if !repeated {
+                        fleet.rollouts.insert(service, rollout);
+                    }
+                    !repeated
+                })
             }
             Command::Step(step) => {
                 self.record_progress(&step);
                 self.change(index, |fleet| apply_step(fleet, &step))
             }
-            Command::Evacuate { centre, evacuated } => self.change(index, |fleet| {
-                if evacuated {
-                    fleet.evacuated.insert(centre)
-                } else {
-                    fleet.evacuated.remove(&centre)
-                }
-            }),
+            Command::Evacuate {
+                centre,
+                evacuated,
+                decided_on,
+            } => self.evacuate(index, centre, evacuated, decided_on),
             Command::Backends(backends) => self.change(index, |fleet| {
                 let differs = fleet.backends != backends;
                 fleet.backends = backends;
@@ -189,25 +232,37 @@
         Reply::Done
     }
 
-    fn begin(
+    /// Returns whether an order repeats that of the service's latest roll-out.
+    fn repeats(&self, service: &Name, order: &Rollout, since_latest: Option<u64>) -> bool {
+        let latest = self.fleet.rollouts.get(service);
+        latest.is_some_and(|latest| {
+            let since = since_latest.unwrap_or(order.ordered.saturating_sub(latest.ordered));
+            let recent = since < REPEAT_WINDOW_MS;
+            latest.target == order.target && (latest.stage == Stage::Running || recent)
+        })
+    }
+
+    /// Evacuates a data centre or puts it back into service, unless another order has come
+    /// since this one was decided. An order that asks for what is in force is acknowledged
+    /// in any case, since it may be the second copy of one that was applied.
+    fn evacuate(
         &mut self,
         index: Index,
-        service: &Name,
-        rollout: Rollout,
-        since_latest: Option<u64>,
+        centre: Name,
+        evacuated: bool,
+        decided_on: Option<Index>,
     ) -> Reply {
+        let in_force = self.fleet.evacuated.contains(&centre) == evacuated;
+        if !in_force && is_overtaken(self.orders.centres.get(&centre), decided_on) {
+            return Reply::Overtaken;
+        }
+        self.orders.centres.insert(Arc::clone(&centre), index);
         self.change(index, |fleet| {
-            let latest = fleet.rollouts.get(service);
-            let repeated = latest.is_some_and(|latest| {
-                let since = since_latest.unwrap_or(rollout.ordered.saturating_sub(latest.ordered));
-                let recent = since < REPEAT_WINDOW_MS;
-                latest.target == rollout.target && (latest.stage == Stage::Running || recent)
-            });
-            if repeated {
-                return false;
+            if evacuated {
+                fleet.evacuated.insert(centre)
+            } else {
+                fleet.evacuated.remove(&centre)
             }
-            fleet.rollouts.insert(Arc::clone(service), rollout);
-            true
         })
     }
 
--- a/tests/testsuite/site/mod.rs
+++ b/tests/testsuite/site/mod.rs
@@ -6,5 +6,6 @@
 pub mod fixtures;
 mod member;
 mod relay;
+mod senders;
 mod state;
 mod transfer;
--- a/tests/testsuite/site/state.rs
+++ b/tests/testsuite/site/state.rs
@@ -27,6 +27,7 @@
         duration: 10_000,
         wall,
         since_latest: None,
+        decided_on: None,
     }
 }
 
@@ -38,6 +39,7 @@
         duration: 10_000,
         wall,
         since_latest: Some(since_latest),
+        decided_on: None,
     }
 }
 
@@ -138,6 +140,7 @@
     let evacuate = |evacuated| Command::Evacuate {
         centre: "north".into(),
         evacuated,
+        decided_on: None,
     };
 
     state.apply(Index(1), evacuate(true));
@@ -149,6 +152,85 @@
     assert!(state.fleet.evacuated.is_empty());
 }
 
+fn evacuate(evacuated: bool, decided_on: u64) -> Command {
+    Command::Evacuate {
+        centre: "north".into(),
+        evacuated,
+        decided_on: Some(Index(decided_on)),
+    }
+}
+
+/// Guards against an order of a caller that gave it up and ordered the contrary elsewhere.
+#[test]
+fn withdrawal_that_was_decided_before_another_evacuation_changes_nothing() {
+    let mut state = State::default();
+    state.apply(Index(1), evacuate(true, 0));
+    state.apply(Index(2), evacuate(false, 1));
+    state.apply(Index(3), evacuate(true, 2));
+
+    let late = state.apply(Index(4), evacuate(false, 1));
+
+    assert_eq!(late, Reply::Overtaken);
+    assert!(state.fleet.evacuated.contains("north"));
+}
+
+/// Guards against the same by an order that was acknowledged without a change.
+#[test]
+fn evacuation_that_was_decided_before_a_withdrawal_without_effect_changes_nothing() {
+    let mut state = State::default();
+
+    let withdrawn = state.apply(Index(1), evacuate(false, 0));
+    let late = state.apply(Index(2), evacuate(true, 0));
+
+    assert_eq!([withdrawn, late], [Reply::Same, Reply::Overtaken]);
+    assert!(state.fleet.evacuated.is_empty());
+}
+
+/// Guards against a refusal of an order that is committed twice, as after a change of leader.
+#[test]
+fn same_order_committed_twice_stays_one_order() {
+    let mut state = State::default();
+
+    let replies = [1, 2].map(|index| state.apply(Index(index), evacuate(true, 0)));
+    let next = state.apply(Index(3), evacuate(false, 2));
+
+    assert_eq!(replies, [Reply::Done, Reply::Same]);
+    assert_eq!(next, Reply::Done);
+}
+
+/// Guards against a roll-out that is replaced by an order that its caller gave up.
+#[test]
+fn rollout_that_was_decided_before_another_one_does_not_replace_it() {
+    let mut state = State::default();
+    let order = |target, wall, decided_on| match begin(target, wall) {
+        Command::Begin {
+            service,
+            target,
+            duration,
+            wall,
+            since_latest,
+            ..
+        } => Command::Begin {
+            service,
+            target,
+            duration,
+            wall,
+            since_latest,
+            decided_on: Some(Index(decided_on)),
+        },
+        other => other,
+    };
+    state.apply(Index(1), order("v2", 1_000, 0));
+    state.apply(Index(2), step(1_000, Stage::RolledBack, 0));
+    state.apply(Index(3), order("v3", 20_000, 1));
+
+    let late = state.apply(Index(4), order("v2", 40_000, 1));
+    let repeated = state.apply(Index(5), order("v3", 40_000, 1));
+
+    assert_eq!([late, repeated], [Reply::Overtaken, Reply::Same]);
+    assert_eq!(&*state.fleet.rollouts[SERVICE].target, "v3");
+}
+
 #[test]
 fn fleet_index_changes_only_with_the_fleet() {
     let mut state = State::default();
