Propose steps of roll-outs and verdicts as the leader only

Change: they are proposed like the list of backend servers, which is given up once this member no longer leads.

--- a/src/cardamomtally/site/member/mod.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -9,7 +9,7 @@
 pub mod senders;
 
 use super::{
-    backend::{Backend, ColdReadings, Inventory},
+    backend::{ColdReadings, Inventory},
     canary::CanaryAnalysis,
     document::{Document, Fault},
     entries::Entries,
@@ -407,7 +407,7 @@
         for step in self.due_steps() {
             info!(self.logger, "site: roll-out step"; "service" => &*step.service,
                 "stage" => format!("{:?}", step.stage), "permille" => step.permille);
-            if let Err(error) = self.propose(&Command::Step(step)).await {
+            if let Err(error) = self.propose_as_leader(&Command::Step(step)).await {
                 warn!(self.logger, "site: roll-out step not committed"; "error" => %error);
             }
         }
@@ -429,7 +429,7 @@
             return;
         }
         info!(self.logger, "site: verdicts on content change"; "changes" => format!("{changes:?}"));
-        if let Err(error) = self.propose(&Command::Verdicts(changes)).await {
+        if let Err(error) = self.propose_as_leader(&Command::Verdicts(changes)).await {
             warn!(self.logger, "site: verdicts on content not committed"; "error" => %error);
         }
     }
@@ -451,7 +451,7 @@
             return;
         }
         info!(self.logger, "site: backend servers changed"; "count" => backends.len());
-        if let Err(error) = self.replace_backends(backends).await {
+        if let Err(error) = self.propose_as_leader(&Command::Backends(backends)).await {
             warn!(self.logger, "site: backend servers not committed"; "error" => %error);
         }
     }
@@ -462,10 +462,10 @@
         self.host.status()
     }
 
-    /// Proposes a list that this member has just read. The next leader reads the list itself,
-    /// and must not be sent this one after it has committed a newer one.
-    async fn replace_backends(&self, backends: Vec<Backend>) -> Result<Reply, LogError> {
-        let command = codec::encode(&Command::Backends(backends));
+    /// Proposes what this member has just read or decided as the leader. The next leader reads
+    /// and decides itself, and must not be sent this after it has committed something newer.
+    async fn propose_as_leader(&self, command: &Command) -> Result<Reply, LogError> {
+        let command = codec::encode(command);
         let reply = self.log.propose_as_leader(GroupId::CONFIG, command);
         applied(&reply.await?)
     }
