Test that an answer cut in its head is no success

A report of other operators: an engine stops in the middle of its answer's head and closes, and callers get a 200 with an empty or short body, framed as whole.

Result: it does not happen here. The same through an agent's adapter, at each byte. Nothing was changed but tests.

--- a/tests/testsuite/agent/faulty_engine.rs
+++ b/tests/testsuite/agent/faulty_engine.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use cardamomtally::{
     agent::http_engine::HttpEngine,
-    core::engine::{Engine as _, EngineCall},
+    core::engine::{Engine as _, EngineCall, EngineError},
     net::run::{Frame, RunHead},
     prelude::*,
 };
@@ -152,3 +152,47 @@
         }
     }
 }
+
+/// Guards against an answer that was cut in its head and is taken for a whole one, or for a
+/// call that was not sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_cut_in_its_head_is_a_broken_call() {
+    let frames = [
+        "Content-Length: 4\r\n",
+        "Transfer-Encoding: chunked\r\n",
+        "",
+    ];
+    let heads = frames.map(|frame| {
+        format!(
+            "HTTP/1.1 103 Early Hints\r\n\r\n\
+             HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n{frame}\r\n"
+        )
+    });
+    for head in heads {
+        for cut in 0..head.len() {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let url = format!("http://{}", listener.local_addr().unwrap());
+            let text = head[..cut].to_owned();
+            tokio::spawn(async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                read_head(&mut stream).await.unwrap();
+                stream.write_all(text.as_bytes()).await.unwrap();
+            });
+            let engine = HttpEngine::new(&url, Duration::from_secs(5)).unwrap();
+            let call = EngineCall {
+                request: attempt(1).request,
+                attempt: attempt(1),
+                method: "GET".to_owned(),
+                path: "/jobs/1".to_owned(),
+                media: None,
+                body: Bytes::new(),
+                priority: 5,
+            };
+
+            let called = engine.call(call).await;
+
+            let what = format!("{:?}: {:?}", &head[..cut], called.as_ref().err());
+            assert!(matches!(called, Err(EngineError::Broken(_))), "{what}");
+        }
+    }
+}
--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -7,6 +7,7 @@
 pub mod choice;
 mod cold;
 mod config_lease;
+mod cut_heads;
 mod endless;
 mod evidence_rate;
 mod fixtures;
