Answer each request until a planned stop ends

Cause: what was passed on was not bounded by the time that was left, and nothing was answered at the end; the listener closed 2.5 s after the signal while the process ran on.

Change: the entry listens until it ends. What arrives in the first 2.5 s gets a deadline within the grace; what comes later, or whose body does, is refused with 503 and does not run; shortly before the end, what has no answer gets 504.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -18,6 +18,7 @@
     },
     request::{call::Call, names::HeaderNames},
     serve::queue::HoldQueue,
+    stop::PlannedStop,
 };
 use crate::{
     prelude::*,
@@ -87,6 +88,8 @@
     pub started: Mono,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
+    /// How far the planned stop has come.
+    pub stop: PlannedStop,
     /// Number of requests in flight.
     pub running: AtomicU64,
     /// Terms of the retry budget that all entries together share for each
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -25,6 +25,7 @@
     listener,
     request::names::HeaderNames,
     serve::queue::HoldQueue,
+    stop::PlannedStop,
 };
 use crate::{
     net::{nng::Client, transport::Transport},
@@ -51,6 +52,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two checks for requests in flight during a planned stop.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time before the end of a planned stop for the answers to requests that are given up.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
 
 /// Settings of an entry that calls backend servers itself.
 #[derive(Clone, Debug)]
@@ -189,6 +192,7 @@
         log: parts.log.clone(),
         started,
         stopping: AtomicBool::new(false),
+        stop: PlannedStop::default(),
         running: AtomicU64::new(0),
         retries: settings.retry_budget,
         scheduling: settings.scheduling,
@@ -300,12 +304,21 @@
     app.stopping.store(true, Ordering::Release);
     app.queue.close();
     let running = || app.running.load(Ordering::Acquire);
+    let end = settings.drain_timeout.saturating_sub(LAST_ANSWERS_TIME);
+    app.stop.drain(begun + end);
     info!(app.log, "stop: draining"; "in_flight" => running());
+    let until_idle = async |limit| {
+        while running() > 0 && app.clock.now().since(begun) < limit {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+    };
     tokio::time::sleep(settings.drain_delay).await;
+    app.stop.refuse();
+    until_idle(end).await;
+    info!(app.log, "stop: giving up"; "in_flight" => running());
+    app.stop.give_up();
     close.send_replace(true);
-    while running() > 0 && app.clock.now().since(begun) < settings.drain_timeout {
-        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-    }
+    until_idle(settings.drain_timeout).await;
     // The connections' tasks may still be writing the last answers.
     tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     info!(app.log, "stop: ended"; "in_flight" => running());
--- a/src/cardamomtally/direct/mod.rs
+++ b/src/cardamomtally/direct/mod.rs
@@ -24,3 +24,4 @@
 pub mod listener;
 pub mod request;
 pub mod serve;
+pub mod stop;
--- a/src/cardamomtally/direct/serve/handler.rs
+++ b/src/cardamomtally/direct/serve/handler.rs
@@ -35,7 +35,7 @@
 const MAX_FIRST_DOCUMENT_WAIT: Duration = Duration::from_secs(1);
 /// Such a wait for a caller that does not tell its time.
 const DEFAULT_FIRST_DOCUMENT_WAIT: Duration = Duration::from_millis(400);
-/// Retry delay for callers whose stream is refused by an entry that is
+/// Retry delay for callers whose request is refused by an entry that is
 /// stopping. Short, since the balancer sends the retry to another entry.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
 /// Retry delay for callers that are refused because the entry has no valid
@@ -63,7 +63,15 @@
 pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<Body> {
     let running = InFlightGuard::new(&app);
     let id = request.headers().get(&app.names.attempt).cloned();
-    let mut response = match accept(&app, request).await {
+    let served = tokio::select! {
+        biased;
+        served = accept(&app, request) => served,
+        () = app.stop.given_up() => {
+            let detail = "the entry stops before the answer has begun";
+            Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, detail))
+        }
+    };
+    let mut response = match served {
         Ok(response) => response,
         Err(refusal) => {
             app.log_early_refusal(id.as_ref(), &refusal);
@@ -96,12 +104,15 @@
     };
     // A stream might not end before a planned stop does.
     if route.class.streams() && app.stopping.load(Ordering::Acquire) {
-        return Err(Refusal::unavailable(
-            "the entry is stopping",
-            STOPPING_RETRY,
-        ));
+        return Err(stopping_refusal());
+    }
+    let body = tokio::select! {
+        body = read_body(app, table, body) => body?,
+        () = app.stop.given_up() => return Err(stopping_refusal()),
+    };
+    if app.stop.refuses() {
+        return Err(stopping_refusal());
     }
-    let body = read_body(app, table, body).await?;
     // The lease may have ended while the body was received, for example because
     // the VM was suspended.
     if workspace.is_some() && !has_lease(app) {
@@ -132,6 +143,10 @@
     })
 }
 
+fn stopping_refusal() -> Refusal {
+    Refusal::unavailable("the entry is stopping", STOPPING_RETRY)
+}
+
 fn has_lease(app: &App) -> bool {
     app.config.current().is_valid(app.clock.now())
 }
@@ -238,6 +253,8 @@
     };
     let given = header_number(&parts.headers, &names.deadline).map(Duration::from_millis);
     let limit = given.map_or(route.timeout, |given| given.min(route.timeout));
+    let deadline = since + limit;
+    let deadline = app.stop.end().map_or(deadline, |end| end.min(deadline));
     let mut shared =
         header_text(&parts.headers, &names.prefix).map_or_else(Vec::new, call::parse_parts);
     let own = shared.pop();
@@ -253,7 +270,7 @@
         headers: call::request_headers(names, parts),
         body,
         received: since,
-        deadline: since + limit,
+        deadline,
         priority: priority.unwrap_or(route.priority),
         tokens,
         session: session.or(own.map(|part| part.id)).unwrap_or(seed),
