--- a/crates/cardamomtally-standin/src/host.rs
+++ b/crates/cardamomtally-standin/src/host.rs
@@ -210,7 +210,8 @@
         log_level: LogLevel::Off,
         limits: Limits::default()
             .limit("bytes", BODY_LIMIT_MIB.mebibytes())
-            .limit("json", BODY_LIMIT_MIB.mebibytes()),
+            .limit("json", BODY_LIMIT_MIB.mebibytes())
+            .limit("string", BODY_LIMIT_MIB.mebibytes()),
         shutdown: StopSettings {
             ctrlc: false,
             signals: HashSet::new(),
