Move the callers' listener to a layer that every process can use

The limits on connections, heads, bodies and unread responses stood in the entry that calls backend servers itself; the other listeners have none of them. The parts move to `listen` as they are: the accept loop with the connection's checks, what a connection does, the tracked socket, the check of unread responses, response bodies, the memory for messages and its bounds. No behaviour changes; the tests of `direct` pass with two changed imports.

--- a/src/cardamomtally/direct/app.rs
+++ b/src/cardamomtally/direct/app.rs
@@ -12,15 +12,13 @@
         registry::{Choice, Registry},
         statement::Statement,
     },
-    link::{
-        memory::BufferMemory,
-        pool::{Answer, Pool, SendError},
-    },
+    link::pool::{Answer, Pool, SendError},
     request::{call::Call, names::HeaderNames},
     serve::queue::HoldQueue,
     stop::PlannedStop,
 };
 use crate::{
+    listen::memory::BufferMemory,
     prelude::*,
     quarantine::report::Report,
     routing::budget::{BudgetTerms, Cause, SharedBudget, Standing},
@@ -73,7 +71,7 @@
     /// Connections to the backend servers.
     pub pool: Pool,
     /// Memory for messages and streams.
-    pub memory: BufferMemory,
+    pub memory: Arc<BufferMemory>,
     /// Exchange of backlog sums with the other entries.
     pub peers: Arc<Peers>,
     /// Keeps content that ends backend servers from being sent.
--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -17,17 +17,17 @@
     content::guard::ContentGuard,
     exchange::peers::Peers,
     fleet::registry::Registry,
-    link::{
-        capacity::{CapacityBounds, CapacitySettings},
-        memory::BufferMemory,
-        pool::Pool,
-    },
+    link::pool::Pool,
     listener,
     request::names::HeaderNames,
     serve::queue::HoldQueue,
     stop::PlannedStop,
 };
 use crate::{
+    listen::{
+        capacity::{CapacityBounds, CapacitySettings},
+        memory::BufferMemory,
+    },
     net::{nng::Client, transport::Transport},
     prelude::*,
     routing::budget::BudgetTerms,
@@ -185,7 +185,7 @@
         registry,
         peers,
         content,
-        memory: BufferMemory::new(bounds),
+        memory: Arc::new(BufferMemory::new(bounds)),
         pool: Pool::new(Arc::clone(&clock), settings.connect_timeout).with_bounds(&bounds),
         counts,
         clock,
--- a/src/cardamomtally/direct/link/mod.rs
+++ b/src/cardamomtally/direct/link/mod.rs
@@ -1,7 +1,5 @@
 //! Connections to backend servers, and one attempt to be answered over them.
 
 pub mod attempt;
-pub mod capacity;
-pub mod memory;
 pub mod pool;
 pub mod source;
--- a/src/cardamomtally/direct/link/pool.rs
+++ b/src/cardamomtally/direct/link/pool.rs
@@ -6,8 +6,7 @@
 //! A connection whose answer was not read to the end is closed, which cancels
 //! the work at the backend server.
 
-use super::capacity::CapacityBounds;
-use crate::prelude::*;
+use crate::{listen::capacity::CapacityBounds, prelude::*};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
--- a/src/cardamomtally/direct/mod.rs
+++ b/src/cardamomtally/direct/mod.rs
@@ -1,6 +1,6 @@
 //! Entries that call backend servers directly, without an agent in between.
 //!
-//! [`listener`] accepts callers' connections and passes each request to [`serve`], which
+//! [`listener`] accepts callers' connections by [`listen`](crate::listen) and passes each request to [`serve`], which
 //! checks the request against the document and the lease of [`config`], reads it into a
 //! [`request`] and sends it until it is answered. It chooses a backend server in [`fleet`],
 //! by its cost and the backlog that the entries [`exchange`], and sends the request over a
--- a/src/cardamomtally/direct/request/mod.rs
+++ b/src/cardamomtally/direct/request/mod.rs
@@ -1,6 +1,5 @@
 //! A caller's request, and what it is made of.
 
-pub mod body;
 pub mod call;
 pub mod events;
 pub mod names;
--- a/src/cardamomtally/direct/request/refusal.rs
+++ b/src/cardamomtally/direct/request/refusal.rs
@@ -1,7 +1,11 @@
 //! Answers that the entry makes itself, when no backend server has answered.
 
-use super::body::{Body, full_body};
-use crate::{daemon::problem, net::run::VERDICT_HEADER, prelude::*};
+use crate::{
+    daemon::problem,
+    listen::body::{Body, full_body},
+    net::run::VERDICT_HEADER,
+    prelude::*,
+};
 use http::{Response, StatusCode, header};
 
 /// A final answer that the entry makes itself.
--- a/src/cardamomtally/direct/serve/handler.rs
+++ b/src/cardamomtally/direct/serve/handler.rs
@@ -5,13 +5,15 @@
 use crate::{
     direct::{
         app::App,
-        link::memory::{BufferMemory, ReceiveError},
         request::{
-            body::{Body, guarded},
             call::{self, Call},
             refusal::Refusal,
         },
     },
+    listen::{
+        body::{Body, guarded},
+        memory::{BufferMemory, ReceiveError, Upload},
+    },
     prelude::*,
     quarantine::fingerprint::{CallerKey, Content},
     routing::rendezvous,
@@ -24,7 +26,6 @@
 use http::{
     HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header, request::Parts,
 };
-use hyper::body::Incoming;
 use slog::info;
 use std::sync::atomic::Ordering;
 
@@ -60,7 +61,7 @@
 }
 
 /// Handles one request of a caller.
-pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(app: Arc<App>, request: Request<Upload>) -> Response<Body> {
     let running = InFlightGuard::new(&app);
     let id = request.headers().get(&app.names.attempt).cloned();
     let served = tokio::select! {
@@ -85,7 +86,7 @@
     response.map(|body| guarded(body, running))
 }
 
-async fn accept(app: &Arc<App>, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+async fn accept(app: &Arc<App>, request: Request<Upload>) -> Result<Response<Body>, Refusal> {
     let since = app.clock.now();
     let wait = first_document_wait(app, request.headers());
     let config = app.config.wait_for_document(wait).await;
@@ -194,7 +195,7 @@
     }
 }
 
-async fn read_body(app: &App, table: &Table, body: Incoming) -> Result<Bytes, Refusal> {
+async fn read_body(app: &App, table: &Table, body: Upload) -> Result<Bytes, Refusal> {
     let limits = &table.limits;
     let read = app.memory.receive(body, limits.body_bytes);
     let Ok(read) = tokio::time::timeout(limits.idle_time, read).await else {
--- a/src/cardamomtally/direct/serve/plain.rs
+++ b/src/cardamomtally/direct/serve/plain.rs
@@ -10,15 +10,17 @@
         fleet::registry::{Choice, Requirements},
         link::{
             attempt::{self, AttemptParams, Outcome},
-            memory::ReadError,
             pool::Answer,
         },
         request::{
-            body::{Body, full_body},
             call::{self, Call},
             refusal::Refusal,
         },
     },
+    listen::{
+        body::{Body, full_body},
+        memory::ReadError,
+    },
     prelude::*,
     routing::budget::Cause,
     site::document::Class,
--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -27,12 +27,12 @@
             source::{EventSource, Part, StreamTiming},
         },
         request::{
-            body::{Body, full_body},
             call::{self, Call},
             events::EventSplitter,
             refusal::Refusal,
         },
     },
+    listen::body::{Body, full_body},
     prelude::*,
     routing::budget::Cause,
 };
--- a/src/cardamomtally/direct/serve/stream/relay.rs
+++ b/src/cardamomtally/direct/serve/stream/relay.rs
@@ -5,11 +5,11 @@
     direct::{
         link::source::{EventSource, Next, Part},
         request::{
-            body::{Body, BodyError},
             call,
             events::{Events, Numbering},
         },
     },
+    listen::body::{Body, BodyError},
     prelude::*,
     routing::budget::Cause,
 };
--- a/src/cardamomtally/lib.rs
+++ b/src/cardamomtally/lib.rs
@@ -24,6 +24,7 @@
 pub mod entry;
 pub mod lease;
 pub mod ledger;
+pub mod listen;
 pub mod net;
 pub mod ops;
 pub mod prelude;
--- a/src/cardamomtally/direct/link/memory.rs
+++ b/src/cardamomtally/listen/memory.rs
@@ -28,6 +28,20 @@
     used: Arc<AtomicUsize>,
 }
 
+/// The body of a request that has not been read yet.
+#[derive(Debug)]
+pub struct Upload {
+    body: Incoming,
+}
+
+impl Upload {
+    /// Wraps the body of a request.
+    #[must_use]
+    pub const fn new(body: Incoming) -> Self {
+        Self { body }
+    }
+}
+
 /// The bytes that one message takes. They are free again when it is dropped.
 #[derive(Debug)]
 struct Share {
@@ -139,7 +153,8 @@
     ///
     /// Returns an error if the connection fails, if the body is too long, or if memory is
     /// short.
-    pub async fn receive(&self, body: Incoming, longest: usize) -> Result<Bytes, ReceiveError> {
+    pub async fn receive(&self, upload: Upload, longest: usize) -> Result<Bytes, ReceiveError> {
+        let body = upload.body;
         if !self.bounds.requests {
             let read = Limited::new(body, longest).collect().await;
             return read.map(Collected::to_bytes).map_err(to_receive_error);
--- /dev/null
+++ b/src/cardamomtally/listen/mod.rs
@@ -0,0 +1,19 @@
+//! Connections of clients, which need not behave.
+//!
+//! Every HTTP listener of the product accepts its connections here, so that the same bounds
+//! hold at each: on the connections, on the time and the size of a head, on the bytes that
+//! are held for bodies and responses, and on a client that does not read.
+//!
+//! [`server`] accepts connections and passes each request on with its body as an
+//! [`upload`](memory::Upload), which is read into the [`memory`] that all messages of the
+//! process share. The bounds follow from the limits of the VM ([`capacity`]). A [`stream`]
+//! records what its client does in an [`activity`]; a response [`body`] waits while its
+//! client does not read.
+
+pub mod activity;
+pub mod body;
+pub mod capacity;
+pub mod memory;
+pub mod server;
+pub mod stream;
+pub mod unread;
--- /dev/null
+++ b/src/cardamomtally/listen/server.rs
@@ -0,0 +1,284 @@
+//! Accepts clients' connections and enforces their limits.
+//!
+//! When a client disconnects, the HTTP server drops the future that handles its request. The
+//! limits on the time for a request's head and on idle connections may change while a
+//! connection is open, so they are checked here and not by the HTTP server.
+
+use super::{
+    activity::{Activity, Waiting},
+    body::{Body, Outflow, bounded, guarded},
+    memory::{BufferMemory, Upload},
+    stream::TrackedStream,
+    unread::{UnreadCheck, untaken},
+};
+use crate::prelude::*;
+use http::{Request, Response, Version};
+use hyper::{
+    body::{Body as _, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use slog::{Logger, debug, info, warn};
+use socket2::SockRef;
+use std::{convert::Infallible, fmt, net::SocketAddr, os::fd::AsRawFd as _};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+};
+
+/// Time between two checks of a connection against the limits. A limit is
+/// exceeded by at most this much.
+const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after a failed `accept`, for example when the process has no free file
+/// descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two log lines about callers that wait because all connections are taken.
+const EXHAUSTED_LOG_INTERVAL: Duration = Duration::from_secs(10);
+/// Least buffer size for a request's head. The HTTP library does not accept a
+/// smaller one.
+const MIN_HEAD_BYTES: usize = 8 << 10;
+
+/// Limits on what a client sends before its request is passed on.
+#[derive(Clone, Copy, Debug)]
+pub struct HeadLimits {
+    /// Largest head, in bytes.
+    pub head_bytes: usize,
+    /// Longest time from the first byte of a head to its end.
+    pub head_time: Duration,
+    /// Longest time for which a connection is kept without a request.
+    pub idle_time: Duration,
+}
+
+/// A listener, with what its connections share.
+pub struct Listener {
+    /// Name of the listener in logs and metrics.
+    pub name: &'static str,
+    /// Largest number of open connections.
+    pub connections: usize,
+    /// Returns the limits in force.
+    pub limits: Box<dyn Fn() -> HeadLimits + Send + Sync>,
+    /// Memory for bodies and responses, with its bounds.
+    pub memory: Arc<BufferMemory>,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Logger of the process.
+    pub log: Logger,
+}
+
+impl fmt::Debug for Listener {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Listener")
+            .field("name", &self.name)
+            .field("connections", &self.connections)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Accepts connections until `close` becomes true, and answers each request by `answer`.
+/// Connections beyond the largest number wait to be accepted.
+pub async fn run<S, F>(
+    listener: Arc<Listener>,
+    socket: TcpListener,
+    answer: S,
+    mut close: watch::Receiver<bool>,
+) where
+    S: Fn(Request<Upload>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(listener.connections));
+    let mut next_log = Mono::default();
+    loop {
+        if permits.available_permits() == 0 {
+            metrics::counter!("cardamomtally_direct_connections_exhausted_total").increment(1);
+            let now = listener.clock.now();
+            if now >= next_log {
+                next_log = now + EXHAUSTED_LOG_INTERVAL;
+                warn!(listener.log, "listen: no connection is left; further callers wait";
+                    "connections" => listener.connections);
+            }
+        }
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = socket.accept() => accepted,
+            _ = close.wait_for(|close| *close) => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let connection = Connection::new(&listener, stream, peer);
+                let served = connection.serve(answer.clone(), close.clone());
+                tokio::spawn(async move {
+                    served.await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                warn!(listener.log, "listen: accept failed"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// One connection of a client.
+struct Connection {
+    listener: Arc<Listener>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    activity: Arc<Activity>,
+    outflow: Option<Arc<Outflow>>,
+}
+
+impl Connection {
+    fn new(listener: &Arc<Listener>, stream: TcpStream, peer: SocketAddr) -> Self {
+        let memory = &listener.memory;
+        let outflow = memory.bounds().stream.map(|bound| {
+            let total = Arc::clone(memory.used());
+            Arc::new(Outflow::new(bound, total, memory.bounds().total))
+        });
+        Self {
+            listener: Arc::clone(listener),
+            stream,
+            peer,
+            activity: Arc::new(Activity::opened(listener.clock.now())),
+            outflow,
+        }
+    }
+
+    fn set_options(&self) {
+        let log = &self.listener.log;
+        if let Err(error) = self.stream.set_nodelay(true) {
+            debug!(log, "listen: setting TCP_NODELAY failed"; "error" => %error);
+        }
+        if let Some(bytes) = self.listener.memory.bounds().socket
+            && let Err(error) = SockRef::from(&self.stream).set_send_buffer_size(bytes)
+        {
+            debug!(log, "listen: setting the size of the send buffer failed"; "error" => %error);
+        }
+    }
+
+    async fn serve<S, F>(self, answer: S, mut close: watch::Receiver<bool>)
+    where
+        S: Fn(Request<Upload>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        self.set_options();
+        let Self {
+            listener,
+            stream,
+            peer,
+            activity,
+            outflow,
+        } = self;
+        let descriptor = stream.as_raw_fd();
+        let mut unread = UnreadCheck::new(listener.memory.bounds().unread);
+        let head = (listener.limits)().head_bytes;
+        let tracked = TrackedStream {
+            stream,
+            activity: Arc::clone(&activity),
+            outflow: outflow.clone(),
+            clock: Arc::clone(&listener.clock),
+        };
+        let service = {
+            let (clock, activity) = (Arc::clone(&listener.clock), Arc::clone(&activity));
+            service_fn(move |request: Request<Incoming>| {
+                activity.begin(request.version() < Version::HTTP_11);
+                let busy = BusyGuard {
+                    activity: Arc::clone(&activity),
+                    clock: Arc::clone(&clock),
+                };
+                let outflow = outflow.clone();
+                let response = answer(request.map(Upload::new));
+                async move { Ok::<_, Infallible>(track(response.await, outflow, busy)) }
+            })
+        };
+        let connection = http1::Builder::new()
+            .max_buf_size(head.max(MIN_HEAD_BYTES))
+            .serve_connection(TokioIo::new(tracked), service);
+        let mut connection = std::pin::pin!(connection);
+        let mut closing = false;
+        loop {
+            tokio::select! {
+                ended = connection.as_mut() => {
+                    if let Err(error) = ended {
+                        activity.break_off();
+                        debug!(listener.log, "listen: connection closed with an error"; "error" => %error);
+                    }
+                    return;
+                }
+                _ = close.wait_for(|close| *close), if !closing => {
+                    closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+                () = tokio::time::sleep(AGE_CHECK_INTERVAL) => {
+                    let now = listener.clock.now();
+                    let blocked = activity.blocked();
+                    // The descriptor is open, since the connection owns its socket.
+                    if unread.exceeded(blocked, now, || untaken(descriptor)) {
+                        activity.break_off();
+                        metrics::counter!("cardamomtally_direct_unread_callers_total").increment(1);
+                        warn!(listener.log, "listen: caller does not read its response; disconnected";
+                            "peer" => %peer, "blocked_ms" => now.since(blocked).as_millis() as u64);
+                        return;
+                    }
+                    match listener.age(&activity, now) {
+                        Age::Idle if !closing => {
+                            closing = true;
+                            connection.as_mut().graceful_shutdown();
+                        }
+                        Age::WithinLimits | Age::Idle => {}
+                        Age::SlowHead => {
+                            info!(listener.log, "listen: request head exceeded its time limit; connection closed");
+                            return;
+                        }
+                    }
+                },
+            }
+        }
+    }
+}
+
+/// Result of the check of a connection against the limits.
+enum Age {
+    WithinLimits,
+    Idle,
+    SlowHead,
+}
+
+impl Listener {
+    fn age(&self, activity: &Activity, now: Mono) -> Age {
+        let limits = (self.limits)();
+        match activity.waiting() {
+            Some(Waiting::Head(since)) if now.since(since) > limits.head_time => Age::SlowHead,
+            Some(Waiting::Request(since)) if now.since(since) > limits.idle_time => Age::Idle,
+            Some(_) | None => Age::WithinLimits,
+        }
+    }
+}
+
+/// Counts a request as in flight on its connection until the answer has been
+/// written.
+struct BusyGuard {
+    activity: Arc<Activity>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.activity.end(self.clock.now());
+    }
+}
+
+fn track(
+    response: Response<Body>,
+    outflow: Option<Arc<Outflow>>,
+    busy: BusyGuard,
+) -> Response<Body> {
+    response.map(|body| match outflow {
+        // A message that is complete takes no less memory if it is handed over in parts.
+        Some(outflow) if body.size_hint().exact().is_none() => bounded(body, outflow, busy),
+        _ => guarded(body, busy),
+    })
+}
--- a/tests/testsuite/direct/memory.rs
+++ b/tests/testsuite/direct/memory.rs
@@ -3,9 +3,8 @@
 use super::fixtures::{Action, Entry, Server, answer, read_answer, request};
 use crate::{site::fixtures::document, support::wait::eventually};
 use cardamomtally::{
-    direct::{
-        daemon::DirectSettings, link::capacity::CapacityBounds, link::capacity::CapacitySettings,
-    },
+    direct::daemon::DirectSettings,
+    listen::capacity::{CapacityBounds, CapacitySettings},
     prelude::*,
     scheduling::settings::{Mode, SchedulingSettings},
     site::{backend::Backend, document::Class},
