Hold the bounds of the VM's memory whether or not overload control is on

What callers saw: the entry ended, out of memory, where many bodies of legal size stopped short of their end, and with it all ordinary requests. Cause: the bounds followed `limits.memory_mb` only where the contract on pressure is in force, which is another question than how much memory the VM has. Without it each body was collected whole, frame by frame and uncounted, and each frame held the read buffer it came in: 499 MiB for 200 clients that had sent 600 bytes each. Change: the bounds always follow the VM's limits; where no limit is known the fixed ones apply to requests too. A body is copied out of the read buffers and counts with the capacity that it takes, not with what was sent. If a request is refused for want of memory, the client that has sent least of late gives way as well, so that stalled bodies do not hold the memory until their time limit. Callers' connections take a fifth of the memory, since a socket's buffer counts too. The test without_overload_control_no_request_is_refused_for_its_size demanded the fault on a VM of 16 MB. It now says what it means, no refusal where no limit is known, and a new one demands the refusal where there is one.

--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -90,8 +90,7 @@
     pub retry_budget: BudgetTerms,
     /// Settings of overload control; `None` if the deployment does not ask for it.
     pub scheduling: Option<SchedulingSettings>,
-    /// Limits of the VM, from which the bounds of overload control on memory and
-    /// connections are derived.
+    /// Limits of the VM, from which the bounds on memory and connections are derived.
     pub capacity: CapacitySettings,
 }
 
@@ -118,14 +117,18 @@
 }
 
 impl DirectSettings {
-    /// Returns the bounds on memory and connections. They follow the limits of the VM only
-    /// where overload control is configured.
+    /// Returns the bounds on memory and connections. They follow the limits of the VM whether
+    /// or not overload control is configured. Only with it, a caller that does not read its
+    /// response is disconnected early, since it holds up others.
     fn capacity_bounds(&self) -> CapacityBounds {
         let active = |scheduling: &SchedulingSettings| scheduling.mode != Mode::Off;
+        let bounds = CapacityBounds::of(self.capacity);
         if self.scheduling.as_ref().is_some_and(active) {
-            CapacityBounds::of(self.capacity)
-        } else {
-            CapacityBounds::default()
+            return bounds;
+        }
+        CapacityBounds {
+            unread: CapacityBounds::default().unread,
+            ..bounds
         }
     }
 }
@@ -185,7 +188,7 @@
         registry,
         peers,
         content,
-        memory: Arc::new(BufferMemory::new(bounds)),
+        memory: Arc::new(BufferMemory::new(bounds, Arc::clone(&clock))),
         pool: Pool::new(Arc::clone(&clock), settings.connect_timeout).with_bounds(&bounds),
         counts,
         clock,
--- a/src/cardamomtally/listen/activity.rs
+++ b/src/cardamomtally/listen/activity.rs
@@ -1,7 +1,16 @@
 //! What a connection is doing, for the checks of its limits.
 
+use super::progress::Progress;
 use crate::prelude::*;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{
+    Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+};
+use tokio::sync::Notify;
+
+/// Least time that a client is left to send before it gives way to another one. A sound one
+/// has sent the rest of a packet by then, also one that was lost once.
+const GRACE: Duration = Duration::from_secs(1);
 
 /// What a connection is doing.
 #[derive(Debug, Default)]
@@ -19,6 +28,14 @@
     unframed: AtomicBool,
     /// Whether the connection is reset when it is dropped.
     reset: AtomicBool,
+    /// Since when a request's body is being received; 0 if none is.
+    body: AtomicU64,
+    /// What the client has sent of late.
+    progress: Mutex<Progress>,
+    /// Whether the body that is being received is to be given up.
+    gives_way: AtomicBool,
+    /// Notified when `gives_way` is set.
+    given_way: Notify,
 }
 
 /// What a connection without a request in flight waits for.
@@ -83,8 +100,50 @@
         self.busy.fetch_sub(1, Ordering::AcqRel);
     }
 
+    /// Records that a request's body is being received.
+    pub fn begin_body(&self, now: Mono) {
+        self.gives_way.store(false, Ordering::Release);
+        self.body.store(now.0.max(1), Ordering::Release);
+    }
+
+    /// Records that no body is being received any more.
+    pub fn end_body(&self) {
+        self.body.store(0, Ordering::Release);
+    }
+
+    /// Tells whether a body has been received for so long that it may be given up.
+    pub fn may_give_way(&self, now: Mono) -> bool {
+        let since = self.body.load(Ordering::Acquire);
+        since > 0 && now.since(Mono(since)) >= GRACE
+    }
+
+    /// Lets the client whose body is being received give way to others.
+    pub fn give_way(&self) {
+        self.end_body();
+        self.gives_way.store(true, Ordering::Release);
+        self.given_way.notify_one();
+    }
+
+    /// Waits until the body that is being received is to be given up.
+    pub async fn gives_way(&self) {
+        // A notification can be left from an earlier body.
+        while !self.gives_way.load(Ordering::Acquire) {
+            self.given_way.notified().await;
+        }
+    }
+
+    /// Returns the bytes that have arrived, each weighted by its age.
+    pub fn recent(&self, now: Mono) -> f64 {
+        self.lock_progress().recent(now)
+    }
+
+    fn lock_progress(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that bytes have arrived. Only the first bytes of a request set the time.
-    pub fn note_bytes(&self, clock: &dyn Clock) {
+    pub fn note_bytes(&self, clock: &dyn Clock, count: usize) {
+        self.lock_progress().note(clock.now(), count);
         if self.busy.load(Ordering::Acquire) == 0 && self.bytes.load(Ordering::Acquire) == 0 {
             self.bytes.store(clock.now().0, Ordering::Release);
         }
--- a/src/cardamomtally/listen/capacity.rs
+++ b/src/cardamomtally/listen/capacity.rs
@@ -1,8 +1,8 @@
-//! Bounds on the memory and the connections of an entry, derived from the limits of its
+//! Bounds on the memory and the connections of a process, derived from the limits of its
 //! VM.
 //!
-//! Where overload control is not configured, or a limit of the VM is not known, the bounds
-//! are fixed and the kernel sizes the sockets' buffers.
+//! Where a limit of the VM is not known, the bounds are fixed and the kernel sizes the
+//! sockets' buffers.
 
 use crate::prelude::*;
 
@@ -20,11 +20,11 @@
 /// Longest message that is read also while the total is reached, in bytes.
 pub const SMALL_MESSAGE_BYTES: usize = 64 << 10;
 /// Part of the total by which small messages may exceed it.
-const SMALL_PART: usize = 4;
-/// Part of the VM's memory for callers' connections, and what an open connection takes in
-/// the process, in bytes: two buffers of 8 KiB.
-const CONNECTIONS_PART: usize = 4;
-const CONNECTION_BYTES: usize = 16 << 10;
+const SMALL_PART: usize = 8;
+/// Part of the VM's memory for callers' connections, and what an open connection takes, in
+/// bytes: two buffers of 8 KiB in the process, and as much in its socket.
+const CONNECTIONS_PART: usize = 5;
+const CONNECTION_BYTES: usize = 24 << 10;
 /// Part of the VM's memory that one socket's buffer may take. The kernel allows twice the
 /// requested size, so 200 stalled streams, with two sockets each, take a fifth of the memory.
 const SOCKET_PART: usize = 4_096;
@@ -39,7 +39,7 @@
 /// shorter than the usual deadline of a stream (4 s and more), so that a backend server does
 /// not work on a response which nobody reads.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
-/// The same where overload control is not configured. A response that is not taken by then
+/// The same where it is not known that streams compete for backend servers. A response that is not taken by then
 /// is worth nothing to its caller; without a limit, its bytes would count towards the total
 /// for ever.
 const MAX_UNREAD_TIME: Duration = Duration::from_secs(20);
@@ -71,8 +71,6 @@
     pub limit: usize,
     /// Longest response body that is held completely, in bytes.
     pub message: usize,
-    /// Whether request bodies count towards the total, and are refused when it is reached.
-    pub requests: bool,
     /// Number of bytes of one stream that wait for its caller; `None` if only the HTTP
     /// library bounds them.
     pub stream: Option<usize>,
@@ -92,9 +90,8 @@
     fn default() -> Self {
         Self {
             total: MAX_TOTAL_BYTES,
-            limit: usize::MAX,
+            limit: MAX_TOTAL_BYTES + MAX_TOTAL_BYTES / SMALL_PART,
             message: MAX_MESSAGE_BYTES,
-            requests: false,
             stream: None,
             socket: None,
             unread: MAX_UNREAD_TIME,
@@ -105,7 +102,8 @@
 }
 
 impl CapacityBounds {
-    /// Derives the bounds of an entry with overload control from the limits of its VM.
+    /// Derives the bounds of an entry with overload control from the limits of its VM. They
+    /// hold without it too, except the time for unread responses.
     #[must_use]
     pub fn of(settings: CapacitySettings) -> Self {
         let mut bounds = Self {
@@ -121,7 +119,6 @@
             bounds.message =
                 (bounds.total / MESSAGE_PART).clamp(SMALL_MESSAGE_BYTES, MAX_MESSAGE_BYTES);
             bounds.callers = Some(memory / CONNECTIONS_PART / CONNECTION_BYTES);
-            bounds.requests = true;
             bounds.socket = Some((memory / SOCKET_PART).clamp(least, largest));
         }
         if let Some(fds) = settings.max_fds {
--- a/src/cardamomtally/listen/memory.rs
+++ b/src/cardamomtally/listen/memory.rs
@@ -1,18 +1,28 @@
 //! Bounds the memory that messages and streams take.
 //!
-//! A plain response is read completely before any of it is forwarded, and a backend server
-//! in trouble may send bytes without end. One response has a limit of its own; all messages
-//! and streams together have another, beyond which only small ones are read on. A message
-//! counts until the last reference to its bytes is dropped, so also while a slow reader
-//! takes it.
+//! A request and a plain response are read completely before any of it is forwarded, and a
+//! client or a backend server may send bytes without end. One message has a limit of its
+//! own; all messages and streams together have another, beyond which only small ones are
+//! read on. A message counts with the memory that it takes, which can be more than what
+//! has arrived of it, and until the last reference to its bytes is dropped, so also while a
+//! slow reader takes it.
+//!
+//! When a request is refused because the total is reached, the client that has sent least
+//! of late gives way: its request is refused too, so that a retry finds room.
 
-use super::capacity::{CapacityBounds, SMALL_MESSAGE_BYTES};
+use super::{
+    activity::Activity,
+    capacity::{CapacityBounds, SMALL_MESSAGE_BYTES},
+};
 use crate::prelude::*;
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt as _, Collected, Limited};
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 use rand::Rng as _;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{
+    Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU64, AtomicUsize, Ordering},
+};
 
 /// Longest message that is read in any case, in bytes. The number of connections bounds
 /// what these take together.
@@ -21,24 +31,74 @@
 /// that wait for sound callers are taken within it.
 const SHORT_RETRY: Duration = Duration::from_millis(300);
 
-/// The bytes that the entry holds for callers and backend servers.
-#[derive(Debug, Default)]
+/// Least capacity of a body whose length is not announced, in bytes.
+const MIN_BODY_CAPACITY: usize = 1 << 10;
+
+/// The bytes that a process holds for clients and backend servers.
+#[derive(Debug)]
 pub struct BufferMemory {
     bounds: CapacityBounds,
     used: Arc<AtomicUsize>,
+    /// Connections whose requests are being received and are not tiny.
+    receiving: Mutex<FastMap<u64, Arc<Activity>>>,
+    last_key: AtomicU64,
+    clock: Arc<dyn Clock>,
 }
 
 /// The body of a request that has not been read yet.
 #[derive(Debug)]
 pub struct Upload {
     body: Incoming,
+    activity: Arc<Activity>,
 }
 
 impl Upload {
-    /// Wraps the body of a request.
+    /// Wraps the body of a request that arrives on a connection.
     #[must_use]
-    pub const fn new(body: Incoming) -> Self {
-        Self { body }
+    pub const fn new(body: Incoming, activity: Arc<Activity>) -> Self {
+        Self { body, activity }
+    }
+}
+
+/// The part of a body that has arrived.
+#[derive(Debug, Default)]
+struct Gathered {
+    bytes: Vec<u8>,
+    /// Announced length in bytes, 0 if there is none.
+    declared: usize,
+}
+
+impl Gathered {
+    /// Returns the memory that the body takes once this many further bytes are added. Pages
+    /// of an announced body that no byte was written to take none.
+    fn size_with(&self, more: usize) -> usize {
+        let needed = self.bytes.len() + more;
+        if self.declared > 0 {
+            needed
+        } else if needed <= self.bytes.capacity() {
+            self.bytes.capacity()
+        } else {
+            let grown = self.bytes.capacity() + self.bytes.capacity() / 2;
+            needed.max(grown).max(MIN_BODY_CAPACITY)
+        }
+    }
+
+    fn push(&mut self, data: &[u8]) {
+        let capacity = self.size_with(data.len()).max(self.declared);
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        self.bytes.extend_from_slice(data);
+    }
+}
+
+/// A request that is being received, until it is dropped.
+struct Receiving<'m> {
+    memory: &'m BufferMemory,
+    key: u64,
+}
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.memory.lock_receiving().remove(&self.key);
     }
 }
 
@@ -74,17 +134,19 @@
 #[derive(Debug)]
 pub enum ReceiveError {
     /// The connection failed, or what arrived is no body.
-    Broken(Box<dyn std::error::Error + Send + Sync>),
+    Broken(hyper::Error),
     /// The body is longer than allowed.
     TooLong,
-    /// The entry is short of memory. The request has not run and never will.
+    /// The process is short of memory. The request has not run and never will.
     Short,
 }
 
 impl Share {
-    fn grow(&mut self, bytes: usize) -> usize {
-        self.bytes += bytes;
-        self.used.fetch_add(bytes, Ordering::AcqRel) + bytes
+    /// Sets the size to one that is no smaller, and returns the total.
+    fn grow_to(&mut self, bytes: usize) -> usize {
+        let more = bytes.saturating_sub(self.bytes);
+        self.bytes += more;
+        self.used.fetch_add(more, Ordering::AcqRel) + more
     }
 
     /// Returns the body as bytes that count until they are dropped.
@@ -103,12 +165,15 @@
 }
 
 impl BufferMemory {
-    /// Builds the memory of an entry with these bounds.
+    /// Builds the memory of a process with these bounds.
     #[must_use]
-    pub fn new(bounds: CapacityBounds) -> Self {
+    pub fn new(bounds: CapacityBounds, clock: Arc<dyn Clock>) -> Self {
         Self {
             bounds,
             used: Arc::default(),
+            receiving: Mutex::default(),
+            last_key: AtomicU64::new(0),
+            clock,
         }
     }
 
@@ -154,41 +219,78 @@
     /// Returns an error if the connection fails, if the body is too long, or if memory is
     /// short.
     pub async fn receive(&self, upload: Upload, longest: usize) -> Result<Bytes, ReceiveError> {
-        let body = upload.body;
-        if !self.bounds.requests {
-            let read = Limited::new(body, longest).collect().await;
-            return read.map(Collected::to_bytes).map_err(to_receive_error);
-        }
+        let Upload { mut body, activity } = upload;
         // What never fits is refused as too long, since a retry would not help.
         let longest = longest.min(self.bounds.total);
-        let declared = body.size_hint().exact();
-        let declared = declared.map_or(0, |bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
-        let used = self.used.load(Ordering::Acquire);
+        let declared = declared_length(&body);
         if declared > longest {
             return Err(ReceiveError::TooLong);
         }
+        let used = self.used.load(Ordering::Acquire);
         if !self.allows(declared, used.saturating_add(declared)) {
-            return Err(refuse_request());
+            return Err(self.refuse_request());
         }
+        activity.begin_body(self.clock.now());
+        let _ended = BodyGuard(&activity);
+        let mut registered = None;
         let mut share = self.share();
-        let mut body = Limited::new(body, longest);
-        let mut read = BytesMut::new();
-        while let Some(frame) = body.frame().await {
+        let mut read = Gathered {
+            declared,
+            ..Gathered::default()
+        };
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = activity.gives_way() => return Err(ReceiveError::Short),
+                frame = body.frame() => frame,
+            };
+            let Some(frame) = frame else { break };
             // Trailers are not forwarded.
-            let Ok(data) = frame.map_err(to_receive_error)?.into_data() else {
+            let Ok(data) = frame.map_err(ReceiveError::Broken)?.into_data() else {
                 continue;
             };
-            let total = share.grow(data.len());
+            if read.bytes.len() + data.len() > longest {
+                return Err(ReceiveError::TooLong);
+            }
+            let total = share.grow_to(read.size_with(data.len()));
             if !self.allows(share.bytes, total) {
-                return Err(refuse_request());
+                return Err(self.refuse_request());
             }
-            if read.is_empty() {
-                // Pages that no byte is written to take no memory.
-                read.reserve(declared);
+            if share.bytes > TINY_MESSAGE_BYTES && registered.is_none() {
+                registered = Some(self.register(&activity));
             }
-            read.extend_from_slice(&data);
+            read.push(&data);
         }
-        Ok(share.hold(read.freeze()))
+        Ok(share.hold(read.bytes.into()))
+    }
+
+    fn lock_receiving(&self) -> MutexGuard<'_, FastMap<u64, Arc<Activity>>> {
+        self.receiving
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn register(&self, activity: &Arc<Activity>) -> Receiving<'_> {
+        let key = self.last_key.fetch_add(1, Ordering::Relaxed);
+        self.lock_receiving().insert(key, Arc::clone(activity));
+        Receiving { memory: self, key }
+    }
+
+    /// Counts a refused request, and lets the client give way that has sent least of late.
+    fn refuse_request(&self) -> ReceiveError {
+        metrics::counter!("cardamomtally_direct_memory_refused_total", "what" => "request")
+            .increment(1);
+        let now = self.clock.now();
+        let receiving = self.lock_receiving();
+        let slow = receiving
+            .values()
+            .filter(|activity| activity.may_give_way(now));
+        let least = slow.min_by(|a, b| a.recent(now).total_cmp(&b.recent(now)));
+        if let Some(activity) = least {
+            metrics::counter!("cardamomtally_direct_gave_way_total", "what" => "body").increment(1);
+            activity.give_way();
+        }
+        ReceiveError::Short
     }
 
     /// Reads the body of a response to its end.
@@ -198,39 +300,40 @@
     /// Returns an error if the connection fails, or if the body is longer than one message
     /// may be, or longer than 64 KiB while the total is reached.
     pub async fn read(&self, mut body: Incoming) -> Result<Bytes, ReadError> {
-        let declared = body.size_hint().exact().unwrap_or_default() as usize;
         let mut share = self.share();
-        let mut read = BytesMut::new();
+        let mut read = Gathered {
+            declared: declared_length(&body).min(self.bounds.message),
+            ..Gathered::default()
+        };
         while let Some(frame) = body.frame().await {
             // Trailers are not forwarded.
             let Ok(data) = frame.map_err(ReadError::Broken)?.into_data() else {
                 continue;
             };
-            let total = share.grow(data.len());
-            if !self.allows(share.bytes, total) || share.bytes > self.bounds.message {
+            let total = share.grow_to(read.size_with(data.len()));
+            let length = read.bytes.len() + data.len();
+            if !self.allows(share.bytes, total) || length > self.bounds.message {
                 metrics::counter!("cardamomtally_direct_memory_refused_total", "what" => "response")
                     .increment(1);
                 return Err(ReadError::TooLong);
             }
-            if read.is_empty() {
-                read.reserve(declared.min(self.bounds.message));
-            }
-            read.extend_from_slice(&data);
+            read.push(&data);
         }
-        Ok(share.hold(read.freeze()))
+        Ok(share.hold(read.bytes.into()))
     }
 }
 
-fn to_receive_error(error: Box<dyn std::error::Error + Send + Sync>) -> ReceiveError {
-    if error.is::<http_body_util::LengthLimitError>() {
-        ReceiveError::TooLong
-    } else {
-        ReceiveError::Broken(error)
-    }
+/// Returns the announced length of a body in bytes, or 0 if there is none.
+fn declared_length(body: &Incoming) -> usize {
+    let length = body.size_hint().exact().unwrap_or_default();
+    usize::try_from(length).unwrap_or(usize::MAX)
 }
 
-fn refuse_request() -> ReceiveError {
-    metrics::counter!("cardamomtally_direct_memory_refused_total", "what" => "request")
-        .increment(1);
-    ReceiveError::Short
+/// Ends the receipt of a request's body on its connection.
+struct BodyGuard<'a>(&'a Activity);
+
+impl Drop for BodyGuard<'_> {
+    fn drop(&mut self) {
+        self.0.end_body();
+    }
 }
--- a/src/cardamomtally/listen/mod.rs
+++ b/src/cardamomtally/listen/mod.rs
@@ -14,6 +14,7 @@
 pub mod body;
 pub mod capacity;
 pub mod memory;
+pub mod progress;
 pub mod server;
 pub mod stream;
 pub mod unread;
--- a/src/cardamomtally/listen/server.rs
+++ b/src/cardamomtally/listen/server.rs
@@ -190,7 +190,7 @@
                     clock: Arc::clone(&clock),
                 };
                 let outflow = outflow.clone();
-                let response = answer(request.map(Upload::new));
+                let response = answer(request.map(|body| Upload::new(body, Arc::clone(&activity))));
                 async move { Ok::<_, Infallible>(track(response.await, outflow, busy)) }
             })
         };
--- a/src/cardamomtally/listen/stream.rs
+++ b/src/cardamomtally/listen/stream.rs
@@ -63,8 +63,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.activity.note_bytes(&*self.clock);
+        let count = buf.filled().len() - before;
+        if count > 0 {
+            self.activity.note_bytes(&*self.clock, count);
         }
         polled
     }
--- a/tests/testsuite/direct/memory.rs
+++ b/tests/testsuite/direct/memory.rs
@@ -107,17 +107,45 @@
     assert_eq!(refused.header("x-cardamomtally-verdict"), Some("not-run"));
 }
 
-/// Guards against refusals where overload control is not configured or off.
+/// Guards against bounds that hold only where overload control is configured and on.
 #[test]
-fn without_overload_control_no_request_is_refused_for_its_size() {
+fn without_overload_control_large_requests_beyond_the_memory_are_refused() {
     for mode in [None, Some(Mode::Off)] {
         let server = holding_server();
         let entry = entry(Class::Repeatable, &[server.backend()], |settings| {
             tiny_vm(settings);
-            settings.scheduling = mode.map(|mode| SchedulingSettings {
-                mode,
-                ..SchedulingSettings::default()
-            });
+            settings.scheduling = in_mode(mode);
+        });
+        let _first = [send_large(&entry, "a-1"), send_large(&entry, "a-2")];
+        eventually("both bodies are held", || held(&entry) >= 2 * LARGE);
+
+        let refused = read_answer(&mut announce_large(&entry, "a-3"));
+        let small = entry.ask(&request("a-4", "", "small"));
+
+        assert_eq!(refused.status, 503, "{}", refused.head);
+        assert_eq!(refused.header("x-cardamomtally-verdict"), Some("not-run"));
+        assert!(refused.header("retry-after").is_some(), "{}", refused.head);
+        assert_eq!(small.status, 200);
+        let passed_on = server.seen().iter().any(|seen| seen.head.contains("a-3"));
+        assert!(!passed_on, "a refused request was passed on");
+    }
+}
+
+fn in_mode(mode: Option<Mode>) -> Option<SchedulingSettings> {
+    mode.map(|mode| SchedulingSettings {
+        mode,
+        ..SchedulingSettings::default()
+    })
+}
+
+/// Guards against refusals where no limit on memory is known and overload control is not
+/// configured or off.
+#[test]
+fn without_overload_control_no_request_is_refused_for_its_size() {
+    for mode in [None, Some(Mode::Off)] {
+        let server = holding_server();
+        let entry = entry(Class::Repeatable, &[server.backend()], |settings| {
+            settings.scheduling = in_mode(mode);
         });
         let _all: Vec<_> = (0..4)
             .map(|n| send_large(&entry, &format!("a-{n}")))
