Give freed memory of large messages back at once

What callers saw: a second crowd ended a process that had borne the first one. Cause: the C library's allocator raises the size from which on it maps a block of its own each time such a block is freed. Bodies then came from its heap, where freed memory stays resident: 188 MiB were left after a crowd had gone. Change: the two thresholds are fixed at the start of each process, so that blocks of 128 KiB and more are mapped and unmapped.

--- a/src/cardamomtally/daemon/launch.rs
+++ b/src/cardamomtally/daemon/launch.rs
@@ -7,7 +7,10 @@
         self, AgentSettings, ControlSettings, EntrySettings, Settings,
         common::{HttpSettings, LogSettings, ProcessSettings, TimelineSettings},
     },
-    util::signals::{self, Outlived},
+    util::{
+        allocator,
+        signals::{self, Outlived},
+    },
 };
 use clap::{Arg, Command, value_parser};
 use eyre::WrapErr as _;
@@ -65,6 +68,7 @@
     S: DaemonSettings,
     F: Future<Output = eyre::Result<()>>,
 {
+    allocator::give_back_freed();
     let matches = cli(program).get_matches();
     let path = matches
         .get_one::<PathBuf>("settings")
--- a/src/cardamomtally/util/mod.rs
+++ b/src/cardamomtally/util/mod.rs
@@ -1,6 +1,7 @@
 //! Logging, terminal output, signals, ports and the form of events, without any knowledge of
 //! routing or tickets.
 
+pub mod allocator;
 pub mod log;
 pub mod ports;
 pub mod shell;
