Close the connection that sends least for a newcomer

What callers saw: with all connections taken by clients that send nothing, ordinary requests got no answer (three of three in 9 s, with 2,300 of them); with a limit of 400 descriptors 618 were open. Cause: the listener took 2,000 connections whatever the limit on descriptors, held each until its idle time had passed, and did not accept further ones meanwhile. When all are taken, the connection without a request in flight that has sent least of late is closed; each has a second of grace, one with a request in flight is kept. A connection takes no buffers before its first byte. The choice has unit tests.

--- a/src/cardamomtally/listen/activity.rs
+++ b/src/cardamomtally/listen/activity.rs
@@ -36,6 +36,8 @@
     gives_way: AtomicBool,
     /// Notified when `gives_way` is set.
     given_way: Notify,
+    /// Notified when the connection is to be closed for another one.
+    dismissed: Notify,
 }
 
 /// What a connection without a request in flight waits for.
@@ -117,6 +119,27 @@
         since > 0 && now.since(Mono(since)) >= GRACE
     }
 
+    /// Returns since when a connection waits for its client to send, if no request is in
+    /// flight that was received, and if the client had its grace.
+    pub fn idle_since(&self, now: Mono) -> Option<Mono> {
+        let since = match self.waiting() {
+            Some(Waiting::Request(since) | Waiting::Head(since)) => since,
+            None => Mono(self.body.load(Ordering::Acquire)),
+        };
+        let sending = since > Mono::default() || self.waiting().is_some();
+        (sending && now.since(since) >= GRACE).then_some(since)
+    }
+
+    /// Closes the connection for another one.
+    pub fn dismiss(&self) {
+        self.dismissed.notify_one();
+    }
+
+    /// Waits until the connection is to be closed for another one.
+    pub async fn is_dismissed(&self) {
+        self.dismissed.notified().await;
+    }
+
     /// Lets the client whose body is being received give way to others.
     pub fn give_way(&self) {
         self.end_body();
--- a/src/cardamomtally/listen/mod.rs
+++ b/src/cardamomtally/listen/mod.rs
@@ -4,7 +4,7 @@
 //! hold at each: on the connections, on the time and the size of a head, on the bytes that
 //! are held for bodies and responses, and on a client that does not read.
 //!
-//! [`server`] accepts connections and passes each request on with its body as an
+//! [`server`] accepts connections into a [`crowd`] and passes each request on with its body as an
 //! [`upload`](memory::Upload), which is read into the [`memory`] that all messages of the
 //! process share. The bounds follow from the limits of the VM ([`capacity`]). A [`stream`]
 //! records what its client does in an [`activity`]; a response [`body`] waits while its
@@ -13,6 +13,7 @@
 pub mod activity;
 pub mod body;
 pub mod capacity;
+pub mod crowd;
 pub mod memory;
 pub mod progress;
 pub mod server;
--- a/src/cardamomtally/listen/server.rs
+++ b/src/cardamomtally/listen/server.rs
@@ -7,6 +7,7 @@
 use super::{
     activity::{Activity, Waiting},
     body::{Body, Outflow, bounded, guarded},
+    crowd::{Crowd, Place},
     memory::{BufferMemory, Upload},
     stream::TrackedStream,
     unread::{UnreadCheck, untaken},
@@ -24,7 +25,7 @@
 use std::{convert::Infallible, fmt, net::SocketAddr, os::fd::AsRawFd as _};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
+    sync::watch,
 };
 
 /// Time between two checks of a connection against the limits. A limit is
@@ -33,8 +34,10 @@
 /// Pause after a failed `accept`, for example when the process has no free file
 /// descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Time between two log lines about callers that wait because all connections are taken.
+/// Time between two log lines about connections that are closed, or wait, since all are taken.
 const EXHAUSTED_LOG_INTERVAL: Duration = Duration::from_secs(10);
+/// Time between two checks whether a connection can be closed for a newcomer.
+const PLACE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Least buffer size for a request's head. The HTTP library does not accept a
 /// smaller one.
 const MIN_HEAD_BYTES: usize = 8 << 10;
@@ -76,7 +79,8 @@
 }
 
 /// Accepts connections until `close` becomes true, and answers each request by `answer`.
-/// Connections beyond the largest number wait to be accepted.
+/// When the largest number is open, the one whose client has sent least of late is closed,
+/// or the newcomer waits if all others have requests in flight.
 pub async fn run<S, F>(
     listener: Arc<Listener>,
     socket: TcpListener,
@@ -86,38 +90,57 @@
     S: Fn(Request<Upload>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let permits = Arc::new(Semaphore::new(listener.connections));
-    let mut next_log = Mono::default();
+    let crowd = Arc::new(Crowd::new(listener.connections));
+    let mut logged = Mono::default();
     loop {
-        if permits.available_permits() == 0 {
-            metrics::counter!("cardamomtally_direct_connections_exhausted_total").increment(1);
-            let now = listener.clock.now();
-            if now >= next_log {
-                next_log = now + EXHAUSTED_LOG_INTERVAL;
-                warn!(listener.log, "listen: no connection is left; further callers wait";
-                    "connections" => listener.connections);
-            }
-        }
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
         let accepted = tokio::select! {
             accepted = socket.accept() => accepted,
             _ = close.wait_for(|close| *close) => return,
         };
-        match accepted {
-            Ok((stream, peer)) => {
-                let connection = Connection::new(&listener, stream, peer);
-                let served = connection.serve(answer.clone(), close.clone());
-                tokio::spawn(async move {
-                    served.await;
-                    drop(permit);
-                });
-            }
+        let connection = match accepted {
+            Ok((stream, peer)) => Connection::new(&listener, stream, peer),
             Err(error) => {
-                warn!(listener.log, "listen: accept failed"; "error" => %error);
+                warn!(listener.log, "listen: accept failed"; "listener" => listener.name,
+                    "error" => %error);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
             }
+        };
+        let place = tokio::select! {
+            place = listener.find_place(&crowd, &connection.activity, &mut logged) => place,
+            _ = close.wait_for(|close| *close) => return,
+        };
+        let served = connection.serve(answer.clone(), close.clone());
+        tokio::spawn(async move {
+            served.await;
+            drop(place);
+        });
+    }
+}
+
+impl Listener {
+    /// Waits for a place for a connection.
+    async fn find_place(
+        &self,
+        crowd: &Arc<Crowd>,
+        activity: &Arc<Activity>,
+        logged: &mut Mono,
+    ) -> Place {
+        loop {
+            let now = self.clock.now();
+            if let Some(place) = crowd.enter(activity, now) {
+                return place;
+            }
+            metrics::counter!("cardamomtally_direct_connections_exhausted_total",
+                "listener" => self.name)
+            .increment(1);
+            if *logged == Mono::default() || now.since(*logged) >= EXHAUSTED_LOG_INTERVAL {
+                *logged = now;
+                warn!(self.log, "listen: no connection is left; further callers wait";
+                    "listener" => self.name, "connections" => self.connections);
+            }
+            // A connection may also come to be one that can be closed.
+            let _ended = tokio::time::timeout(PLACE_CHECK_INTERVAL, crowd.wait_left()).await;
         }
     }
 }
@@ -159,12 +182,36 @@
         }
     }
 
+    /// Waits for the first byte of a request. Until then, a connection takes no buffers.
+    /// Returns false if the connection is to be closed.
+    async fn wait_request(&self, close: &mut watch::Receiver<bool>) -> bool {
+        loop {
+            tokio::select! {
+                biased;
+                () = self.activity.is_dismissed() => {
+                    self.listener.count_dismissed();
+                    return false;
+                }
+                readable = self.stream.readable() => return readable.is_ok(),
+                _ = close.wait_for(|close| *close) => return false,
+                () = tokio::time::sleep(AGE_CHECK_INTERVAL) => {}
+            }
+            let now = self.listener.clock.now();
+            if matches!(self.listener.age(&self.activity, now), Age::Idle) {
+                return false;
+            }
+        }
+    }
+
     async fn serve<S, F>(self, answer: S, mut close: watch::Receiver<bool>)
     where
         S: Fn(Request<Upload>) -> F + Clone + Send + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         self.set_options();
+        if !self.wait_request(&mut close).await {
+            return;
+        }
         let Self {
             listener,
             stream,
@@ -201,6 +248,15 @@
         let mut closing = false;
         loop {
             tokio::select! {
+                () = activity.is_dismissed() => {
+                    listener.count_dismissed();
+                    if activity.idle_since(Mono(u64::MAX)).is_some() {
+                        return;
+                    }
+                    // A request has come meanwhile. It is answered.
+                    closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
                 ended = connection.as_mut() => {
                     if let Err(error) = ended {
                         activity.break_off();
@@ -248,6 +304,13 @@
 }
 
 impl Listener {
+    fn count_dismissed(&self) {
+        metrics::counter!("cardamomtally_direct_gave_way_total", "what" => "connection",
+            "listener" => self.name)
+        .increment(1);
+        debug!(self.log, "listen: connection closed for another one"; "listener" => self.name);
+    }
+
     fn age(&self, activity: &Activity, now: Mono) -> Age {
         let limits = (self.limits)();
         match activity.waiting() {
--- /dev/null
+++ b/tests/testsuite/listen/mod.rs
@@ -0,0 +1,3 @@
+//! Tests of the parts that bound what clients take.
+
+mod crowd;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod fuzz;
 mod lease;
 mod ledger;
+mod listen;
 mod path;
 mod ports;
 mod promises;
