Let a refusal arrive that comes before the end of its request

What callers saw: a caller that still sends its body got a reset instead of 401, 413 or 503, so it learned neither the reason nor that nothing had run. Cause: the connection is closed with bytes of the caller unread. Such a close resets it, and the reset overtakes the answer.

--- a/src/cardamomtally/listen/activity.rs
+++ b/src/cardamomtally/listen/activity.rs
@@ -30,6 +30,8 @@
     reset: AtomicBool,
     /// Since when a request's body is being received; 0 if none is.
     body: AtomicU64,
+    /// Whether the last request has a body of which the end was not read.
+    unfinished: AtomicBool,
     /// What the client has sent of late.
     progress: Mutex<Progress>,
     /// Whether the body that is being received is to be given up.
@@ -102,6 +104,16 @@
         self.busy.fetch_sub(1, Ordering::AcqRel);
     }
 
+    /// Records whether the last request has a body of which the end was not read.
+    pub fn set_unfinished(&self, unfinished: bool) {
+        self.unfinished.store(unfinished, Ordering::Release);
+    }
+
+    /// Tells whether the last request has a body of which the end was not read.
+    pub fn is_unfinished(&self) -> bool {
+        self.unfinished.load(Ordering::Acquire)
+    }
+
     /// Records that a request's body is being received.
     pub fn begin_body(&self, now: Mono) {
         self.gives_way.store(false, Ordering::Release);
--- a/src/cardamomtally/listen/memory.rs
+++ b/src/cardamomtally/listen/memory.rs
@@ -55,7 +55,8 @@
 impl Upload {
     /// Wraps the body of a request that arrives on a connection.
     #[must_use]
-    pub const fn new(body: Incoming, activity: Arc<Activity>) -> Self {
+    pub fn new(body: Incoming, activity: Arc<Activity>) -> Self {
+        activity.set_unfinished(!body.is_end_stream());
         Self { body, activity }
     }
 }
@@ -244,7 +245,10 @@
                 () = activity.gives_way() => return Err(ReceiveError::Short),
                 frame = body.frame() => frame,
             };
-            let Some(frame) = frame else { break };
+            let Some(frame) = frame else {
+                activity.set_unfinished(false);
+                break;
+            };
             // Trailers are not forwarded.
             let Ok(data) = frame.map_err(ReceiveError::Broken)?.into_data() else {
                 continue;
--- a/src/cardamomtally/listen/mod.rs
+++ b/src/cardamomtally/listen/mod.rs
@@ -8,12 +8,14 @@
 //! [`upload`](memory::Upload), which is read into the [`memory`] that all messages of the
 //! process share. The bounds follow from the limits of the VM ([`capacity`]). A [`stream`]
 //! records what its client does in an [`activity`]; a response [`body`] waits while its
-//! client does not read.
+//! client does not read. An answer that comes before the end of its request is left time to
+//! arrive ([`linger`]).
 
 pub mod activity;
 pub mod body;
 pub mod capacity;
 pub mod crowd;
+pub mod linger;
 pub mod memory;
 pub mod progress;
 pub mod server;
--- a/src/cardamomtally/listen/server.rs
+++ b/src/cardamomtally/listen/server.rs
@@ -8,6 +8,7 @@
     activity::{Activity, Waiting},
     body::{Body, Outflow, bounded, guarded},
     crowd::{Crowd, Place},
+    linger::linger,
     memory::{BufferMemory, Upload},
     stream::TrackedStream,
     unread::{UnreadCheck, untaken},
@@ -241,12 +242,11 @@
                 async move { Ok::<_, Infallible>(track(response.await, outflow, busy)) }
             })
         };
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .max_buf_size(head.max(MIN_HEAD_BYTES))
             .serve_connection(TokioIo::new(tracked), service);
-        let mut connection = std::pin::pin!(connection);
         let mut closing = false;
-        loop {
+        let unread = loop {
             tokio::select! {
                 () = activity.is_dismissed() => {
                     listener.count_dismissed();
@@ -255,18 +255,22 @@
                     }
                     // A request has come meanwhile. It is answered.
                     closing = true;
-                    connection.as_mut().graceful_shutdown();
+                    Pin::new(&mut connection).graceful_shutdown();
                 }
-                ended = connection.as_mut() => {
-                    if let Err(error) = ended {
+                ended = &mut connection => {
+                    if let Err(error) = &ended {
                         activity.break_off();
                         debug!(listener.log, "listen: connection closed with an error"; "error" => %error);
                     }
-                    return;
+                    // The HTTP server answers a head that it cannot read.
+                    break match ended {
+                        Ok(()) => activity.is_unfinished(),
+                        Err(error) => error.is_parse(),
+                    };
                 }
                 _ = close.wait_for(|close| *close), if !closing => {
                     closing = true;
-                    connection.as_mut().graceful_shutdown();
+                    Pin::new(&mut connection).graceful_shutdown();
                 }
                 () = tokio::time::sleep(AGE_CHECK_INTERVAL) => {
                     let now = listener.clock.now();
@@ -282,7 +286,7 @@
                     match listener.age(&activity, now) {
                         Age::Idle if !closing => {
                             closing = true;
-                            connection.as_mut().graceful_shutdown();
+                            Pin::new(&mut connection).graceful_shutdown();
                         }
                         Age::WithinLimits | Age::Idle => {}
                         Age::SlowHead => {
@@ -292,6 +296,10 @@
                     }
                 },
             }
+        };
+        if unread {
+            let tracked = connection.into_parts().io.into_inner();
+            linger(&tracked.stream).await;
         }
     }
 }
