Follow the limit on heads that is in force on open connections

Cause: the size of a connection's buffer was fixed when it was opened. Change: the buffer is built at the first byte; an idle connection whose buffer is too small for the limit in force is closed, so that its client opens another. An entry without a document was not ready before either; the test checks that too.

--- a/src/cardamomtally/listen/server.rs
+++ b/src/cardamomtally/listen/server.rs
@@ -186,6 +186,7 @@
     /// Waits for the first byte of a request. Until then, a connection takes no buffers.
     /// Returns false if the connection is to be closed.
     async fn wait_request(&self, close: &mut watch::Receiver<bool>) -> bool {
+        let mut first = [0];
         loop {
             tokio::select! {
                 biased;
@@ -193,12 +194,15 @@
                     self.listener.count_dismissed();
                     return false;
                 }
-                readable = self.stream.readable() => return readable.is_ok(),
+                peeked = self.stream.peek(&mut first) => return peeked.is_ok_and(|n| n > 0),
                 _ = close.wait_for(|close| *close) => return false,
                 () = tokio::time::sleep(AGE_CHECK_INTERVAL) => {}
             }
             let now = self.listener.clock.now();
-            if matches!(self.listener.age(&self.activity, now), Age::Idle) {
+            if matches!(
+                self.listener.age(&self.activity, now, usize::MAX),
+                Age::Idle
+            ) {
                 return false;
             }
         }
@@ -222,7 +226,7 @@
         } = self;
         let descriptor = stream.as_raw_fd();
         let mut unread = UnreadCheck::new(listener.memory.bounds().unread);
-        let head = (listener.limits)().head_bytes;
+        let head = (listener.limits)().head_bytes.max(MIN_HEAD_BYTES);
         let tracked = TrackedStream {
             stream,
             activity: Arc::clone(&activity),
@@ -243,7 +247,7 @@
             })
         };
         let mut connection = http1::Builder::new()
-            .max_buf_size(head.max(MIN_HEAD_BYTES))
+            .max_buf_size(head)
             .serve_connection(TokioIo::new(tracked), service);
         let mut closing = false;
         let unread = loop {
@@ -283,7 +287,7 @@
                             "peer" => %peer, "blocked_ms" => now.since(blocked).as_millis() as u64);
                         return;
                     }
-                    match listener.age(&activity, now) {
+                    match listener.age(&activity, now, head) {
                         Age::Idle if !closing => {
                             closing = true;
                             Pin::new(&mut connection).graceful_shutdown();
@@ -319,11 +323,14 @@
         debug!(self.log, "listen: connection closed for another one"; "listener" => self.name);
     }
 
-    fn age(&self, activity: &Activity, now: Mono) -> Age {
+    /// Checks a connection whose buffer takes heads of `head` bytes. An idle one whose buffer
+    /// is too small for the limit now in force is closed, so that its client opens another.
+    fn age(&self, activity: &Activity, now: Mono, head: usize) -> Age {
         let limits = (self.limits)();
         match activity.waiting() {
             Some(Waiting::Head(since)) if now.since(since) > limits.head_time => Age::SlowHead,
             Some(Waiting::Request(since)) if now.since(since) > limits.idle_time => Age::Idle,
+            Some(Waiting::Request(_)) if limits.head_bytes > head => Age::Idle,
             Some(_) | None => Age::WithinLimits,
         }
     }
--- a/tests/testsuite/direct/callers.rs
+++ b/tests/testsuite/direct/callers.rs
@@ -8,6 +8,7 @@
     io::{Read as _, Write as _},
     net::TcpStream,
     sync::atomic::Ordering,
+    thread,
 };
 
 fn server() -> Server {
@@ -98,6 +99,45 @@
     assert_eq!(got.status, 431);
 }
 
+/// Returns a document that allows heads of 64 KiB, and a request with one of 32 KiB.
+fn long_head() -> (cardamomtally::site::document::Document, String) {
+    let mut document = document(2, Class::Once);
+    document.limits.head_bytes = 64 << 10;
+    let more = format!("X-Long: {}\r\n", "x".repeat(32 << 10));
+    (document, request("a-long", &more, ""))
+}
+
+/// Guards against the limits of a connection's first second that hold until its end: one that
+/// is older than the first document, and one that is kept while the limit rises.
+#[test]
+fn connection_follows_the_limit_on_heads_that_is_in_force() {
+    let server = server();
+    let backends = || vec![server.backend()];
+    let (document, text) = long_head();
+
+    let entry = Entry::without_document(Duration::from_mins(1));
+    let mut early = entry.connect();
+    thread::sleep(Duration::from_millis(100));
+    assert!(!entry.app.is_ready(), "ready without a document");
+    entry.publish(reply(2, document.clone(), backends()));
+    early.write_all(text.as_bytes()).unwrap();
+    let early = read_answer(&mut early).status;
+
+    let entry = Entry::start(Class::Once, &[&server]);
+    let mut kept = entry.connect();
+    let first = request("a-1", "", "").replace("Connection: close\r\n", "");
+    kept.write_all(first.as_bytes()).unwrap();
+    assert!(kept.read(&mut [0; 2048]).unwrap() > 0);
+    entry.publish(reply(2, document, backends()));
+    let closed = is_closed(&mut kept);
+    let mut next = entry.connect();
+    next.write_all(text.as_bytes()).unwrap();
+
+    assert_eq!(early, 200);
+    assert!(closed, "the connection with the former limit is kept");
+    assert_eq!(read_answer(&mut next).status, 200);
+}
+
 #[test]
 fn smuggled_request_is_never_executed() {
     let server = server();
