Bound the connections and heads of readiness checks

What callers saw: heads without end at the readiness address took 134 MB of 64, and 600 silent connections 618 of 400 descriptors, so the entry ended or served nobody. Cause: that listener accepted and kept every connection, had no time limit for a head, and the HTTP library's bound on its size, 408 KiB. Change: it is one of the bounded listeners, with 64 connections, heads of 8 KiB within 3 s, and 90 s for an idle connection. A connection that lingers after an early answer ends when it has to give way.

--- a/src/cardamomtally/direct/listener.rs
+++ b/src/cardamomtally/direct/listener.rs
@@ -4,21 +4,25 @@
 use crate::{
     listen::{
         body::{Body, full_body},
+        memory::Upload,
         server::{self, HeadLimits, Listener},
     },
     prelude::*,
 };
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
-use slog::warn;
-use std::convert::Infallible;
 use tokio::{net::TcpListener, sync::watch};
 
-/// Pause after a failed `accept`, for example when the process has no free file
-/// descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Largest number of connections for readiness checks and metrics. The balancer and those who
+/// collect metrics need a few.
+const CHECKERS: usize = 64;
+/// Limits on the requests of these connections. The balancer asks each second, and metrics
+/// are collected every minute or more often.
+const CHECKER_LIMITS: HeadLimits = HeadLimits {
+    head_bytes: 8 << 10,
+    head_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(90),
+};
 
 /// Accepts callers' connections until `close` becomes true. At most
 /// `max_connections` are open at a time, or as many as the limits of the VM allow; further
@@ -57,32 +61,25 @@
 /// Serves readiness checks and metrics at an address of their own.
 pub async fn run_health(
     app: Arc<App>,
-    listener: TcpListener,
+    socket: TcpListener,
     ready: Arc<str>,
     render: Arc<dyn Fn() -> String + Send + Sync>,
 ) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!(app.log, "health: accept failed"; "error" => %error);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let (app, ready, render) = (Arc::clone(&app), Arc::clone(&ready), Arc::clone(&render));
-        let service = service_fn(move |request: Request<Incoming>| {
-            let response = health(&app, &ready, &*render, request.uri().path());
-            async move { Ok::<_, Infallible>(response) }
-        });
-        tokio::spawn(async move {
-            // An error on this connection affects only the health checker, which
-            // notices it itself.
-            let _ended = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    let listener = Listener {
+        name: "readiness",
+        connections: CHECKERS,
+        limits: Box::new(|| CHECKER_LIMITS),
+        memory: Arc::clone(&app.memory),
+        clock: Arc::clone(&app.clock),
+        log: app.log.clone(),
+    };
+    let answer = move |request: Request<Upload>| {
+        let response = health(&app, &ready, &*render, request.uri().path());
+        async move { response }
+    };
+    // The checks go on until the process ends.
+    let (_open, close) = watch::channel(false);
+    server::run(Arc::new(listener), socket, answer, close).await;
 }
 
 fn health(
--- a/src/cardamomtally/listen/server.rs
+++ b/src/cardamomtally/listen/server.rs
@@ -303,7 +303,10 @@
         };
         if unread {
             let tracked = connection.into_parts().io.into_inner();
-            linger(&tracked.stream).await;
+            tokio::select! {
+                () = activity.is_dismissed() => listener.count_dismissed(),
+                () = linger(&tracked.stream) => {}
+            }
         }
     }
 }
