Bound what operators' calls take together

What callers saw: documents of legal size that stop short took 138 MB of a control process's 64 (373 MB where each client sent 64 MiB), heads without end 178 MB, and 600 silent connections 620 of 400 descriptors; the process ended or answered no operator. Cause: each body had a limit of 16 MiB and all together none; the HTTP library's listener bounds neither connections nor the time for a head. A process without a disk read up to 16 MiB of each call only to redirect it. Change: operators' connections come through a bounded listener, which dispatches each request to the routes within the process. A body is read when its handler asks for it, into an eighth of the VM's memory; responses count too. 64 connections, heads of 16 KiB within 5 s. A redirect is answered at once, and reaches its caller by the lingering close. A body grows no further in advance than it may become long.

--- a/src/cardamomtally/agent/routes.rs
+++ b/src/cardamomtally/agent/routes.rs
@@ -13,7 +13,7 @@
 use crate::{
     core::{clock::Mono, id::AttemptId, verdict::Verdict},
     daemon::{
-        body::{self, DeclaredLength},
+        body::{self, BodySource},
         request_tracker::RequestGuard,
     },
     net::{
@@ -139,7 +139,7 @@
 #[post("/run", data = "<data>")]
 async fn run(
     headers: Headers,
-    declared: DeclaredLength,
+    source: BodySource<'_>,
     data: Data<'_>,
     parts: &State<Arc<Parts>>,
 ) -> Result<Frames, Box<Problem>> {
@@ -167,7 +167,7 @@
     if let Err(reason) = check(parts, &head, deadline).await {
         return Err(refuse_unadmitted(parts, attempt, &reason).await);
     }
-    let body = match body::read(&parts.settings.http, declared, data).await {
+    let body = match body::read((&parts.settings.http).into(), source, data).await {
         Ok(body) => body,
         Err(fault) => return Err(refuse_unadmitted(parts, attempt, &fault.to_string()).await),
     };
--- a/src/cardamomtally/control/routes.rs
+++ b/src/cardamomtally/control/routes.rs
@@ -15,7 +15,7 @@
         log::LogError,
         verdict::Verdict,
     },
-    daemon::body::{self, BodyReadError, DeclaredLength},
+    daemon::body::{self, BodyReadError, BodySource},
     settings::control::Numbering,
 };
 use rocket::{
@@ -79,7 +79,7 @@
 #[post("/tickets", data = "<data>")]
 async fn submit(
     bearer: Bearer,
-    declared: DeclaredLength,
+    source: BodySource<'_>,
     data: Data<'_>,
     member: &State<Arc<Member>>,
 ) -> Answer<Submitted> {
@@ -88,7 +88,7 @@
         let detail = "the bearer token is missing or belongs to no operator";
         return Err(Problem::new(Status::Unauthorized, detail));
     }
-    let text = read_text(declared, data, member).await?;
+    let text = read_text(source, data, member).await?;
     let ticket = ticket::check(ticket::NETWORK_FILE, &text, None);
     let ticket = match ticket {
         Ok(ticket) => ticket,
@@ -109,18 +109,19 @@
 }
 
 async fn read_text(
-    declared: DeclaredLength,
+    source: BodySource<'_>,
     data: Data<'_>,
     member: &Member,
 ) -> Result<String, Problem> {
     let http = &member.settings.http;
-    let bytes = body::read(http, declared, data)
+    let bytes = body::read(http.into(), source, data)
         .await
         .map_err(|fault| match fault {
             BodyReadError::TooLong => {
                 let detail = format!("a ticket may have {} at most", http.body_limit);
                 Problem::new(Status::PayloadTooLarge, detail)
             }
+            BodyReadError::Short => Problem::new(Status::ServiceUnavailable, fault.to_string()),
             BodyReadError::Truncated => Problem::new(Status::BadRequest, fault.to_string()),
             BodyReadError::Connection(_) | BodyReadError::TimedOut => {
                 let detail = "the ticket was not received in time";
--- a/src/cardamomtally/daemon/mod.rs
+++ b/src/cardamomtally/daemon/mod.rs
@@ -8,6 +8,7 @@
 //! ended, and stops the listener.
 
 pub mod body;
+pub mod gate;
 pub mod http;
 pub mod launch;
 pub mod problem;
--- a/src/cardamomtally/entry/api.rs
+++ b/src/cardamomtally/entry/api.rs
@@ -21,9 +21,10 @@
         verdict::Verdict,
     },
     daemon::{
-        body::{self, BodyReadError, DeclaredLength},
+        body::{self, BodyReadError, BodySource},
         request_tracker::RequestGuard,
     },
+    listen::memory::BufferMemory,
     settings::common::HttpSettings,
 };
 use bytes::Bytes;
@@ -169,8 +170,8 @@
 
     async fn read(&self, request: &Request<'_>, data: Data<'_>) -> Result<Bytes, Problem> {
         let settings = &self.0.settings.http;
-        let declared = DeclaredLength::of(request);
-        let body = body::read(settings, declared, data)
+        let source = BodySource::of(request);
+        let body = body::read(settings.into(), source, data)
             .await
             .map_err(|fault| refuse_body(&fault, settings))?;
         if body.starts_with(METHOD_FIELD) && request.content_type().is_some_and(|m| m.is_form()) {
@@ -274,6 +275,9 @@
         BodyReadError::Connection(_) | BodyReadError::Truncated => {
             Problem::not_run(400, fault.to_string())
         }
+        BodyReadError::Short => {
+            Problem::not_run(503, fault.to_string()).retry_after(BufferMemory::retry_after())
+        }
         BodyReadError::TimedOut => {
             let detail = format!("the body took longer than {:?}", settings.body_timeout.0);
             Problem::not_run(408, detail)
--- a/src/cardamomtally/listen/capacity.rs
+++ b/src/cardamomtally/listen/capacity.rs
@@ -51,6 +51,15 @@
 /// Least number of callers' connections, however few file descriptors there are.
 const MIN_CONNECTIONS: usize = 16;
 
+/// Largest number of operators' connections to a control process. At most eight orders are in
+/// progress at once, and a few more read.
+pub const OPERATORS: usize = 64;
+/// Part of the file descriptors that these may take.
+const OPERATORS_FD_PART: usize = 4;
+/// Part of the VM's memory for the documents that operators are sending. A document takes a
+/// multiple of its size while it is decoded, decided on and stored.
+const DOCUMENTS_PART: usize = 8;
+
 /// Limits of the VM that an entry runs in. `None` means that the limit is not known.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct CapacitySettings {
@@ -102,6 +111,28 @@
 }
 
 impl CapacityBounds {
+    /// Returns the bounds of a process that may hold this many bytes for clients.
+    #[must_use]
+    pub fn holding(total: usize) -> Self {
+        Self {
+            total,
+            limit: total + total / SMALL_PART,
+            stream: Some(STREAM_BYTES),
+            ..Self::default()
+        }
+    }
+
+    /// Derives the bounds of a control process from the limits of its VM.
+    #[must_use]
+    pub fn of_control(settings: CapacitySettings) -> Self {
+        let memory = settings.memory_mb.map(|mb| (mb as usize) << 20);
+        let fds = settings.max_fds.map(|fds| fds as usize / OPERATORS_FD_PART);
+        Self {
+            callers: Some(fds.map_or(OPERATORS, |fds| fds.clamp(1, OPERATORS))),
+            ..Self::holding(memory.map_or(MAX_TOTAL_BYTES, |bytes| bytes / DOCUMENTS_PART))
+        }
+    }
+
     /// Derives the bounds of an entry with overload control from the limits of its VM. They
     /// hold without it too, except the time for unread responses.
     #[must_use]
--- a/src/cardamomtally/listen/crowd.rs
+++ b/src/cardamomtally/listen/crowd.rs
@@ -60,6 +60,11 @@
         })
     }
 
+    /// Tells whether no connection is open.
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
     /// Waits until a connection ends.
     pub async fn wait_left(&self) {
         self.left.notified().await;
--- a/src/cardamomtally/listen/memory.rs
+++ b/src/cardamomtally/listen/memory.rs
@@ -67,6 +67,8 @@
     bytes: Vec<u8>,
     /// Announced length in bytes, 0 if there is none.
     declared: usize,
+    /// Largest length in bytes. No more memory is taken in advance.
+    longest: usize,
 }
 
 impl Gathered {
@@ -80,7 +82,7 @@
             self.bytes.capacity()
         } else {
             let grown = self.bytes.capacity() + self.bytes.capacity() / 2;
-            needed.max(grown).max(MIN_BODY_CAPACITY)
+            grown.max(MIN_BODY_CAPACITY).min(self.longest).max(needed)
         }
     }
 
@@ -105,7 +107,7 @@
 
 /// The bytes that one message takes. They are free again when it is dropped.
 #[derive(Debug)]
-struct Share {
+pub struct Share {
     used: Arc<AtomicUsize>,
     bytes: usize,
 }
@@ -205,6 +207,20 @@
             || (message <= SMALL_MESSAGE_BYTES && total <= self.bounds.limit)
     }
 
+    /// Counts bytes of a message that is complete, until the result is dropped. Returns `None`
+    /// if memory is short.
+    #[must_use]
+    pub fn try_hold(&self, bytes: usize) -> Option<Share> {
+        let mut share = self.share();
+        let total = share.grow_to(bytes);
+        if self.allows(bytes, total) {
+            return Some(share);
+        }
+        metrics::counter!("cardamomtally_direct_memory_refused_total", "what" => "response")
+            .increment(1);
+        None
+    }
+
     /// Returns the delay after which a caller is asked to retry while memory is short.
     #[must_use]
     pub fn retry_after() -> Duration {
@@ -237,6 +253,7 @@
         let mut share = self.share();
         let mut read = Gathered {
             declared,
+            longest,
             ..Gathered::default()
         };
         loop {
@@ -307,6 +324,7 @@
         let mut share = self.share();
         let mut read = Gathered {
             declared: declared_length(&body).min(self.bounds.message),
+            longest: self.bounds.message,
             ..Gathered::default()
         };
         while let Some(frame) = body.frame().await {
--- a/src/cardamomtally/listen/server.rs
+++ b/src/cardamomtally/listen/server.rs
@@ -39,6 +39,8 @@
 const EXHAUSTED_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Time between two checks whether a connection can be closed for a newcomer.
 const PLACE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time that open connections are left to end after the listener was closed.
+const CLOSE_TIME: Duration = Duration::from_secs(4);
 /// Least buffer size for a request's head. The HTTP library does not accept a
 /// smaller one.
 const MIN_HEAD_BYTES: usize = 8 << 10;
@@ -81,7 +83,8 @@
 
 /// Accepts connections until `close` becomes true, and answers each request by `answer`.
 /// When the largest number is open, the one whose client has sent least of late is closed,
-/// or the newcomer waits if all others have requests in flight.
+/// or the newcomer waits if all others have requests in flight. After `close`, connections end
+/// with the request in flight; returns when none is open, or after 4 s.
 pub async fn run<S, F>(
     listener: Arc<Listener>,
     socket: TcpListener,
@@ -96,7 +99,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = socket.accept() => accepted,
-            _ = close.wait_for(|close| *close) => return,
+            _ = close.wait_for(|close| *close) => break,
         };
         let connection = match accepted {
             Ok((stream, peer)) => Connection::new(&listener, stream, peer),
@@ -109,7 +112,7 @@
         };
         let place = tokio::select! {
             place = listener.find_place(&crowd, &connection.activity, &mut logged) => place,
-            _ = close.wait_for(|close| *close) => return,
+            _ = close.wait_for(|close| *close) => break,
         };
         let served = connection.serve(answer.clone(), close.clone());
         tokio::spawn(async move {
@@ -117,6 +120,13 @@
             drop(place);
         });
     }
+    let ended = async {
+        while !crowd.is_empty() {
+            tokio::time::sleep(PLACE_CHECK_INTERVAL).await;
+        }
+    };
+    // Connections that have not ended by then end with the process.
+    let _passed = tokio::time::timeout(CLOSE_TIME, ended).await;
 }
 
 impl Listener {
