Bound what clients of the product's entry, agent and control take together

What callers saw: 300 clients with a valid key, default settings and bodies just short of 1 MiB took 552 and 577 MB of an entry, 547 of an agent, 478 of a control member (the users' bound for a process is 256 MB); heads without end 366 to 377 MB. Connections that send nothing took all descriptors, and ordinary requests got no answer until the end of the test's time limit. Cause: `body_limit` bounds one body and `request_limit` the requests, 8,192, so that 8 GiB were allowed; connections, and the time and size of a head, had no bound. Change: the daemons listen as the platform's processes do. New settings, with defaults: `body_memory` 64 MiB for all bodies and responses, `connection_limit` 4,096 and at most two fifths of the descriptors, `head_limit` 64 KiB, `head_timeout` 10 s, `idle_timeout` 2 min. A body beyond the memory gets 503, not run.

--- a/src/cardamomtally/daemon/http.rs
+++ b/src/cardamomtally/daemon/http.rs
@@ -1,14 +1,21 @@
 //! HTTP listener of a daemon, with the routes that every daemon has: health,
 //! metrics and the events of the time line.
 
-use super::{Context, problem, stop::exit_after};
-use crate::{settings::common::HttpSettings, timeline::Event};
+use super::{Context, gate, problem, stop::exit_after};
+use crate::{
+    listen::{
+        capacity::CapacityBounds,
+        memory::BufferMemory,
+        server::{HeadLimits, Listener},
+    },
+    settings::common::HttpSettings,
+    timeline::Event,
+    util::descriptors,
+};
 use eyre::WrapErr as _;
 use rocket::{
     Build, Rocket, State, catchers,
     config::{LogLevel, Shutdown as StopSettings},
-    data::{ByteUnit, Limits},
-    fairing::AdHoc,
     get,
     http::Status,
     routes,
@@ -20,17 +27,20 @@
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
-use tokio::signal::unix::{SignalKind, signal};
-
-/// Rocket's grace and mercy periods, in seconds. After the drain, Rocket lets open
-/// connections end during the grace period, and terminates those that are still
-/// open after the mercy period.
-const SHUTDOWN_GRACE_SECS: u32 = 2;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
 
 /// Longest time from the end of the drain to the end of the process. After that,
 /// the process exits even if the listener is not closed.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Share of the file descriptors for clients' connections, in percent. Each request in flight
+/// needs others.
+const CONNECTIONS_FD_PERCENT: usize = 40;
+
 /// Time between two runs of the metrics recorder's upkeep, which drops old
 /// histogram samples.
 const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
@@ -70,15 +80,9 @@
         port: listen.port(),
         workers: settings.threads,
         log_level: LogLevel::Off,
-        limits: Limits::default()
-            .limit("bytes", ByteUnit::from(settings.body_limit.0))
-            .limit("json", ByteUnit::from(settings.body_limit.0)),
         shutdown: StopSettings {
             ctrlc: false,
             signals: std::collections::HashSet::new(),
-            grace: SHUTDOWN_GRACE_SECS,
-            mercy: SHUTDOWN_GRACE_SECS,
-            force: false,
             ..StopSettings::default()
         },
         ..rocket::Config::default()
@@ -105,30 +109,41 @@
     context: &Context,
     bound: ReadyLine,
 ) -> eyre::Result<()> {
-    let advertise = settings.advertise.clone();
-    let http_address = Arc::clone(&context.http_address);
-    let rocket = rocket.attach(AdHoc::on_liftoff("ready line", move |rocket| {
-        let mut line = bound;
-        line.http = format!("{}:{}", rocket.config().address, rocket.config().port);
-        let http = advertise.unwrap_or_else(|| line.http.clone());
-        Box::pin(async move {
-            // The cell is empty, because only this listener sets the address.
-            let _first = http_address.set(http.into());
-            print_ready(&line);
-        })
-    }));
-    let rocket = rocket
-        .ignite()
-        .await
-        .map_err(|error| eyre::eyre!("failed to build the HTTP listener: {error}"))?;
-    let stop = rocket.shutdown();
+    let socket = TcpListener::bind(&settings.listen).await;
+    let socket = socket.wrap_err_with(|| format!("failed to listen at {}", settings.listen))?;
+    let mut line = bound;
+    line.http = socket.local_addr()?.to_string();
+    let http = settings
+        .advertise
+        .clone()
+        .unwrap_or_else(|| line.http.clone());
+    // The cell is empty, because only this listener sets the address.
+    let _first = context.http_address.set(http.into());
+    print_ready(&line);
+    let (close, closed) = watch::channel(false);
     tokio::spawn(upkeep(context.clone()));
-    let drain = tokio::spawn(drain(context.clone(), settings.drain_timeout.0, stop));
-    let outcome = rocket.launch().await;
+    let drain = tokio::spawn(drain(context.clone(), settings.drain_timeout.0, close));
+    let outcome = gate::serve(rocket, listener(settings, context), socket, closed).await;
     drain.abort();
     outcome
-        .map(drop)
-        .map_err(|error| eyre::eyre!("failed to listen at {}: {error}", settings.listen))
+}
+
+fn listener(settings: &HttpSettings, context: &Context) -> Listener {
+    let limits = HeadLimits {
+        head_bytes: settings.head_limit.0 as usize,
+        head_time: settings.head_timeout.0,
+        idle_time: settings.idle_timeout.0,
+    };
+    let connections = descriptors::most_open() / 100 * CONNECTIONS_FD_PERCENT;
+    let bounds = CapacityBounds::holding(settings.body_memory.0 as usize);
+    Listener {
+        name: "http",
+        connections: connections.clamp(1, settings.connection_limit as usize),
+        limits: Box::new(move || limits),
+        memory: Arc::new(BufferMemory::new(bounds, Arc::clone(&context.clock))),
+        clock: Arc::clone(&context.clock),
+        log: context.log.clone(),
+    }
 }
 
 fn print_ready(bound: &ReadyLine) {
@@ -149,7 +164,7 @@
 
 /// Waits for SIGTERM or SIGINT, refuses new requests, waits until the requests in
 /// flight have ended or `timeout` has passed, and stops the listener.
-async fn drain(context: Context, timeout: Duration, stop: rocket::Shutdown) {
+async fn drain(context: Context, timeout: Duration, close: watch::Sender<bool>) {
     let (Ok(mut term), Ok(mut int)) = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
@@ -174,7 +189,7 @@
             "in_flight" => context.requests.running());
     }
     exit_after(EXIT_TIMEOUT, context.log.clone());
-    stop.notify();
+    close.send_replace(true);
 }
 
 #[get("/health/live")]
--- a/src/cardamomtally/listen/capacity.rs
+++ b/src/cardamomtally/listen/capacity.rs
@@ -117,6 +117,7 @@
         Self {
             total,
             limit: total + total / SMALL_PART,
+            message: total,
             stream: Some(STREAM_BYTES),
             ..Self::default()
         }
--- a/src/cardamomtally/settings/checks.rs
+++ b/src/cardamomtally/settings/checks.rs
@@ -60,6 +60,22 @@
     );
     nonzero_count(settings.body_limit.0, "http.body_limit", document, out);
     nonzero_span(settings.body_timeout, "http.body_timeout", document, out);
+    nonzero_count(settings.head_limit.0, "http.head_limit", document, out);
+    nonzero_span(settings.head_timeout, "http.head_timeout", document, out);
+    nonzero_span(settings.idle_timeout, "http.idle_timeout", document, out);
+    nonzero_count(
+        settings.connection_limit.into(),
+        "http.connection_limit",
+        document,
+        out,
+    );
+    if settings.body_memory < settings.body_limit {
+        document.add_finding(
+            out,
+            "http.body_memory",
+            "it must hold one body of `body_limit`",
+        );
+    }
 }
 
 /// Checks the control members' addresses and the timing of polls.
--- a/src/cardamomtally/settings/common.rs
+++ b/src/cardamomtally/settings/common.rs
@@ -66,6 +66,19 @@
     pub body_limit: Size,
     /// Longest time to receive a request body. After that, the request is refused.
     pub body_timeout: Span,
+    /// Memory for request bodies and responses of all requests together. Beyond it, a request
+    /// whose body is not small is refused.
+    pub body_memory: Size,
+    /// Largest number of open connections. At most two fifths of the file descriptors that
+    /// the process may open are used. Beyond it, the connection that sends least is closed.
+    pub connection_limit: u32,
+    /// Largest head of a request.
+    pub head_limit: Size,
+    /// Longest time to receive the head of a request. After that, the connection is closed.
+    pub head_timeout: Span,
+    /// Time after which a connection without a request is closed. Longer than clients
+    /// commonly keep one for reuse (90 s).
+    pub idle_timeout: Span,
     /// Most requests that are served at the same time; more are refused.
     pub request_limit: u32,
     /// Worker threads of the daemon's async runtime.
@@ -81,6 +94,11 @@
             advertise: None,
             body_limit: Size(1 << 20),
             body_timeout: Span::secs(10),
+            body_memory: Size(64 << 20),
+            connection_limit: 4_096,
+            head_limit: Size(64 << 10),
+            head_timeout: Span::secs(10),
+            idle_timeout: Span::secs(120),
             request_limit: 8_192,
             threads: 4,
             drain_timeout: Span::secs(60),
--- a/src/cardamomtally/util/mod.rs
+++ b/src/cardamomtally/util/mod.rs
@@ -2,6 +2,7 @@
 //! routing or tickets.
 
 pub mod allocator;
+pub mod descriptors;
 pub mod log;
 pub mod ports;
 pub mod shell;
