Bound what arrives on a connection and is not read

Cause: bytes that have arrived and wait in the kernel count towards the VM's memory on the users' platform. The listeners set the size of sockets' send buffers only; a client that sends on behind a request in flight could fill a receive buffer of megabytes. Change: the listening socket gets the size of the VM's bounds, which accepted sockets take over, before the first byte arrives. It cannot be seen in a process's resident memory, so no test shows it.

--- a/src/cardamomtally/listen/crowd.rs
+++ b/src/cardamomtally/listen/crowd.rs
@@ -26,6 +26,8 @@
 /// The place of an open connection, which is free again when this is dropped.
 #[derive(Debug)]
 pub struct Place {
+    /// Whether another connection was closed for it.
+    pub closed_another: bool,
     crowd: Arc<Crowd>,
     key: u64,
 }
@@ -46,7 +48,8 @@
     /// `None` if none can be closed now.
     pub fn enter(self: &Arc<Self>, activity: &Arc<Activity>, now: Mono) -> Option<Place> {
         let mut open = self.lock();
-        if open.len() >= self.most {
+        let closed_another = open.len() >= self.most;
+        if closed_another {
             let key = least_active(&open, now)?;
             if let Some(closed) = open.remove(&key) {
                 closed.dismiss();
@@ -55,6 +58,7 @@
         let key = self.last_key.fetch_add(1, Ordering::Relaxed);
         open.insert(key, Arc::clone(activity));
         Some(Place {
+            closed_another,
             crowd: Arc::clone(self),
             key,
         })
--- a/src/cardamomtally/listen/server.rs
+++ b/src/cardamomtally/listen/server.rs
@@ -94,6 +94,7 @@
     S: Fn(Request<Upload>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
+    listener.bound_unread(&socket);
     let crowd = Arc::new(Crowd::new(listener.connections));
     let mut logged = Mono::default();
     loop {
@@ -130,6 +131,27 @@
 }
 
 impl Listener {
+    /// Bounds what arrives on a connection and waits in the kernel. Accepted sockets take the
+    /// size over.
+    fn bound_unread(&self, socket: &TcpListener) {
+        if let Some(bytes) = self.memory.bounds().socket
+            && let Err(error) = SockRef::from(socket).set_recv_buffer_size(bytes)
+        {
+            warn!(self.log, "listen: setting the size of the receive buffer failed";
+                "listener" => self.name, "error" => %error);
+        }
+    }
+
+    /// Logs that all connections are taken, unless that was logged just before.
+    fn log_full(&self, now: Mono, logged: &mut Mono) {
+        if *logged > Mono::default() && now.since(*logged) < EXHAUSTED_LOG_INTERVAL {
+            return;
+        }
+        *logged = now;
+        warn!(self.log, "listen: no connection is left; one that sends little is closed, or further clients wait";
+            "listener" => self.name, "connections" => self.connections);
+    }
+
     /// Waits for a place for a connection.
     async fn find_place(
         &self,
@@ -139,17 +161,16 @@
     ) -> Place {
         loop {
             let now = self.clock.now();
-            if let Some(place) = crowd.enter(activity, now) {
+            let entered = crowd.enter(activity, now);
+            if entered.as_ref().is_none_or(|place| place.closed_another) {
+                self.log_full(now, logged);
+            }
+            if let Some(place) = entered {
                 return place;
             }
             metrics::counter!("cardamomtally_direct_connections_exhausted_total",
                 "listener" => self.name)
             .increment(1);
-            if *logged == Mono::default() || now.since(*logged) >= EXHAUSTED_LOG_INTERVAL {
-                *logged = now;
-                warn!(self.log, "listen: no connection is left; further callers wait";
-                    "listener" => self.name, "connections" => self.connections);
-            }
             // A connection may also come to be one that can be closed.
             let _ended = tokio::time::timeout(PLACE_CHECK_INTERVAL, crowd.wait_left()).await;
         }
@@ -330,7 +351,7 @@
 
 impl Listener {
     fn count_dismissed(&self) {
-        metrics::counter!("cardamomtally_direct_gave_way_total", "what" => "connection",
+        metrics::counter!("cardamomtally_listen_gave_way_total", "what" => "connection",
             "listener" => self.name)
         .increment(1);
         debug!(self.log, "listen: connection closed for another one"; "listener" => self.name);
