Count what is made of a document, and log none that changes nothing

Cause: a document takes a multiple of its size while it is decoded, decided on and stored, of which only its bytes were counted. And each document that is not newer than the one in force got an entry of the log, which keeps up to 96 entries in memory. A document that is not newer is acknowledged after a quorum's confirmation, as before, without an entry.

--- a/src/cardamomtally/daemon/body.rs
+++ b/src/cardamomtally/daemon/body.rs
@@ -30,6 +30,8 @@
     pub bytes: u64,
     /// Longest time to receive a body.
     pub time: Duration,
+    /// Memory that a body takes until it is dropped, as a multiple of its size.
+    pub multiple: usize,
 }
 
 impl From<&HttpSettings> for BodyLimits {
@@ -37,6 +39,7 @@
         Self {
             bytes: settings.body_limit.0,
             time: settings.body_timeout.0,
+            multiple: 1,
         }
     }
 }
@@ -149,7 +152,8 @@
     memory: &BufferMemory,
 ) -> Result<Bytes, BodyReadError> {
     let longest = usize::try_from(limits.bytes).unwrap_or(usize::MAX);
-    let received = memory.receive(upload, longest).await;
+    let received = memory.receive_multiplied(upload, longest, limits.multiple);
+    let received = received.await;
     received.map_err(|error| match error {
         ReceiveError::Broken(error) if error.is_incomplete_message() => BodyReadError::Truncated,
         ReceiveError::Broken(error) => BodyReadError::Connection(error.to_string()),
--- a/src/cardamomtally/listen/capacity.rs
+++ b/src/cardamomtally/listen/capacity.rs
@@ -54,11 +54,14 @@
 /// Largest number of operators' connections to a control process. At most eight orders are in
 /// progress at once, and a few more read.
 pub const OPERATORS: usize = 64;
+/// Size of the buffers of their sockets in bytes. A document of 1 MiB comes within 0.2 s over a
+/// link with a round trip of 10 ms.
+const OPERATOR_SOCKET_BYTES: usize = 64 << 10;
 /// Part of the file descriptors that these may take.
 const OPERATORS_FD_PART: usize = 4;
-/// Part of the VM's memory for the documents that operators are sending. A document takes a
-/// multiple of its size while it is decoded, decided on and stored.
-const DOCUMENTS_PART: usize = 8;
+/// Part of the VM's memory for the documents that operators are sending, with all that is made
+/// of them.
+const DOCUMENTS_PART: usize = 3;
 
 /// Limits of the VM that an entry runs in. `None` means that the limit is not known.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -130,6 +133,7 @@
         let fds = settings.max_fds.map(|fds| fds as usize / OPERATORS_FD_PART);
         Self {
             callers: Some(fds.map_or(OPERATORS, |fds| fds.clamp(1, OPERATORS))),
+            socket: Some(OPERATOR_SOCKET_BYTES),
             ..Self::holding(memory.map_or(MAX_TOTAL_BYTES, |bytes| bytes / DOCUMENTS_PART))
         }
     }
--- a/src/cardamomtally/listen/memory.rs
+++ b/src/cardamomtally/listen/memory.rs
@@ -236,9 +236,24 @@
     /// Returns an error if the connection fails, if the body is too long, or if memory is
     /// short.
     pub async fn receive(&self, upload: Upload, longest: usize) -> Result<Bytes, ReceiveError> {
+        self.receive_multiplied(upload, longest, 1).await
+    }
+
+    /// Receives the body of a request as [`receive`](Self::receive) does. Once it is complete,
+    /// it counts with a multiple of its size, for what its handler makes of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`receive`](Self::receive).
+    pub async fn receive_multiplied(
+        &self,
+        upload: Upload,
+        longest: usize,
+        multiple: usize,
+    ) -> Result<Bytes, ReceiveError> {
         let Upload { mut body, activity } = upload;
         // What never fits is refused as too long, since a retry would not help.
-        let longest = longest.min(self.bounds.total);
+        let longest = longest.min(self.bounds.total / multiple);
         let declared = declared_length(&body);
         if declared > longest {
             return Err(ReceiveError::TooLong);
@@ -282,6 +297,11 @@
             }
             read.push(&data);
         }
+        let length = read.bytes.len();
+        let total = share.grow_to(length * multiple);
+        if !self.allows(length, total) {
+            return Err(self.refuse_request());
+        }
         Ok(share.hold(read.bytes.into()))
     }
 
@@ -308,7 +328,7 @@
             .filter(|activity| activity.may_give_way(now));
         let least = slow.min_by(|a, b| a.recent(now).total_cmp(&b.recent(now)));
         if let Some(activity) = least {
-            metrics::counter!("cardamomtally_direct_gave_way_total", "what" => "body").increment(1);
+            metrics::counter!("cardamomtally_listen_gave_way_total", "what" => "body").increment(1);
             activity.give_way();
         }
         ReceiveError::Short
--- a/src/cardamomtally/site/member/mod.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -231,6 +231,16 @@
             return Err(Refusal::Faulty(faults));
         }
         let number = document.number;
+        let is_newer = |state: &State| {
+            let held = state.document.as_ref();
+            held.is_none_or(|(_, held)| held.document.number < number)
+        };
+        // One that is not newer changes nothing. The log keeps its entries in memory for some
+        // time, so it gets none for it.
+        if !self.store.read(is_newer) {
+            self.log.barrier(GroupId::CONFIG).await?;
+            return Ok(Reply::Same);
+        }
         let submission = Submission { document, source };
         let outcome = self.propose(&Command::Submit(Box::new(submission))).await;
         info!(self.logger, "site: document submitted";
