--- a/tests/testsuite/direct/memory.rs
+++ b/tests/testsuite/direct/memory.rs
@@ -131,6 +131,43 @@
     }
 }
 
+/// Guards against stalled bodies that keep the memory from sound callers until their time
+/// limit.
+#[test]
+fn stalled_body_gives_way_when_another_request_is_refused() {
+    let server = holding_server();
+    let entry = entry(Class::Repeatable, &[server.backend()], tiny_vm);
+    let stall = |id| {
+        let mut caller = entry.connect();
+        let text = request(id, "", &"x".repeat(LARGE));
+        caller
+            .write_all(&text.as_bytes()[..text.len() - 1])
+            .unwrap();
+        caller
+    };
+    let mut stalled = [stall("a-1"), stall("a-2")];
+    eventually("both bodies are held", || held(&entry) >= 2 * LARGE - 2);
+    thread::sleep(Duration::from_millis(1_200));
+
+    let refused = read_answer(&mut announce_large(&entry, "a-3"));
+    eventually("one body was given up", || held(&entry) < 2 * LARGE - 2);
+    let _later = send_large(&entry, "a-4");
+
+    eventually("the next large body is passed on", || {
+        server.seen().iter().any(|seen| seen.head.contains("a-4"))
+    });
+    assert_eq!(refused.status, 503, "{}", refused.head);
+    let gave_way = stalled.iter_mut().find_map(|caller| {
+        caller
+            .set_read_timeout(Some(Duration::from_millis(300)))
+            .unwrap();
+        caller.peek(&mut [0]).ok().map(|_| read_answer(caller))
+    });
+    let gave_way = gave_way.expect("one of them has its answer");
+    assert_eq!(gave_way.status, 503, "{}", gave_way.head);
+    assert_eq!(gave_way.header("x-cardamomtally-verdict"), Some("not-run"));
+}
+
 fn in_mode(mode: Option<Mode>) -> Option<SchedulingSettings> {
     mode.map(|mode| SchedulingSettings {
         mode,
