--- a/src/cardamomtally/listen/activity.rs
+++ b/src/cardamomtally/listen/activity.rs
@@ -131,15 +131,22 @@
         since > 0 && now.since(Mono(since)) >= GRACE
     }
 
-    /// Returns since when a connection waits for its client to send, if no request is in
-    /// flight that was received, and if the client had its grace.
+    /// Returns since when the connection waits for its client to send; `None` while a request
+    /// that was received is in flight.
+    pub fn unsent_since(&self) -> Option<Mono> {
+        match self.waiting() {
+            Some(Waiting::Request(since) | Waiting::Head(since)) => Some(since),
+            None => {
+                let since = Mono(self.body.load(Ordering::Acquire));
+                (since > Mono::default()).then_some(since)
+            }
+        }
+    }
+
+    /// Returns the same if the client had its grace.
     pub fn idle_since(&self, now: Mono) -> Option<Mono> {
-        let since = match self.waiting() {
-            Some(Waiting::Request(since) | Waiting::Head(since)) => since,
-            None => Mono(self.body.load(Ordering::Acquire)),
-        };
-        let sending = since > Mono::default() || self.waiting().is_some();
-        (sending && now.since(since) >= GRACE).then_some(since)
+        let since = self.unsent_since();
+        since.filter(|since| now.since(*since) >= GRACE)
     }
 
     /// Closes the connection for another one.
--- a/src/cardamomtally/listen/server.rs
+++ b/src/cardamomtally/listen/server.rs
@@ -23,7 +23,12 @@
 use hyper_util::rt::TokioIo;
 use slog::{Logger, debug, info, warn};
 use socket2::SockRef;
-use std::{convert::Infallible, fmt, net::SocketAddr, os::fd::AsRawFd as _};
+use std::{
+    convert::Infallible,
+    fmt,
+    net::SocketAddr,
+    os::fd::{AsRawFd as _, RawFd},
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -230,10 +235,10 @@
                 () = tokio::time::sleep(AGE_CHECK_INTERVAL) => {}
             }
             let now = self.listener.clock.now();
-            if matches!(
-                self.listener.age(&self.activity, now, usize::MAX),
-                Age::Idle
-            ) {
+            let due = self
+                .listener
+                .due_for_silence(&self.activity, now, usize::MAX);
+            if !matches!(due, Due::Nothing) {
                 return false;
             }
         }
@@ -255,8 +260,8 @@
             activity,
             outflow,
         } = self;
-        let descriptor = stream.as_raw_fd();
-        let mut unread = UnreadCheck::new(listener.memory.bounds().unread);
+        let socket = (stream.as_raw_fd(), peer);
+        let mut taken = UnreadCheck::new(listener.memory.bounds().unread);
         let head = (listener.limits)().head_bytes.max(MIN_HEAD_BYTES);
         let tracked = TrackedStream {
             stream,
@@ -285,7 +290,7 @@
             tokio::select! {
                 () = activity.is_dismissed() => {
                     listener.count_dismissed();
-                    if activity.idle_since(Mono(u64::MAX)).is_some() {
+                    if activity.unsent_since().is_some() {
                         return;
                     }
                     // A request has come meanwhile. It is answered.
@@ -308,28 +313,16 @@
                     Pin::new(&mut connection).graceful_shutdown();
                 }
                 () = tokio::time::sleep(AGE_CHECK_INTERVAL) => {
-                    let now = listener.clock.now();
-                    let blocked = activity.blocked();
                     // The descriptor is open, since the connection owns its socket.
-                    if unread.exceeded(blocked, now, || untaken(descriptor)) {
-                        activity.break_off();
-                        metrics::counter!("cardamomtally_direct_unread_callers_total").increment(1);
-                        warn!(listener.log, "listen: caller does not read its response; disconnected";
-                            "peer" => %peer, "blocked_ms" => now.since(blocked).as_millis() as u64);
-                        return;
-                    }
-                    match listener.age(&activity, now, head) {
-                        Age::Idle if !closing => {
+                    match listener.due(&activity, &mut taken, socket, head) {
+                        Due::Close if !closing => {
                             closing = true;
                             Pin::new(&mut connection).graceful_shutdown();
                         }
-                        Age::WithinLimits | Age::Idle => {}
-                        Age::SlowHead => {
-                            info!(listener.log, "listen: request head exceeded its time limit; connection closed");
-                            return;
-                        }
+                        Due::Close | Due::Nothing => {}
+                        Due::Drop => return,
                     }
-                },
+                }
             }
         };
         if unread {
@@ -342,11 +335,13 @@
     }
 }
 
-/// Result of the check of a connection against the limits.
-enum Age {
-    WithinLimits,
-    Idle,
-    SlowHead,
+/// What is to be done with a connection by its limits.
+enum Due {
+    Nothing,
+    /// To be closed when no request is in flight.
+    Close,
+    /// To be dropped at once.
+    Drop,
 }
 
 impl Listener {
@@ -357,15 +352,41 @@
         debug!(self.log, "listen: connection closed for another one"; "listener" => self.name);
     }
 
-    /// Checks a connection whose buffer takes heads of `head` bytes. An idle one whose buffer
-    /// is too small for the limit now in force is closed, so that its client opens another.
-    fn age(&self, activity: &Activity, now: Mono, head: usize) -> Age {
+    /// Checks a connection against its limits. Its buffer takes heads of `head` bytes.
+    fn due(
+        &self,
+        activity: &Activity,
+        taken: &mut UnreadCheck,
+        socket: (RawFd, SocketAddr),
+        head: usize,
+    ) -> Due {
+        let (descriptor, peer) = socket;
+        let now = self.clock.now();
+        let blocked = activity.blocked();
+        if taken.exceeded(blocked, now, || untaken(descriptor)) {
+            activity.break_off();
+            metrics::counter!("cardamomtally_direct_unread_callers_total").increment(1);
+            warn!(self.log, "listen: caller does not read its response; disconnected";
+                "peer" => %peer, "listener" => self.name,
+                "blocked_ms" => now.since(blocked).as_millis() as u64);
+            return Due::Drop;
+        }
+        self.due_for_silence(activity, now, head)
+    }
+
+    /// Checks a connection for which a client should send. An idle one whose buffer is too
+    /// small for the limit on heads now in force is closed, so that its client opens another.
+    fn due_for_silence(&self, activity: &Activity, now: Mono, head: usize) -> Due {
         let limits = (self.limits)();
         match activity.waiting() {
-            Some(Waiting::Head(since)) if now.since(since) > limits.head_time => Age::SlowHead,
-            Some(Waiting::Request(since)) if now.since(since) > limits.idle_time => Age::Idle,
-            Some(Waiting::Request(_)) if limits.head_bytes > head => Age::Idle,
-            Some(_) | None => Age::WithinLimits,
+            Some(Waiting::Head(since)) if now.since(since) > limits.head_time => {
+                info!(self.log, "listen: request head exceeded its time limit; connection closed";
+                    "listener" => self.name);
+                Due::Drop
+            }
+            Some(Waiting::Request(since)) if now.since(since) > limits.idle_time => Due::Close,
+            Some(Waiting::Request(_)) if limits.head_bytes > head => Due::Close,
+            Some(_) | None => Due::Nothing,
         }
     }
 }
