--- a/src/cardamomtally/direct/listener.rs
+++ b/src/cardamomtally/direct/listener.rs
@@ -4,6 +4,7 @@
 use crate::{
     listen::{
         body::{Body, full_body},
+        capacity::CapacityBounds,
         memory::Upload,
         server::{self, HeadLimits, Listener},
     },
@@ -16,6 +17,9 @@
 /// Largest number of connections for readiness checks and metrics. The balancer and those who
 /// collect metrics need a few.
 const CHECKERS: usize = 64;
+/// Part of the number of callers' connections that these may be, and their least number.
+const CALLERS_PART: usize = 10;
+const MIN_CHECKERS: usize = 8;
 /// Limits on the requests of these connections. The balancer asks each second, and metrics
 /// are collected every minute or more often.
 const CHECKER_LIMITS: HeadLimits = HeadLimits {
@@ -47,6 +51,15 @@
     server::run(Arc::new(listener), socket, answer, close).await;
 }
 
+/// Returns the largest number of connections for checks: a tenth of callers' at most, so that
+/// few descriptors suffice for both and for backend servers.
+fn checkers(bounds: &CapacityBounds) -> usize {
+    let most = bounds
+        .callers
+        .map_or(CHECKERS, |callers| callers / CALLERS_PART);
+    most.clamp(MIN_CHECKERS, CHECKERS)
+}
+
 /// Returns the limits of the document in force, or the usual ones while there is none.
 fn head_limits(app: &App) -> HeadLimits {
     let limits = app.config.current().table.as_ref().map(|t| t.limits);
@@ -67,7 +80,7 @@
 ) {
     let listener = Listener {
         name: "readiness",
-        connections: CHECKERS,
+        connections: checkers(app.memory.bounds()),
         limits: Box::new(|| CHECKER_LIMITS),
         memory: Arc::clone(&app.memory),
         clock: Arc::clone(&app.clock),
