Say of a response that finds no memory that its request may have run

What callers saw: where memory is short, a large response of the product's daemons or of an operators' call was replaced by 503 after its handler had run. 503 promises that nothing ran, so a caller may repeat a request that may run once. Change: 500 with the verdict `unknown`.

--- a/src/cardamomtally/daemon/gate.rs
+++ b/src/cardamomtally/daemon/gate.rs
@@ -14,6 +14,7 @@
         memory::{BufferMemory, Upload},
         server::{self, Listener},
     },
+    net::run::VERDICT_HEADER,
     prelude::*,
 };
 use bytes::{Bytes, BytesMut};
@@ -109,9 +110,12 @@
     let mut response = local.dispatch().await;
     let head = head_of(&response);
     let length = head.headers_ref().and_then(declared);
-    // What is not held yet is refused rather than taken beyond the bound.
+    // The handler has run, so this is no 503, which would say that nothing did.
     let Some(_held) = memory.try_hold(length.unwrap_or_default()) else {
-        let _disconnected = sender.send(empty(StatusCode::SERVICE_UNAVAILABLE));
+        let mut failed = empty(StatusCode::INTERNAL_SERVER_ERROR);
+        let verdict = HeaderValue::from_static(Verdict::Unknown.as_str());
+        failed.headers_mut().insert(VERDICT_HEADER, verdict);
+        let _disconnected = sender.send(failed);
         return;
     };
     let (chunks, body) = mpsc::channel(1);
--- a/src/cardamomtally/listen/capacity.rs
+++ b/src/cardamomtally/listen/capacity.rs
@@ -39,9 +39,9 @@
 /// shorter than the usual deadline of a stream (4 s and more), so that a backend server does
 /// not work on a response which nobody reads.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(3);
-/// The same where it is not known that streams compete for backend servers. A response that is not taken by then
-/// is worth nothing to its caller; without a limit, its bytes would count towards the total
-/// for ever.
+/// The same where it is not known that streams compete for backend servers. A response that
+/// is not taken by then is worth nothing to its caller; without a limit, its bytes would count
+/// towards the total for ever.
 const MAX_UNREAD_TIME: Duration = Duration::from_secs(20);
 /// Share of the file descriptors for callers' connections, in percent. Each request in
 /// flight needs another descriptor for its backend server.
