review: case 6, a planned stop cuts answers that clients read slowly

Cause: a request counts as in flight until its body is handed to the HTTP library, so a planned stop ends the process with answers half written.

--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,355 @@
+//! The cases.
+
+use crate::{
+    client, http,
+    site::{CLYDE_QUEUE, EngineOptions, JAMVI_ROSTER, Record, Site},
+};
+use std::{
+    io::{BufReader, Read as _, Write as _},
+    net::{SocketAddr, TcpStream},
+    path::Path,
+    process::ExitCode,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+const CONFIG: &str = r#"{"version":3,"routes":[
+{"name":"r-submit","host":"queue.example","path_prefix":"/submit/","type":"non_idempotent","timeout_ms":1000,"target_latency_ms":150,"priority":2,"service":"queue-app","max_attempts":1,"public":false},
+{"name":"r-status","host":"queue.example","path_prefix":"/status/","type":"idempotent","timeout_ms":1000,"target_latency_ms":150,"priority":2,"service":"queue-app","max_attempts":2,"public":false}],
+"services":[{"name":"queue-app","health_path":"/healthz","max_connections":120,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"tayprint","api_keys":["key-tayprint-1"]},{"name":"forthcopy","api_keys":["key-forthcopy-1"]}]}"#;
+
+pub fn main(number: &str, folder: &str) -> ExitCode {
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let folder = Path::new(folder);
+    let outcome = match number {
+        "6" => slow_readers(folder, trouble),
+        "7" => crashing(folder, trouble, &Poison::at_once()),
+        "8" => crashing(folder, trouble, &Poison::under_the_same_id()),
+        "9" => crashing(folder, trouble, &Poison::after_a_pause()),
+        _ => Err(format!("there is no case {number}")),
+    };
+    match outcome {
+        Ok(true) => {
+            println!("case {number}: the rule held");
+            ExitCode::SUCCESS
+        }
+        Ok(false) => {
+            println!("case {number}: THE RULE WAS BROKEN");
+            ExitCode::from(1)
+        }
+        Err(error) => {
+            eprintln!("case {number}: could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// When a request that crashes engines comes, and how soon engines crash.
+struct Poison {
+    /// Times since the start of traffic at which it comes, in seconds.
+    times: Vec<f64>,
+    crash_after_ms: u64,
+    /// Whether engines start again under the id that they had.
+    same_id: bool,
+    /// Number of entries at which it comes, in turn.
+    entries: usize,
+    /// Number of other clients, and their pause between two requests in milliseconds.
+    others: (usize, u64),
+}
+
+impl Poison {
+    /// Each engine crashes as soon as it begins to run it.
+    fn at_once() -> Self {
+        let after = std::env::var("CRASH_AFTER_MS").ok();
+        Self {
+            times: (0..11).map(|i| 1.0 + 4.0 * f64::from(i)).collect(),
+            crash_after_ms: after.and_then(|ms| ms.parse().ok()).unwrap_or(0),
+            same_id: false,
+            entries: 3,
+            others: (12, 80),
+        }
+    }
+
+    /// It comes until three engines have crashed, and again after more than a minute.
+    fn after_a_pause() -> Self {
+        let first = (0..3).map(|i| 0.5 + f64::from(i));
+        let second = (0..37).map(|i| 64.0 + f64::from(i));
+        Self {
+            times: first.chain(second).collect(),
+            crash_after_ms: 40,
+            same_id: false,
+            entries: 3,
+            others: (12, 80),
+        }
+    }
+
+    /// Engines start again under the id that they had.
+    fn under_the_same_id() -> Self {
+        Self {
+            times: (0..11).map(|i| 1.0 + 4.0 * f64::from(i)).collect(),
+            crash_after_ms: 40,
+            same_id: std::env::var("SAME_ID").map_or(true, |value| value != "0"),
+            entries: 1,
+            others: (3, 400),
+        }
+    }
+}
+
+/// A request that crashes each engine which begins to run it comes again and again, while
+/// other clients are served. Returns whether the rule held.
+fn crashing(folder: &Path, trouble: bool, poison: &Poison) -> Result<bool, String> {
+    let options = EngineOptions {
+        count: 3,
+        work_ms: 30,
+        crash_after_ms: trouble.then_some(poison.crash_after_ms),
+        back_after_ms: 2_000,
+        same_id: poison.same_id,
+    };
+    let mut site = Site::start(&CLYDE_QUEUE, CONFIG, &options)?;
+    let stop = Arc::new(AtomicBool::new(false));
+    let others = Others::start(&site, &stop, poison.others);
+    let began = site.now();
+    let mut sent = Vec::new();
+    for (place, at) in poison.times.iter().enumerate() {
+        let wait = began + at * 1e3 - site.now();
+        thread::sleep(Duration::from_secs_f64(wait.max(0.0) / 1e3));
+        let attempt = format!("poison{place:010}");
+        let entry = site.entries[place % poison.entries];
+        site.record
+            .add(format!("client: sends {attempt} to {entry}"));
+        let headers = [
+            ("Host", "queue.example"),
+            ("X-Attempt-Id", attempt.as_str()),
+            ("X-Request-Deadline", "1000"),
+            ("X-Key", "key-forthcopy-1"),
+        ];
+        let request = client::request("POST", "/submit/wedding-17", &headers, b"order 17 CRASHES");
+        let answer = client::call(entry, &request, Duration::from_millis(1_200));
+        let answer = answer.map_or_else(|error| error, |a| a.status().to_string());
+        site.record
+            .add(format!("client: {attempt} ends with {answer}"));
+        sent.push(attempt);
+    }
+    thread::sleep(Duration::from_millis(1_500));
+    stop.store(true, Ordering::SeqCst);
+    let lost = others.finish();
+    let steps = site.engines.steps.lock().unwrap().clone();
+    for line in site.log_lines("quarantined") {
+        site.record.add(format!("log: {line}"));
+    }
+    site.stop();
+    let mut crashes: Vec<f64> = steps
+        .iter()
+        .filter(|s| s.step == "crashes")
+        .map(|s| s.at)
+        .collect();
+    crashes.sort_by(f64::total_cmp);
+    let arrived = steps
+        .iter()
+        .filter(|s| s.step == "arrived" && sent.contains(&s.attempt));
+    let after = crashes
+        .get(2)
+        .map_or(f64::INFINITY, |third| third + site.deployment.contact_ms);
+    let late = arrived.clone().filter(|s| s.at > after).count();
+    let verdict = format!(
+        "judge: the request came {} times and reached engines {} times; {} engines crashed; {late} arrivals later than contact_ms after the third crash (3 are allowed); of {} other requests {} got no answer of an engine",
+        sent.len(),
+        arrived.count(),
+        crashes.len(),
+        lost.0,
+        lost.1
+    );
+    println!("{verdict}");
+    site.record.add(verdict);
+    site.record.write(&folder.join("record.txt"));
+    Ok(late <= 3)
+}
+
+/// Other clients, whose requests run once.
+struct Others {
+    threads: Vec<thread::JoinHandle<()>>,
+    sent: Arc<AtomicU64>,
+    lost: Arc<Mutex<u64>>,
+}
+
+impl Others {
+    fn start(site: &Site, stop: &Arc<AtomicBool>, (count, pause_ms): (usize, u64)) -> Self {
+        let sent = Arc::new(AtomicU64::new(0));
+        let lost = Arc::new(Mutex::new(0));
+        let threads = (0..count).map(|place| {
+            let entry = site.entries[place % site.entries.len()];
+            let (record, stop) = (Arc::clone(&site.record), Arc::clone(stop));
+            let (sent, lost) = (Arc::clone(&sent), Arc::clone(&lost));
+            thread::spawn(move || {
+                let mut connection: Option<TcpStream> = None;
+                while !stop.load(Ordering::SeqCst) {
+                    let attempt = format!("other{:011}", sent.fetch_add(1, Ordering::SeqCst));
+                    let headers = [
+                        ("Host", "queue.example"),
+                        ("X-Attempt-Id", attempt.as_str()),
+                        ("X-Request-Deadline", "1000"),
+                        ("X-Key", "key-tayprint-1"),
+                    ];
+                    let request =
+                        client::request("POST", "/submit/job", &headers, attempt.as_bytes());
+                    let stream = connection
+                        .take()
+                        .map_or_else(|| TcpStream::connect(entry).ok(), Some);
+                    let Some(stream) = stream else { continue };
+                    let answer = client::send(&stream, &request, Duration::from_millis(1_200));
+                    match answer {
+                        Ok(answer) => {
+                            if answer.status() != 200 {
+                                record.add(format!(
+                                    "client: {attempt} ends with {}",
+                                    answer.status()
+                                ));
+                                *lost.lock().unwrap() += 1;
+                            }
+                            if !answer.closes() {
+                                connection = Some(stream);
+                            }
+                        }
+                        Err(error) => {
+                            record.add(format!("client: {attempt} ends with {error}"));
+                            *lost.lock().unwrap() += 1;
+                        }
+                    }
+                    thread::sleep(Duration::from_millis(pause_ms));
+                }
+            })
+        });
+        Self {
+            threads: threads.collect(),
+            sent,
+            lost,
+        }
+    }
+
+    /// Returns the number of requests, and of those without an answer of an engine.
+    fn finish(self) -> (u64, u64) {
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        let lost = *self.lost.lock().unwrap();
+        (self.sent.load(Ordering::SeqCst), lost)
+    }
+}
+
+/// Bytes of an answer that a slow client reads, and how many it reads a second.
+const ANSWER_BYTES: usize = 1_000_000;
+const READ_PER_S: usize = 200_000;
+
+/// Clients read their answers slowly while the platform stops their entry.
+fn slow_readers(folder: &Path, trouble: bool) -> Result<bool, String> {
+    let options = EngineOptions {
+        count: 3,
+        work_ms: 30,
+        crash_after_ms: None,
+        back_after_ms: 2_000,
+        same_id: false,
+    };
+    let config = CONFIG.replace("\"timeout_ms\":1000", "\"timeout_ms\":20000");
+    let mut site = Site::start(&JAMVI_ROSTER, &config, &options)?;
+    let until_ms = site.deployment.grace_ms + 1_000.0;
+    let readers: Vec<_> = (0..6)
+        .map(|place| {
+            let (entry, record) = (site.entries[0], Arc::clone(&site.record));
+            thread::spawn(move || read_slowly(entry, place, &record))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(700));
+    let stopped = site.now();
+    if trouble {
+        site.signal("entry", 0, "TERM");
+        while !site.has_ended("entry", 0) && site.now() < stopped + until_ms {
+            thread::sleep(Duration::from_millis(10));
+        }
+        let passed = (site.now() - stopped) / 1e3;
+        site.record.add(format!(
+            "platform: the entry has ended {passed:.2} s after SIGTERM"
+        ));
+    }
+    let mut lost = 0;
+    let answers = readers.len();
+    for reader in readers {
+        let (attempt, got, expected, at) = reader.join().map_err(|_| "a client failed")??;
+        let steps = site.engines.steps.lock().unwrap();
+        let ran = steps
+            .iter()
+            .any(|s| s.step == "ended" && s.attempt == attempt);
+        drop(steps);
+        let at = at - *site.record.began.lock().unwrap();
+        // The rule binds until 1 s after grace_s.
+        let bound = at <= stopped + until_ms;
+        if got < expected && ran && bound {
+            lost += 1;
+        }
+        site.record.add(format!("judge: {attempt} got {got} of {expected} bytes at {:.3} s; its engine had run it to the end: {ran}", at / 1e3));
+    }
+    let verdict =
+        format!("judge: {lost} of {answers} answers ended early, though their requests had run");
+    println!("{verdict}");
+    site.record.add(verdict);
+    site.stop();
+    site.record.write(&folder.join("record.txt"));
+    Ok(lost == 0)
+}
+
+/// Sends a request and reads its answer slowly. Returns the attempt, the bytes of the body that
+/// came and those that were announced, and when the last ones came.
+fn read_slowly(
+    entry: SocketAddr,
+    place: usize,
+    record: &Record,
+) -> Result<(String, usize, usize, f64), String> {
+    let attempt = format!("slow{place:012}");
+    let headers = [
+        ("Host", "queue.example"),
+        ("X-Attempt-Id", attempt.as_str()),
+        ("X-Request-Deadline", "20000"),
+        ("X-Key", "key-tayprint-1"),
+    ];
+    let body = format!("order {place} ANSWER={ANSWER_BYTES}");
+    let request = client::request("POST", "/submit/proofs", &headers, body.as_bytes());
+    let stream = TcpStream::connect(entry).map_err(|e| e.to_string())?;
+    (&stream).write_all(&request).map_err(|e| e.to_string())?;
+    record.add(format!("client: sends {attempt} to {entry}"));
+    let mut from = BufReader::with_capacity(1 << 10, stream);
+    let head = http::read_head(&mut from)
+        .map_err(|e| e.to_string())?
+        .ok_or("no answer")?;
+    let expected = head
+        .header("content-length")
+        .and_then(|l| l.parse().ok())
+        .unwrap_or(0);
+    record.add(format!(
+        "client: {attempt} gets the head of a {}, with {expected} bytes to come",
+        head.status()
+    ));
+    let mut got = 0;
+    let mut bytes = vec![0; 10_000];
+    while got < expected {
+        match from.read(&mut bytes) {
+            Ok(0) => {
+                record.add(format!(
+                    "client: {attempt}: the connection ends after {got} bytes"
+                ));
+                break;
+            }
+            Ok(count) => got += count,
+            Err(error) => {
+                record.add(format!("client: {attempt}: {error} after {got} bytes"));
+                break;
+            }
+        }
+        thread::sleep(Duration::from_secs_f64(10_000.0 / READ_PER_S as f64));
+    }
+    Ok((attempt, got, expected, http::now_ms()))
+}
