review: case 7, a burst of users cuts answers that clients read slowly

Cause: a connection counts as idle once the answer's body was handed to the HTTP library; when all places are taken it is closed first, since its client sends nothing while it reads.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -29,9 +29,10 @@
     let folder = Path::new(folder);
     let outcome = match number {
         "6" => slow_readers(folder, trouble),
-        "7" => crashing(folder, trouble, &Poison::at_once()),
-        "8" => crashing(folder, trouble, &Poison::under_the_same_id()),
-        "9" => crashing(folder, trouble, &Poison::after_a_pause()),
+        "7" => crowded(folder, trouble),
+        "8" => crashing(folder, trouble, &Poison::at_once()),
+        "9" => crashing(folder, trouble, &Poison::under_the_same_id()),
+        "10" => crashing(folder, trouble, &Poison::after_a_pause()),
         _ => Err(format!("there is no case {number}")),
     };
     match outcome {
@@ -79,7 +80,7 @@
     /// It comes until three engines have crashed, and again after more than a minute.
     fn after_a_pause() -> Self {
         let first = (0..3).map(|i| 0.5 + f64::from(i));
-        let second = (0..37).map(|i| 64.0 + f64::from(i));
+        let second = (0..41).map(|i| 64.0 + f64::from(i));
         Self {
             times: first.chain(second).collect(),
             crash_after_ms: 40,
@@ -92,7 +93,7 @@
     /// Engines start again under the id that they had.
     fn under_the_same_id() -> Self {
         Self {
-            times: (0..11).map(|i| 1.0 + 4.0 * f64::from(i)).collect(),
+            times: (0..14).map(|i| 1.0 + 4.0 * f64::from(i)).collect(),
             crash_after_ms: 40,
             same_id: std::env::var("SAME_ID").map_or(true, |value| value != "0"),
             entries: 1,
@@ -261,7 +262,7 @@
     let readers: Vec<_> = (0..6)
         .map(|place| {
             let (entry, record) = (site.entries[0], Arc::clone(&site.record));
-            thread::spawn(move || read_slowly(entry, place, &record))
+            thread::spawn(move || read_slowly(entry, place, READ_PER_S, &record))
         })
         .collect();
     thread::sleep(Duration::from_millis(700));
@@ -307,6 +308,7 @@
 fn read_slowly(
     entry: SocketAddr,
     place: usize,
+    per_s: usize,
     record: &Record,
 ) -> Result<(String, usize, usize, f64), String> {
     let attempt = format!("slow{place:012}");
@@ -319,6 +321,16 @@
     let body = format!("order {place} ANSWER={ANSWER_BYTES}");
     let request = client::request("POST", "/submit/proofs", &headers, body.as_bytes());
     let stream = TcpStream::connect(entry).map_err(|e| e.to_string())?;
+    // The connection is a kept one: a short request was answered on it before.
+    let first = format!("first{place:011}");
+    let mut short = headers;
+    short[1].1 = first.as_str();
+    let short = client::request("GET", "/status/proofs", &short, b"");
+    let answer = client::send(&stream, &short, Duration::from_secs(2))?;
+    if answer.status() != 200 {
+        return Err(format!("{first} ends with {}", answer.status()));
+    }
+    stream.set_read_timeout(None).map_err(|e| e.to_string())?;
     (&stream).write_all(&request).map_err(|e| e.to_string())?;
     record.add(format!("client: sends {attempt} to {entry}"));
     let mut from = BufReader::with_capacity(1 << 10, stream);
@@ -349,7 +361,81 @@
                 break;
             }
         }
-        thread::sleep(Duration::from_secs_f64(10_000.0 / READ_PER_S as f64));
+        thread::sleep(Duration::from_secs_f64(10_000.0 / per_s as f64));
     }
     Ok((attempt, got, expected, http::now_ms()))
 }
+
+/// Clients read their answers slowly while many users come to the same entry, each of whom keeps
+/// the connection for the next request.
+fn crowded(folder: &Path, trouble: bool) -> Result<bool, String> {
+    let options = EngineOptions {
+        count: 3,
+        work_ms: 30,
+        crash_after_ms: None,
+        back_after_ms: 2_000,
+        same_id: false,
+    };
+    let config = CONFIG.replace("\"timeout_ms\":1000", "\"timeout_ms\":20000");
+    let mut site = Site::start(&JAMVI_ROSTER, &config, &options)?;
+    let readers: Vec<_> = (0..6)
+        .map(|place| {
+            let (entry, record) = (site.entries[0], Arc::clone(&site.record));
+            thread::spawn(move || read_slowly(entry, place, 55_000, &record))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    // A third of the site's 175 requests a second come to the entry, each from another user who
+    // keeps the connection; for the last 3 s 1.7 times as many with the burst.
+    let (usual, seconds, burst) = (58.0, 12.0, if trouble { 1.7 } else { 1.0 });
+    let begin = (usual * (seconds - 3.0)) as usize;
+    let users = begin + (usual * burst * 3.0) as usize;
+    let mut kept = Vec::new();
+    let mut served = 0;
+    for user in 0..users {
+        let attempt = format!("user{user:012}");
+        let headers = [
+            ("Host", "queue.example"),
+            ("X-Attempt-Id", attempt.as_str()),
+            ("X-Request-Deadline", "1000"),
+            ("X-Key", "key-forthcopy-1"),
+        ];
+        let request = client::request("GET", "/status/visit", &headers, b"");
+        let stream = TcpStream::connect(site.entries[0]).map_err(|e| e.to_string())?;
+        (&stream).write_all(&request).map_err(|e| e.to_string())?;
+        kept.push((stream, attempt));
+        let rate = if user < begin { usual } else { usual * burst };
+        thread::sleep(Duration::from_secs_f64(1.0 / rate));
+    }
+    for (stream, _) in &kept {
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
+        let Ok(clone) = stream.try_clone() else {
+            continue;
+        };
+        let head = http::read_message(&mut BufReader::new(clone));
+        served += u32::from(head.is_ok_and(|h| h.is_some_and(|h| h.status() == 200)));
+    }
+    site.record
+        .add(format!("clients: {users} users came, {served} were served"));
+    let mut lost = 0;
+    let answers = readers.len();
+    for reader in readers {
+        let (attempt, got, expected, at) = reader.join().map_err(|_| "a client failed")??;
+        let steps = site.engines.steps.lock().unwrap();
+        let ran = steps
+            .iter()
+            .any(|s| s.step == "ended" && s.attempt == attempt);
+        drop(steps);
+        let at = at - *site.record.began.lock().unwrap();
+        lost += u32::from(got < expected && ran);
+        site.record.add(format!("judge: {attempt} got {got} of {expected} bytes at {:.3} s; its engine had run it to the end: {ran}", at / 1e3));
+    }
+    let verdict = format!(
+        "judge: {lost} of {answers} answers ended early, though their requests had run (3 are allowed); {served} of {users} users were served"
+    );
+    println!("{verdict}");
+    site.record.add(verdict);
+    site.stop();
+    site.record.write(&folder.join("record.txt"));
+    Ok(lost <= 3)
+}
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -296,8 +296,8 @@
                 let crash = options
                     .crash_after_ms
                     .map_or("never".to_owned(), |ms| ms.to_string());
-                let own = std::env::current_exe().unwrap();
-                let child = Command::new(own)
+                // This program, also if it has been built again meanwhile.
+                let child = Command::new("/proc/self/exe")
                     .args([
                         "engine",
                         &address.to_string(),
@@ -424,9 +424,8 @@
             self.record
                 .add(format!("platform: SIG{signal} to {role} {place}"));
             let id = child.id().to_string();
-            let _ = Command::new("kill")
-                .args([&format!("-{signal}"), &id])
-                .status();
+            let order = format!("kill -{signal} {id}");
+            let _ = Command::new("sh").args(["-c", &order]).status();
         }
     }
 
