review: case 8, an order that the network held up undoes a newer one

Cause: a member takes an order for as old as its own process has stalled, and carries it out although its caller has closed the connection.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod engine;
 mod http;
+mod proxy;
 mod site;
 
 use std::process::ExitCode;
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -86,6 +86,8 @@
 #[derive(Clone, Debug)]
 pub struct Step {
     pub at: f64,
+    /// Place of the engine, which is in the zone of that place.
+    pub place: usize,
     pub step: String,
     pub attempt: String,
 }
@@ -337,6 +339,7 @@
                             record.add_at(at - began, format!("engine {id}: {step} {attempt}"));
                             engines.steps.lock().unwrap().push(Step {
                                 at: at - began,
+                                place,
                                 step: step.to_owned(),
                                 attempt: attempt.to_owned(),
                             });
