review: case 8, the operator's connection is a kept one that stays open

Change: the order goes over a kept connection, as bytes that a cut holds up do, and the operator leaves it open.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -20,6 +20,7 @@
 
 const CONFIG: &str = r#"{"version":3,"routes":[
 {"name":"r-submit","host":"queue.example","path_prefix":"/submit/","type":"non_idempotent","timeout_ms":1000,"target_latency_ms":150,"priority":2,"service":"queue-app","max_attempts":1,"public":false},
+{"name":"r-draft","host":"queue.example","path_prefix":"/draft/","type":"streaming","timeout_ms":20000,"target_latency_ms":2000,"priority":1,"service":"queue-app","max_attempts":3,"public":false,"resumable":true,"target_gap_ms":1200},
 {"name":"r-status","host":"queue.example","path_prefix":"/status/","type":"idempotent","timeout_ms":1000,"target_latency_ms":150,"priority":2,"service":"queue-app","max_attempts":2,"public":false}],
 "services":[{"name":"queue-app","health_path":"/healthz","max_connections":120,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
@@ -33,8 +34,9 @@
         "7" => crowded(folder, trouble),
         "8" => held_order(folder, trouble),
         "at-once" => crashing(folder, trouble, &Poison::at_once()),
-        "9" => crashing(folder, trouble, &Poison::under_the_same_id()),
-        "10" => crashing(folder, trouble, &Poison::after_a_pause()),
+        "9" => crashing(folder, trouble, &Poison::in_a_stream()),
+        "10" => crashing(folder, trouble, &Poison::under_the_same_id()),
+        "after-a-pause" => crashing(folder, trouble, &Poison::after_a_pause()),
         _ => Err(format!("there is no case {number}")),
     };
     match outcome {
@@ -64,8 +66,25 @@
     entries: usize,
     /// Number of other clients, and their pause between two requests in milliseconds.
     others: (usize, u64),
+    path: &'static str,
+    body: &'static str,
+    deadline_ms: u64,
+    engines: usize,
 }
 
+/// A job submission.
+const SUBMIT: Poison = Poison {
+    times: Vec::new(),
+    crash_after_ms: 40,
+    same_id: false,
+    entries: 3,
+    others: (12, 80),
+    path: "/submit/wedding-17",
+    body: "order 17 CRASHES",
+    deadline_ms: 1_000,
+    engines: 3,
+};
+
 impl Poison {
     /// Each engine crashes as soon as it begins to run it.
     fn at_once() -> Self {
@@ -73,9 +92,18 @@
         Self {
             times: (0..11).map(|i| 1.0 + 4.0 * f64::from(i)).collect(),
             crash_after_ms: after.and_then(|ms| ms.parse().ok()).unwrap_or(0),
-            same_id: false,
-            entries: 3,
-            others: (12, 80),
+            ..SUBMIT
+        }
+    }
+
+    /// Engines start again under the id that they had.
+    fn under_the_same_id() -> Self {
+        Self {
+            times: (0..14).map(|i| 1.0 + 4.0 * f64::from(i)).collect(),
+            same_id: std::env::var("SAME_ID").map_or(true, |value| value != "0"),
+            entries: 1,
+            others: (1, 700),
+            ..SUBMIT
         }
     }
 
@@ -85,21 +113,21 @@
         let second = (0..41).map(|i| 64.0 + f64::from(i));
         Self {
             times: first.chain(second).collect(),
-            crash_after_ms: 40,
-            same_id: false,
-            entries: 3,
-            others: (12, 80),
+            ..SUBMIT
         }
     }
 
-    /// Engines start again under the id that they had.
-    fn under_the_same_id() -> Self {
+    /// A stream that crashes its engines some time after its first event.
+    fn in_a_stream() -> Self {
+        let after = std::env::var("CRASH_AFTER_MS").ok();
         Self {
-            times: (0..14).map(|i| 1.0 + 4.0 * f64::from(i)).collect(),
-            crash_after_ms: 40,
-            same_id: std::env::var("SAME_ID").map_or(true, |value| value != "0"),
-            entries: 1,
-            others: (1, 700),
+            times: (0..6).map(|i| 1.0 + 9.0 * f64::from(i)).collect(),
+            crash_after_ms: after.and_then(|ms| ms.parse().ok()).unwrap_or(1_500),
+            path: "/draft/wedding-17",
+            body: "order 17 CRASHES ANSWER=60",
+            deadline_ms: 20_000,
+            engines: 6,
+            ..SUBMIT
         }
     }
 }
@@ -108,7 +136,7 @@
 /// other clients are served. Returns whether the rule held.
 fn crashing(folder: &Path, trouble: bool, poison: &Poison) -> Result<bool, String> {
     let options = EngineOptions {
-        count: 3,
+        count: poison.engines,
         work_ms: 30,
         crash_after_ms: trouble.then_some(poison.crash_after_ms),
         back_after_ms: 2_000,
@@ -118,6 +146,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     let others = Others::start(&site, &stop, poison.others);
     let began = site.now();
+    let deadline = poison.deadline_ms.to_string();
     let mut sent = Vec::new();
     for (place, at) in poison.times.iter().enumerate() {
         let wait = began + at * 1e3 - site.now();
@@ -129,11 +158,15 @@
         let headers = [
             ("Host", "queue.example"),
             ("X-Attempt-Id", attempt.as_str()),
-            ("X-Request-Deadline", "1000"),
+            ("X-Request-Deadline", deadline.as_str()),
             ("X-Key", "key-forthcopy-1"),
         ];
-        let request = client::request("POST", "/submit/wedding-17", &headers, b"order 17 CRASHES");
-        let answer = client::call(entry, &request, Duration::from_millis(1_200));
+        let request = client::request("POST", poison.path, &headers, poison.body.as_bytes());
+        let answer = client::call(
+            entry,
+            &request,
+            Duration::from_millis(poison.deadline_ms + 200),
+        );
         let answer = answer.map_or_else(|error| error, |a| a.status().to_string());
         site.record
             .add(format!("client: {attempt} ends with {answer}"));
@@ -461,30 +494,35 @@
     let stop = Arc::new(AtomicBool::new(false));
     let others = Others::start(&site, &stop, (6, 50));
     let proxy = Proxy::start(site.controls[1])?;
-    let (first, other) = (proxy.address, site.controls[2]);
     let path = "/-/evacuate/glasgow";
-    let order = |node: SocketAddr, name: &str, method: &str| {
+    let order = |node: &TcpStream, name: &str, method: &str| {
         site.record
             .add(format!("operator: {method} {path} to {name}"));
-        let status = client::ask(node, method, path);
+        let request = client::request(method, path, &[("Host", "control")], b"");
+        let status = client::send(node, &request, Duration::from_secs(1)).map(|a| a.status());
         site.record
             .add(format!("operator: {method} {path}: {status:?}"));
         status == Ok(200)
     };
-    if !order(first, "node 1", "POST") {
+    let connect = |node: SocketAddr| TcpStream::connect(node).map_err(|e| e.to_string());
+    // The operator keeps its connection to the node for the next order.
+    let (first, other) = (connect(proxy.address)?, connect(site.controls[2])?);
+    if !order(&first, "node 1", "POST") {
         return Err("the first order was not acknowledged".to_owned());
     }
     thread::sleep(Duration::from_millis(1_500));
     proxy.hold(trouble);
     let cut = site.now();
+    let state = if trouble { "is cut" } else { "works on" };
     site.record.add(format!(
-        "network: the link of the operator to node 1 is cut: {trouble}"
+        "network: the link of the operator to node 1 {state}"
     ));
-    if !order(first, "node 1", "DELETE") && !order(other, "node 2", "DELETE") {
+    // The operator moves on after a second, and leaves the connection open.
+    if !order(&first, "node 1", "DELETE") && !order(&other, "node 2", "DELETE") {
         return Err("the withdrawal was not acknowledged".to_owned());
     }
     thread::sleep(Duration::from_millis(500));
-    if !order(other, "node 2", "POST") {
+    if !order(&other, "node 2", "POST") {
         return Err("the second order was not acknowledged".to_owned());
     }
     let acknowledged = site.now();
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -68,15 +68,3 @@
     }
     false
 }
-
-/// Sends an order to a node and follows redirects. Waits for a second, as the operator does,
-/// and closes the connection. Returns the status.
-pub fn ask(node: SocketAddr, method: &str, path: &str) -> Result<u16, String> {
-    let headers = [("Host", "control")];
-    let response = call(
-        node,
-        &request(method, path, &headers, b""),
-        Duration::from_secs(1),
-    );
-    response.map(|response| response.status())
-}
--- a/review/standin-2/engine.rs
+++ b/review/standin-2/engine.rs
@@ -6,7 +6,7 @@
 
 use crate::http::{self, Message, now_ms};
 use std::{
-    io::{BufReader, Write as _},
+    io::{self, BufReader, Write as _},
     net::{TcpListener, TcpStream},
     process::ExitCode,
     sync::{
@@ -79,6 +79,12 @@
         };
         let mut from = BufReader::new(stream);
         while let Ok(Some(request)) = http::read_message(&mut from) {
+            if request.first.contains(" /draft/") {
+                if self.stream(&request, &mut out).is_err() {
+                    return;
+                }
+                continue;
+            }
             let answer = self.answer(&request);
             if out.write_all(&answer).is_err() {
                 return;
@@ -138,6 +144,48 @@
         self.response("200 OK", &attempt, &headers, body.as_bytes())
     }
 
+    /// Answers with a stream of events, one each 100 ms, and goes on after `Last-Event-Id`.
+    fn stream(&self, request: &Message, out: &mut TcpStream) -> io::Result<()> {
+        let attempt = request.header("x-attempt-id").unwrap_or("-").to_owned();
+        self.note("arrived", &attempt);
+        let expected = request.header("x-expect-instance");
+        if expected.is_some_and(|id| id != self.id) {
+            let mark = [("X-Not-Executed", "1")];
+            return out.write_all(&self.response("421 Misdirected Request", &attempt, &mark, b""));
+        }
+        *self.running.lock().unwrap() += 1;
+        let streamed = self.send_events(request, &attempt, out);
+        *self.running.lock().unwrap() -= 1;
+        self.note(if streamed.is_ok() { "ended" } else { "dropped" }, &attempt);
+        streamed
+    }
+
+    fn send_events(&self, request: &Message, attempt: &str, out: &mut TcpStream) -> io::Result<()> {
+        self.note("runs", attempt);
+        let begun = now_ms();
+        let last = request
+            .header("last-event-id")
+            .and_then(|id| id.parse().ok());
+        let end = answer_length(&request.body).unwrap_or(10);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nContent-Type: text/event-stream\r\nX-Response-Signature: {}.{attempt}\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        out.write_all(head.as_bytes())?;
+        let crashes = request.body.windows(7).any(|part| part == b"CRASHES");
+        for id in last.unwrap_or(0) + 1..=end {
+            thread::sleep(Duration::from_millis(100));
+            let due = |after: u64| crashes && now_ms() - begun >= after as f64;
+            if self.crash_after_ms.is_some_and(due) {
+                self.note("crashes", attempt);
+                std::process::exit(1);
+            }
+            let event = format!("id: {id}\ndata: word {id}\n\n");
+            out.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        }
+        out.write_all(b"0\r\n\r\n")
+    }
+
     fn response(
         &self,
         status: &str,
