Ask orders back that the network may have held up

What callers saw: an operator withdraws an evacuation over a link that is cut, gives up after a second, withdraws it elsewhere and evacuates again, both acknowledged. A roll-out order that was held up begins again in place of a newer one.

Cause: a member took an order for as old as this process had stalled, at most, and decided it on what was in force when it came. Neither the bytes of an order nor TCP tell its age.

Change: an order is decided on what its sender knew: the log index of which an answer of ours on the same connection told it, or with which it was asked back. What may be a late copy is asked back by a 307 to the same member that carries the index of the latest order; only who waits follows it, and a follow-up that is held up is asked back again. Orders that can be no copies are acknowledged directly, since simple callers follow no redirect. Orders after a stall are asked back too, where they got 503.

Changed tests: three calls of site::member name how the order came; the listener of daemon::response_that_finds_no_memory.. is made by a function. No assertion changed.

--- a/src/cardamomtally/daemon/gate.rs
+++ b/src/cardamomtally/daemon/gate.rs
@@ -11,6 +11,7 @@
 use crate::{
     listen::{
         body::{Body, BodyError, full_body},
+        conversation::Conversation,
         memory::{BufferMemory, Upload},
         server::{self, Listener},
     },
@@ -66,6 +67,11 @@
     Ok(())
 }
 
+/// Returns the conversation on a request's connection, empty if no listener has passed it on.
+pub fn conversation<'r>(request: &'r rocket::Request<'_>) -> &'r Conversation {
+    request.local_cache(Conversation::default)
+}
+
 /// Answers a request in a task of its own.
 async fn dispatch(
     client: Arc<Client>,
@@ -104,6 +110,10 @@
             local.add_header(Header::new(name.as_str().to_owned(), text.to_owned()));
         }
     }
+    let conversation = parts.extensions.get::<Conversation>().cloned();
+    local
+        .inner()
+        .local_cache(|| conversation.unwrap_or_default());
     local
         .inner()
         .local_cache(|| Arrived::new(upload, Arc::clone(&memory)));
--- a/src/cardamomtally/listen/mod.rs
+++ b/src/cardamomtally/listen/mod.rs
@@ -9,11 +9,13 @@
 //! process share. The bounds follow from the limits of the VM ([`capacity`]). A [`stream`]
 //! records what its client does in an [`activity`]; a response [`body`] waits while its
 //! client does not read. An answer that comes before the end of its request is left time to
-//! arrive ([`linger`]).
+//! arrive ([`linger`]). What an answer tells its client is known with the next request on the
+//! connection ([`conversation`]).
 
 pub mod activity;
 pub mod body;
 pub mod capacity;
+pub mod conversation;
 pub mod crowd;
 pub mod linger;
 pub mod memory;
--- a/src/cardamomtally/listen/server.rs
+++ b/src/cardamomtally/listen/server.rs
@@ -7,6 +7,7 @@
 use super::{
     activity::{Activity, Waiting},
     body::{Body, Outflow, bounded, guarded},
+    conversation::Told,
     crowd::{Crowd, Place},
     linger::linger,
     memory::{BufferMemory, Upload},
@@ -271,7 +272,10 @@
         };
         let service = {
             let (clock, activity) = (Arc::clone(&listener.clock), Arc::clone(&activity));
-            service_fn(move |request: Request<Incoming>| {
+            let told = Told::default();
+            service_fn(move |mut request: Request<Incoming>| {
+                let waited = matches!(activity.waiting(), Some(Waiting::Head(_)));
+                request.extensions_mut().insert(told.next(waited));
                 activity.begin(request.version() < Version::HTTP_11);
                 let busy = BusyGuard {
                     activity: Arc::clone(&activity),
--- a/src/cardamomtally/site/member/mod.rs
+++ b/src/cardamomtally/site/member/mod.rs
@@ -5,7 +5,7 @@
 //! round that began after the read had arrived. The leader also reads the platform's
 //! list of backend servers and decides the steps of roll-outs.
 
-mod orders;
+pub mod orders;
 mod polls;
 pub mod senders;
 
@@ -14,6 +14,7 @@
     canary::CanaryAnalysis,
     document::{Document, Fault},
     entries::Entries,
+    orders::Doubt,
     rollout::Step,
     rollout_time::RolloutTimes,
     state::{Command, Fleet, Machine, Reply, State, Store, Submission},
@@ -120,8 +121,9 @@
     /// No leader with a quorum answered; nothing was proposed.
     Unavailable,
     /// The sender may have given the order up and ordered the contrary at another member, or
-    /// somebody else has; nothing was done.
-    Overtaken,
+    /// somebody else has; nothing was done. It is carried out if its sender sends it again and
+    /// tells that it was asked.
+    Doubtful(Doubt),
     /// The outcome is unknown: the change may or may not take effect.
     Unknown,
 }
--- a/src/cardamomtally/site/state.rs
+++ b/src/cardamomtally/site/state.rs
@@ -8,6 +8,7 @@
 use super::{
     backend::Backend,
     document::Document,
+    orders::{Orders, is_overtaken},
     rollout::{Progress, Rollout, Stage, Step},
 };
 use crate::{
@@ -127,22 +128,12 @@
     pub evacuated: BTreeSet<Name>,
 }
 
-/// Log indexes of the latest orders, 0 if there was none. An order counts also if it changed
-/// nothing.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Orders {
-    /// Evacuations and their withdrawals, by data centre.
-    #[serde(rename = "c", default)]
-    pub centres: BTreeMap<Name, Index>,
-    /// Roll-outs, by service.
-    #[serde(rename = "s", default)]
-    pub services: BTreeMap<Name, Index>,
-}
-
-/// Returns whether another order has come since one was decided.
-fn is_overtaken(latest: Option<&Index>, decided_on: Option<Index>) -> bool {
-    let latest = latest.copied().unwrap_or_default();
-    decided_on.is_some_and(|decided_on| decided_on != latest)
+impl Fleet {
+    /// Returns whether a data centre is evacuated, or in service, as an order asks for.
+    #[must_use]
+    pub fn is_in_force(&self, centre: &str, evacuated: bool) -> bool {
+        self.evacuated.contains(centre) == evacuated
+    }
 }
 
 /// The whole replicated state of a site.
@@ -184,7 +175,7 @@
                 if !repeated && is_overtaken(latest, decided_on) {
                     return Reply::Overtaken;
                 }
-                self.orders.services.insert(Arc::clone(&service), index);
+                self.orders.record_rollout(index, &service, &rollout.target);
                 self.change(index, |fleet| {
                     if !repeated {
                         fleet.rollouts.insert(service, rollout);
@@ -194,7 +185,11 @@
             }
             Command::Step(step) => {
                 self.record_progress(&step);
-                self.change(index, |fleet| apply_step(fleet, &step))
+                let reply = self.change(index, |fleet| apply_step(fleet, &step));
+                if reply == Reply::Done && step.stage != Stage::Running {
+                    self.orders.record_end(index, &step.service);
+                }
+                reply
             }
             Command::Evacuate {
                 centre,
@@ -232,8 +227,10 @@
         Reply::Done
     }
 
-    /// Returns whether an order repeats that of the service's latest roll-out.
-    fn repeats(&self, service: &Name, order: &Rollout, since_latest: Option<u64>) -> bool {
+    /// Returns whether an order repeats that of the service's latest roll-out. It comes
+    /// `since_latest` milliseconds after that, if a member has measured it.
+    #[must_use]
+    pub fn repeats(&self, service: &str, order: &Rollout, since_latest: Option<u64>) -> bool {
         let latest = self.fleet.rollouts.get(service);
         latest.is_some_and(|latest| {
             let since = since_latest.unwrap_or(order.ordered.saturating_sub(latest.ordered));
@@ -252,11 +249,11 @@
         evacuated: bool,
         decided_on: Option<Index>,
     ) -> Reply {
-        let in_force = self.fleet.evacuated.contains(&centre) == evacuated;
+        let in_force = self.fleet.is_in_force(&centre, evacuated);
         if !in_force && is_overtaken(self.orders.centres.get(&centre), decided_on) {
             return Reply::Overtaken;
         }
-        self.orders.centres.insert(Arc::clone(&centre), index);
+        self.orders.record_evacuation(index, &centre, evacuated);
         self.change(index, |fleet| {
             if evacuated {
                 fleet.evacuated.insert(centre)
--- a/tests/testsuite/daemon.rs
+++ b/tests/testsuite/daemon.rs
@@ -16,6 +16,7 @@
     prelude::*,
 };
 use std::sync::mpsc::channel;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 #[test]
 fn the_exit_timer_fires_while_the_main_thread_is_blocked() {
@@ -41,14 +42,10 @@
     );
 }
 
-/// Guards against a response that is dropped for want of memory and says that nothing ran.
-#[tokio::test]
-async fn response_that_finds_no_memory_does_not_say_that_nothing_ran() {
-    let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let url = format!("http://{}/metrics/large", socket.local_addr().unwrap());
+/// Returns a listener with bounds on what its clients take.
+fn listener(bounds: CapacityBounds) -> Listener {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
-    let bounds = CapacityBounds::holding(64 << 10);
-    let listener = Listener {
+    Listener {
         name: "test",
         connections: 4,
         limits: Box::new(|| HeadLimits {
@@ -59,7 +56,15 @@
         memory: Arc::new(BufferMemory::new(bounds, Arc::clone(&clock))),
         clock,
         log: slog::Logger::root(slog::Discard, slog::o!()),
-    };
+    }
+}
+
+/// Guards against a response that is dropped for want of memory and says that nothing ran.
+#[tokio::test]
+async fn response_that_finds_no_memory_does_not_say_that_nothing_ran() {
+    let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}/metrics/large", socket.local_addr().unwrap());
+    let listener = listener(CapacityBounds::holding(64 << 10));
     let rocket = rocket::build().mount("/", rocket::routes![large]);
     let (_open, close) = tokio::sync::watch::channel(false);
     tokio::spawn(gate::serve(rocket, listener, socket, close));
@@ -82,6 +87,67 @@
     vec![0; 1 << 20]
 }
 
+/// What the client of a request knew when it sent it.
+#[derive(Clone, Copy)]
+struct Known(u64);
+
+#[rocket::async_trait]
+impl<'r> rocket::request::FromRequest<'r> for Known {
+    type Error = std::convert::Infallible;
+
+    async fn from_request(
+        request: &'r rocket::Request<'_>,
+    ) -> rocket::request::Outcome<Self, Self::Error> {
+        let conversation = gate::conversation(request);
+        conversation.tell(conversation.known() + 7);
+        rocket::outcome::Outcome::Success(Self(conversation.known()))
+    }
+}
+
+#[rocket::get("/known")]
+fn known(known: Known) -> String {
+    let Known(number) = known;
+    format!("known {number:04}")
+}
+
+/// Guards against a request that was written before the answer to the one before, and is taken
+/// for one whose client knew that answer.
+#[tokio::test]
+async fn only_a_request_after_an_answer_shows_that_its_client_knows_it() {
+    let socket = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let rocket = rocket::build().mount("/", rocket::routes![known]);
+    let (_open, close) = tokio::sync::watch::channel(false);
+    let listener = listener(CapacityBounds::holding(1 << 20));
+    tokio::spawn(gate::serve(rocket, listener, socket, close));
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let request = "GET /known HTTP/1.1\r\nHost: k\r\n\r\n";
+
+    let mut found = Vec::new();
+    for count in [1, 1, 2] {
+        stream
+            .write_all(request.repeat(count).as_bytes())
+            .await
+            .unwrap();
+        for _ in 0..count {
+            found.push(read_known(&mut stream).await);
+        }
+    }
+
+    assert_eq!(found, [0, 7, 14, 0]);
+}
+
+/// Reads an answer of `known` from a connection.
+async fn read_known(stream: &mut tokio::net::TcpStream) -> u64 {
+    let mut text = String::new();
+    while !text.contains("known ") || text.len() < text.find("known ").unwrap() + 10 {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).await.unwrap();
+        text.push(char::from(byte[0]));
+    }
+    text[text.len() - 4..].parse().unwrap()
+}
+
 #[test]
 fn requests_over_the_limit_are_refused_until_one_ends() {
     let tracker = Arc::new(RequestTracker::default());
--- a/tests/testsuite/site/member.rs
+++ b/tests/testsuite/site/member.rs
@@ -10,7 +10,7 @@
     site::{
         backend::{Backend, Inventory},
         document::{Class, Document, Route},
-        member::{Refusal, SiteMember, SiteMemberSettings},
+        member::{Refusal, SiteMember, SiteMemberSettings, orders::Receipt},
         poll::Poll,
         rollout::Stage,
         state::Reply,
@@ -350,10 +350,10 @@
     let group = Group::new(&[71, 72, 73]);
     let members = [71, 72, 73].map(|n| group.start(n, true));
     wait_submitted(&members[0], 5);
-    let duration = Duration::from_mins(1);
-    let ordered = members[0].roll_out("drafts".into(), "v2".into(), duration);
+    let (duration, receipt) = (Duration::from_mins(1), Receipt::default());
+    let ordered = members[0].roll_out("drafts".into(), "v2".into(), duration, &receipt);
     block_on(ordered).unwrap();
-    block_on(members[1].evacuate("north".into(), true)).unwrap();
+    block_on(members[1].evacuate("north".into(), true, &receipt)).unwrap();
 
     for member in members {
         member.stop();
@@ -377,7 +377,8 @@
     // 2^64 milliseconds and one more.
     let duration = Duration::new(18_446_744_073_709_551, 617_000_000);
 
-    let ordered = member.roll_out("drafts".into(), "v2".into(), duration);
+    let receipt = Receipt::default();
+    let ordered = member.roll_out("drafts".into(), "v2".into(), duration, &receipt);
     block_on(ordered).unwrap();
 
     let rollout = block_on(member.rollout("drafts")).unwrap().unwrap();
@@ -390,7 +391,8 @@
     let clock = Arc::<JumpingClock>::default();
     let member = group.start_with_clock(74, true, Arc::clone(&clock) as Arc<dyn Clock>);
     wait_submitted(&member, 5);
-    let ordered = member.roll_out("drafts".into(), "v2".into(), Duration::from_mins(1));
+    let (duration, receipt) = (Duration::from_mins(1), Receipt::default());
+    let ordered = member.roll_out("drafts".into(), "v2".into(), duration, &receipt);
     block_on(ordered).unwrap();
 
     clock.ahead_micros.store(3_600_000_000, Ordering::Release);
--- a/tests/testsuite/site/mod.rs
+++ b/tests/testsuite/site/mod.rs
@@ -5,6 +5,7 @@
 mod entries;
 pub mod fixtures;
 mod member;
+mod orders;
 mod relay;
 mod senders;
 mod state;
