Decode lists and reports of a success only

Seen while looking for odd statuses beside the entry's way: the platform's list answered with 301 or 600, and the agent's readings of VMs and of its engine's load answered with any status, were taken for what had been asked. Cause: the HTTP client counts 4xx and 5xx as errors only where it is asked to, and nothing else. Now net::bounded and net::list require 200 to 299.

--- a/src/cardamomtally/agent/http_engine.rs
+++ b/src/cardamomtally/agent/http_engine.rs
@@ -194,7 +194,8 @@
             match response.status() {
                 status if status.is_success() => Ok(()),
                 StatusCode::CONFLICT => {
-                    let body: FencedBody = json(response).await?;
+                    let body = bounded::decode_json(response).await;
+                    let body: FencedBody = body.map_err(|error| broken(&error))?;
                     Err(EngineError::Fenced {
                         highest: body.highest,
                     })
@@ -259,7 +260,11 @@
 
 async fn json<T: serde::de::DeserializeOwned>(response: Response) -> Result<T, EngineError> {
     let read = bounded::read_json(response).await;
-    read.map_err(|error| EngineError::Broken(format!("{error:#}")))
+    read.map_err(|error| broken(&error))
+}
+
+fn broken(error: &eyre::Report) -> EngineError {
+    EngineError::Broken(format!("{error:#}"))
 }
 
 /// Classifies an error by what it proves. Only a failure to connect, or to build
--- a/src/cardamomtally/entry/rating.rs
+++ b/src/cardamomtally/entry/rating.rs
@@ -162,7 +162,7 @@
             answer: String::from_utf8_lossy(&sample.answer),
         };
         let response = self.client.post(&self.url).json(&request).send().await?;
-        let rating: RatingResponse = bounded::read_json(response.error_for_status()?).await?;
+        let rating: RatingResponse = bounded::read_json(response).await?;
         eyre::ensure!(
             (0.0..=1.0).contains(&rating.score),
             "the score {} is not between 0 and 1",
--- a/src/cardamomtally/net/list.rs
+++ b/src/cardamomtally/net/list.rs
@@ -4,7 +4,10 @@
 //! reported, and all others count. Sizes, depths and counts are bounded before anything is
 //! decoded.
 
-use super::elements::{ElementLimits, ElementScanner, Excess};
+use super::{
+    bounded::require_success,
+    elements::{ElementLimits, ElementScanner, Excess},
+};
 use crate::prelude::*;
 use eyre::{WrapErr as _, ensure};
 use reqwest::Response;
@@ -58,14 +61,15 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection fails, if the page or the list is too long, or if
-    /// the page without its elements does not decode.
+    /// Returns an error if the answer is no success, if the connection fails, if the page or the
+    /// list is too long, or if the page without its elements does not decode.
     pub async fn read_page<T: DeserializeOwned, P: DeserializeOwned>(
         &mut self,
-        mut response: Response,
+        response: Response,
         name: Option<&str>,
         mut convert: impl FnMut(T) -> Result<(), String>,
     ) -> eyre::Result<P> {
+        let mut response = require_success(response)?;
         let mut scanner = ElementScanner::new(name, ELEMENT_LIMITS);
         let page = self.tokens.len();
         let (mut bytes, mut place) = (0, 0);
--- a/tests/testsuite/agent/vms.rs
+++ b/tests/testsuite/agent/vms.rs
@@ -18,6 +18,11 @@
 
 /// Serves a body once, and returns the list of VMs that an agent reads in it.
 fn read(body: &[u8]) -> Result<Vec<(String, VmState)>, String> {
+    read_as("200 OK", body)
+}
+
+/// Returns the list of VMs that an agent reads in a body with a status.
+fn read_as(status: &'static str, body: &[u8]) -> Result<Vec<(String, VmState)>, String> {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let url = format!("http://{}", listener.local_addr().unwrap());
     let body = body.to_vec();
@@ -26,7 +31,7 @@
         let _head = stream.read(&mut [0; 4096]).unwrap();
         let length = body.len();
         let head =
-            format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
+            format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
         stream
             .write_all(&[head.as_bytes(), &body].concat())
             .unwrap();
@@ -72,6 +77,16 @@
     }
 }
 
+/// Guards against the body of an answer that is no success, which is taken for the list.
+#[test]
+fn list_of_vms_with_another_status_than_a_success_is_an_error() {
+    for status in ["101 A", "301 B", "404 C", "500 D", "600 E"] {
+        let found = read_as(status, br#"[{"name":"a","state":"live"}]"#);
+
+        assert!(found.is_err(), "{status}: {found:?}");
+    }
+}
+
 /// Guards against a list that is cut short and is taken for one without a VM that leaves.
 #[test]
 fn list_of_vms_that_is_cut_short_is_an_error() {
