Take only the statuses of final answers for answers

What callers saw: an engine's 101 that nobody had asked for, and statuses from 600 on, were passed on to them, signed. Cause: the HTTP library decodes any three digits from 100 to 999 and hands a 101 over as an answer, and no check of ours looked at the status. Now entries without agents and the agent's adapter take 200 to 599; anything else is no answer, proves nothing about the request and closes its connection.

answer_with_a_status_that_is_none_is_a_failure_of_the_backend_server and the agent's answer_with_a_status_that_is_none_is_a_broken_call failed before (101). Early answers that are reset while the upload is written (200 forms without agents, 20 through the adapter) broke off visibly before too; their tests guard it.

--- a/src/cardamomtally/agent/http_engine.rs
+++ b/src/cardamomtally/agent/http_engine.rs
@@ -90,11 +90,20 @@
         })
     }
 
+    /// Sends a call. An answer without a status of a final one is none.
     async fn send(&self, request: RequestBuilder) -> Result<Response, EngineError> {
-        match tokio::time::timeout(self.idle_timeout, request.send()).await {
-            Ok(outcome) => outcome.map_err(|error| classify_error(&error)),
-            Err(_elapsed) => Err(EngineError::Timeout("no answer began in time".to_owned())),
+        let sent = tokio::time::timeout(self.idle_timeout, request.send()).await;
+        let Ok(outcome) = sent else {
+            return Err(EngineError::Timeout("no answer began in time".to_owned()));
+        };
+        let response = outcome.map_err(|error| classify_error(&error))?;
+        let status = response.status();
+        if !bounded::is_final(status) {
+            return Err(EngineError::Broken(format!(
+                "the answer has status {status}, which is none of a final answer"
+            )));
         }
+        Ok(response)
     }
 
     async fn get(&self, path: &str) -> Result<Response, EngineError> {
--- a/src/cardamomtally/direct/link/attempt.rs
+++ b/src/cardamomtally/direct/link/attempt.rs
@@ -10,6 +10,7 @@
         fleet::registry::Choice,
         request::{call::Call, names::HeaderNames},
     },
+    net::bounded,
     prelude::*,
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, header};
@@ -113,7 +114,8 @@
 /// Decides from the result of sending a request whether it was answered, has
 /// certainly not run, or may have run.
 ///
-/// An answer is accepted only if it has the attempt id of this request, has no
+/// An answer is accepted only if it has a status of a final answer and the attempt id of this
+/// request, has no
 /// `Content-Encoding`, and carries a signature if its status is a success. Any
 /// other answer may come from an intermediary between the entry and the backend
 /// server, or belong to another request. That holds for rejections too: a backend
@@ -132,6 +134,10 @@
         }
     };
     let (status, headers) = (answer.response.status(), answer.response.headers());
+    if !bounded::is_final(status) {
+        metrics::counter!("cardamomtally_direct_foreign_answers_total").increment(1);
+        return Outcome::Unknown("the answer's status is none of a final answer");
+    }
     if let Err(why) = check_attempt_id(names, call, headers) {
         metrics::counter!("cardamomtally_direct_foreign_answers_total").increment(1);
         return Outcome::Unknown(why);
--- a/src/cardamomtally/net/bounded.rs
+++ b/src/cardamomtally/net/bounded.rs
@@ -2,12 +2,20 @@
 
 use bytes::BytesMut;
 use eyre::{WrapErr as _, ensure};
-use reqwest::Response;
+use reqwest::{Response, StatusCode};
 use serde::de::DeserializeOwned;
 
 /// Longest JSON body that is read, in bytes.
 const MAX_JSON_BYTES: usize = 4 << 20;
 
+/// Tells whether a status is that of a final answer. Those from 600 on are none of HTTP's (RFC
+/// 9110, section 15); nobody here asks for a change of the protocol (101), and HTTP clients pass
+/// no other interim answers on.
+#[must_use]
+pub const fn is_final(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 200..=599)
+}
+
 /// Returns an answer if it is a success. The body of any other one is not what was asked for.
 ///
 /// # Errors
--- a/tests/testsuite/agent/faulty_engine.rs
+++ b/tests/testsuite/agent/faulty_engine.rs
@@ -16,6 +16,7 @@
     engine::{BadVersion, ERROR_TEXT, RefusalCopy, Resumption},
 };
 use futures::TryStreamExt as _;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -196,3 +197,89 @@
         }
     }
 }
+
+/// Starts an engine that answers each call by a function, which gets the connection after the
+/// head was read, and returns an adapter to it.
+async fn engine_that<F>(answer: impl Fn(TcpStream) -> F + Send + 'static) -> HttpEngine
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut byte = [0];
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") && stream.read_exact(&mut byte).await.is_ok() {
+                head.push(byte[0]);
+            }
+            tokio::spawn(answer(stream));
+        }
+    });
+    HttpEngine::new(&url, Duration::from_secs(5)).unwrap()
+}
+
+fn call(body: Vec<u8>) -> EngineCall {
+    EngineCall {
+        request: attempt(1).request,
+        attempt: attempt(1),
+        method: "POST".to_owned(),
+        path: "/jobs/1".to_owned(),
+        media: None,
+        body: body.into(),
+        priority: 5,
+    }
+}
+
+/// Guards against an answer with a status that is none which an entry passes on (MIXED), and
+/// against a report, an order's answer or a resumption that is taken from one.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_a_status_that_is_none_is_a_broken_call() {
+    for status in ["000", "099", "101", "600", "999", "1000", "20", "2x0"] {
+        let engine = engine_that(move |mut stream| async move {
+            let body = r#"{"running":0,"waiting":0,"slots":4,"incarnation":1}"#;
+            let text = format!(
+                "HTTP/1.1 {status} Odd\r\nContent-Type: application/json\r\n\
+                 Content-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            let _written = stream.write_all(text.as_bytes()).await;
+        })
+        .await;
+
+        let called = engine.call(call(Vec::new())).await;
+        let load = engine.load().await;
+        let resumed = engine.resume(attempt(1).request, 2).await;
+
+        let what = format!("{status}: {called:?}, {load:?}, {resumed:?}");
+        assert!(matches!(called, Err(EngineError::Broken(_))), "{what}");
+        assert!(matches!(load, Err(EngineError::Broken(_))), "{what}");
+        assert!(matches!(resumed, Err(EngineError::Broken(_))), "{what}");
+    }
+}
+
+/// Guards against the part of an answer that came before its upload was written, and was reset,
+/// as a complete answer (MIXED).
+#[tokio::test(flavor = "multi_thread")]
+async fn early_answer_that_is_reset_while_its_upload_is_written_breaks_off() {
+    for delay in [0, 1, 5, 40, 300].map(Duration::from_millis) {
+        for bytes in [0, 10, 8_000, 70_000] {
+            let engine = engine_that(move |mut stream| async move {
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n{}",
+                    "x".repeat(bytes)
+                );
+                let _written = stream.write_all(text.as_bytes()).await;
+                tokio::time::sleep(delay).await;
+                let _gone = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            })
+            .await;
+
+            let answer = engine.call(call(vec![b'u'; 3 << 20])).await;
+            let Ok(answer) = answer else { continue };
+            let read: Result<Vec<Bytes>, _> = answer.body.try_collect().await;
+
+            assert!(read.is_err(), "{delay:?}, {bytes}");
+        }
+    }
+}
--- a/tests/testsuite/direct/mod.rs
+++ b/tests/testsuite/direct/mod.rs
@@ -15,6 +15,7 @@
 mod limit;
 mod malformed;
 mod memory;
+mod odd_answers;
 mod once;
 mod parts;
 mod peers;
