Take no part of an early answer for a whole one if its engine ends in order

What callers saw: an engine answers an upload early with a 200 without a length, sends part of its body, and its connection ends in order while the upload is on its way; the part was passed on as complete (MIXED). A reset broke the answer off already. Cause: an answer without a length is complete at the end of its connection, and the kernel had taken the upload, so that the process took it for written. Now the kernel is asked at that end how much its peer has not acknowledged.

--- a/src/cardamomtally/direct/link/mod.rs
+++ b/src/cardamomtally/direct/link/mod.rs
@@ -3,3 +3,4 @@
 pub mod attempt;
 pub mod pool;
 pub mod source;
+pub mod watched;
--- a/src/cardamomtally/direct/link/pool.rs
+++ b/src/cardamomtally/direct/link/pool.rs
@@ -6,6 +6,7 @@
 //! A connection whose answer was not read to the end is closed, which cancels
 //! the work at the backend server.
 
+use super::watched::{ConnectionEnd, WatchedStream};
 use crate::{listen::capacity::CapacityBounds, prelude::*};
 use bytes::Bytes;
 use http::{Request, Response};
@@ -66,6 +67,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    end: ConnectionEnd,
     task: AbortHandle,
     idle_since: Mono,
     idle_limit: Duration,
@@ -91,10 +93,15 @@
             Err(_elapsed) => return Err(SendError::NotSent("connection timed out")),
         };
         set_socket_options(&stream);
+        let end = ConnectionEnd::default();
+        let watched = WatchedStream {
+            stream,
+            end: end.clone(),
+        };
         let mut builder = http1::Builder::new();
         let shake = builder
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream));
+            .handshake(TokioIo::new(watched));
         let Ok((sender, connection)) = shake.await else {
             return Err(SendError::NotSent("connection closed during the handshake"));
         };
@@ -104,6 +111,7 @@
         });
         Ok(Self {
             sender,
+            end,
             task: task.abort_handle(),
             idle_since: Mono::default(),
             idle_limit: MAX_IDLE,
@@ -114,6 +122,13 @@
         self.sender.is_ready() && now.since(self.idle_since) < self.idle_limit
     }
 
+    /// Tells whether the backend server has ended the connection before it had received the
+    /// request. An answer without a length is cut then.
+    #[must_use]
+    pub fn ended_early(&self) -> bool {
+        self.end.is_early()
+    }
+
     /// Waits shortly and tells whether the connection has ended: the backend server has sent
     /// bytes after its answer, or has closed it.
     pub async fn has_ended_soon(&self) -> bool {
--- a/src/cardamomtally/direct/link/source.rs
+++ b/src/cardamomtally/direct/link/source.rs
@@ -147,6 +147,8 @@
                 return if self.neglected && !self.delimited {
                     // The end of the connection may be that of the server's patience.
                     Next::Unread
+                } else if !self.delimited && self.connection.ended_early() {
+                    Next::Cut("the stream ended before its request was received")
                 } else if self.splitter.is_partial() {
                     Next::Cut("the stream ended in the middle of an event")
                 } else {
--- a/src/cardamomtally/direct/serve/plain.rs
+++ b/src/cardamomtally/direct/serve/plain.rs
@@ -232,6 +232,9 @@
             return AttemptResult::Broken("the answer's body broke off");
         }
     };
+    if !attempt::is_delimited(&parts.headers) && connection.ended_early() {
+        return AttemptResult::Broken("the answer ended before its request was received");
+    }
     // The length of a body is that of its own bytes. If others came before them, as many are
     // left over.
     if attempt::begins_with_head(&body) && connection.has_ended_soon().await {
--- a/tests/testsuite/direct/odd_answers.rs
+++ b/tests/testsuite/direct/odd_answers.rs
@@ -13,7 +13,7 @@
 use socket2::SockRef;
 use std::{
     io::{Read as _, Write as _},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     thread,
 };
 
@@ -41,6 +41,9 @@
 /// Length of a request's body that no socket's buffers hold.
 const UPLOAD: usize = 3 << 20;
 
+/// Time for which a connection stays half open that was ended in order.
+const END_TIME: Duration = Duration::from_millis(200);
+
 fn assert_failed(got: &Answer, what: &str) {
     assert!(matches!(got.status, 502 | 504), "{what}: {got:?}");
     let signature = got.header("cardamomtally-signature");
@@ -124,11 +127,20 @@
     frame: &'static str,
     /// Bytes of the body.
     bytes: usize,
-    /// Time from the answer to the reset.
+    /// Time from the answer to the end of the connection.
     delay: Duration,
+    end: End,
     stream: bool,
 }
 
+/// How an engine ends a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Reset,
+    /// In order, as a process that ends with nothing unread does.
+    InOrder,
+}
+
 /// Starts an engine that answers early each time and resets the connection.
 fn start_early(early: Early) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -168,6 +180,10 @@
     };
     let _written = stream.write_all(format!("{head}{body}").as_bytes());
     thread::sleep(early.delay);
+    if early.end == End::InOrder {
+        let _ended = stream.shutdown(Shutdown::Write);
+        thread::sleep(END_TIME);
+    }
     let _gone = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
 }
 
@@ -178,11 +194,9 @@
     read_answer(&mut stream)
 }
 
-/// Guards against the part of an answer that came before its upload was written, and was reset,
-/// as a complete answer (MIXED).
-#[test]
-fn early_answer_that_is_reset_while_its_upload_is_written_is_not_complete() {
-    let delays = [0, 1, 5, 40, 300].map(Duration::from_millis);
+/// Sends an upload of each class to an engine that answers early, without a length, and ends the
+/// connection.
+fn check_early(end: End, delays: &[u64]) {
     let frames = ["", "Connection: close\r\n"];
     thread::scope(|scope| {
         for class in CLASSES {
@@ -193,7 +207,8 @@
                         let early = Early {
                             frame,
                             bytes,
-                            delay,
+                            delay: Duration::from_millis(delay),
+                            end,
                             stream,
                         };
                         let backend = backend("i-1", start_early(early));
@@ -213,3 +228,17 @@
         }
     });
 }
+
+/// Guards against the part of an answer that came before its upload was written, and was reset,
+/// as a complete answer (MIXED).
+#[test]
+fn early_answer_that_is_reset_while_its_upload_is_written_is_not_complete() {
+    check_early(End::Reset, &[0, 1, 5, 40, 300]);
+}
+
+/// Guards against the same where the engine's connection ends in order first, so that only the
+/// request that it has not received shows that the answer is cut.
+#[test]
+fn early_answer_without_a_length_that_ends_before_its_upload_was_received_is_not_complete() {
+    check_early(End::InOrder, &[0, 40]);
+}
