Pass no error answer on without the body that its engine sent

What callers saw: a 500 whose body had no end, was cut or was no HTTP came on streaming routes as a signed 500 with an empty body that looked whole. Cause: forward_failure passed the status on with an empty body where the body could not be read. Now such an answer counts as none, and the caller gets 502, as on plain routes.

error_answer_whose_body_does_not_end_is_not_passed_on_as_a_whole_one failed before on the streaming classes.

--- a/src/cardamomtally/direct/serve/stream.rs
+++ b/src/cardamomtally/direct/serve/stream.rs
@@ -23,7 +23,7 @@
         fleet::registry::{Choice, NoChoice, Requirements},
         link::{
             attempt::{self, AttemptParams, Outcome},
-            pool::Answer,
+            pool::{Answer, Connection},
             source::{EventSource, Part, StreamTiming},
         },
         request::{
@@ -167,7 +167,8 @@
                 if self.begun {
                     return Err(refusal);
                 }
-                return Ok(Opened::Failure(self.forward_failure(&parts, body).await));
+                let response = self.forward_failure(&parts, body, &connection).await;
+                return response.map(Opened::Failure).ok_or(refusal);
             }
         }
     }
@@ -193,18 +194,25 @@
             .await;
     }
 
-    async fn forward_failure(&self, parts: &Parts, body: Incoming) -> Response<Body> {
-        // If the body of an error answer breaks off, is too long or begins with another
-        // answer, its status is still forwarded, with an empty body.
+    /// Returns an error answer with its body. Returns `None` if the body breaks off, is too long
+    /// or begins with another answer: the status alone would look like a whole answer.
+    async fn forward_failure(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+        connection: &Connection,
+    ) -> Option<Response<Body>> {
         let left = self.call.remaining(self.app.clock.now());
         let read = tokio::time::timeout(left, self.app.memory.read(body)).await;
         let body = read.ok().and_then(Result::ok);
-        let body = body.filter(|body| !attempt::begins_with_head(body));
-        let body = body.unwrap_or_default();
+        let body = body.filter(|body| !attempt::begins_with_head(body))?;
+        if !attempt::is_delimited(&parts.headers) && connection.ended_early() {
+            return None;
+        }
         let mut response = Response::new(full_body(body));
         *response.status_mut() = parts.status;
         *response.headers_mut() = call::response_headers(&self.app.names, &parts.headers);
-        response
+        Some(response)
     }
 
     /// Sends the request once. Returns `None` if it got no answer and may be
--- a/tests/testsuite/direct/odd_answers.rs
+++ b/tests/testsuite/direct/odd_answers.rs
@@ -242,3 +242,44 @@
 fn early_answer_without_a_length_that_ends_before_its_upload_was_received_is_not_complete() {
     check_early(End::InOrder, &[0, 40]);
 }
+
+/// Guards against an error answer whose body has no end, is cut or is no HTTP, and which looks
+/// whole: its engine's status with a body that is not the engine's (MIXED).
+#[test]
+fn error_answer_whose_body_does_not_end_is_not_passed_on_as_a_whole_one() {
+    let pause = Duration::from_micros(100);
+    for class in CLASSES {
+        for (frame, rest) in [
+            ("", "xxxxxxxxxxxxxxxx".repeat(1024)),
+            (
+                "Transfer-Encoding: chunked\r\n",
+                "4000\r\n".to_owned() + &"x".repeat(0x4000) + "\r\n",
+            ),
+            ("Transfer-Encoding: chunked\r\n", "no chunk\r\n".to_owned()),
+            ("Content-Length: 999999999\r\n", "x".repeat(0x4000)),
+        ] {
+            for ends in [false, true] {
+                let rest = rest.clone();
+                let server = Server::start("i-1", move |seen, _| {
+                    let id = header(&seen.head, "cardamomtally-attempt").unwrap_or("none");
+                    let head = format!(
+                        "HTTP/1.1 500 Bad\r\nCardamomtally-Attempt: {id}\r\n\
+                         Cardamomtally-Signature: s-1\r\n{frame}\r\n"
+                    );
+                    // An answer without a length that ends in order is whole.
+                    let last = if ends && !frame.is_empty() {
+                        Action::Close
+                    } else {
+                        Action::Repeat(rest.clone(), pause)
+                    };
+                    vec![Action::Send(head), Action::Send(rest.clone()), last]
+                });
+                let entry = Entry::start(class, &[&server]);
+
+                let got = entry.ask(&request("a-1", "", "").replace("9000", "2000"));
+
+                assert_failed(&got, &format!("{class:?}, {frame}, {ends}"));
+            }
+        }
+    }
+}
