Bound what connections to backend servers hold, and what comes before a head

What operators of similar systems saw: bytes without end from an engine filled the memory of the machine that had called it. Cause: a connection's buffer of up to 64 KiB, the one before it that a frame of one byte keeps, and heads as long were not counted, and interim answers were skipped as long as they came. Now 8 KiB are read at once, the largest head follows the VM's memory and includes interim answers, and a connection counts 16 KiB of the memory for messages while an answer is due.

--- a/src/cardamomtally/direct/daemon.rs
+++ b/src/cardamomtally/direct/daemon.rs
@@ -182,14 +182,19 @@
     let poller = poller
         .with_peers(Arc::clone(&peers))
         .with_evidence(evidence);
+    let memory = Arc::new(BufferMemory::new(bounds, Arc::clone(&clock)));
     Arc::new(App {
         names: settings.names.clone(),
         config: Arc::new(poller),
         registry,
         peers,
         content,
-        memory: Arc::new(BufferMemory::new(bounds, Arc::clone(&clock))),
-        pool: Pool::new(Arc::clone(&clock), settings.connect_timeout).with_bounds(&bounds),
+        pool: Pool::new(
+            Arc::clone(&clock),
+            settings.connect_timeout,
+            Arc::clone(&memory),
+        ),
+        memory,
         counts,
         clock,
         log: parts.log.clone(),
--- a/src/cardamomtally/direct/link/pool.rs
+++ b/src/cardamomtally/direct/link/pool.rs
@@ -6,8 +6,14 @@
 //! A connection whose answer was not read to the end is closed, which cancels
 //! the work at the backend server.
 
-use super::watched::{ConnectionEnd, WatchedStream};
-use crate::{listen::capacity::CapacityBounds, prelude::*};
+use super::watched::{Watch, WatchedStream};
+use crate::{
+    listen::{
+        capacity::CapacityBounds,
+        memory::{BufferMemory, Share},
+    },
+    prelude::*,
+};
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -38,8 +44,9 @@
 /// Time after which the kernel closes a connection whose sent bytes are not
 /// acknowledged.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Size of a connection's read buffer, which also bounds the head of an answer.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Memory that a connection takes while an answer is due, in bytes: the buffer that is read into,
+/// and the one before, which a frame that was not taken yet keeps.
+const CONNECTION_BYTES: usize = 16 << 10;
 /// Largest number of idle connections per address.
 const MAX_IDLE_PER_BACKEND: usize = 64;
 
@@ -67,8 +74,10 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    end: ConnectionEnd,
+    watch: Watch,
     task: AbortHandle,
+    /// What the connection takes while an answer is due.
+    share: Option<Share>,
     idle_since: Mono,
     idle_limit: Duration,
 }
@@ -84,23 +93,23 @@
     async fn open(
         address: SocketAddr,
         limit: Duration,
-        buffers: Option<usize>,
+        bounds: &CapacityBounds,
     ) -> Result<Self, SendError> {
-        let connect = tokio::time::timeout(limit, connect(address, buffers));
+        let connect = tokio::time::timeout(limit, connect(address, bounds.socket));
         let stream = match connect.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(_)) => return Err(SendError::NotSent("connection refused")),
             Err(_elapsed) => return Err(SendError::NotSent("connection timed out")),
         };
         set_socket_options(&stream);
-        let end = ConnectionEnd::default();
+        let watch = Watch::new(bounds.head);
         let watched = WatchedStream {
             stream,
-            end: end.clone(),
+            watch: watch.clone(),
         };
         let mut builder = http1::Builder::new();
         let shake = builder
-            .max_buf_size(MAX_BUFFER_BYTES)
+            .max_buf_size(bounds.head)
             .handshake(TokioIo::new(watched));
         let Ok((sender, connection)) = shake.await else {
             return Err(SendError::NotSent("connection closed during the handshake"));
@@ -111,7 +120,8 @@
         });
         Ok(Self {
             sender,
-            end,
+            watch,
+            share: None,
             task: task.abort_handle(),
             idle_since: Mono::default(),
             idle_limit: MAX_IDLE,
@@ -126,7 +136,7 @@
     /// request. An answer without a length is cut then.
     #[must_use]
     pub fn ended_early(&self) -> bool {
-        self.end.is_early()
+        self.watch.ended_early()
     }
 
     /// Waits shortly and tells whether the connection has ended: the backend server has sent
@@ -137,16 +147,16 @@
     }
 
     async fn send(&mut self, request: Outgoing) -> Result<Response<Incoming>, SendError> {
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| {
-                if error.take_message().is_some() {
-                    SendError::NotSent("connection closed before the request was written")
-                } else {
-                    SendError::Broken(error.into_error())
-                }
-            })
+        self.watch.await_head();
+        let sent = self.sender.try_send_request(request).await;
+        self.watch.head_arrived();
+        sent.map_err(|mut error| {
+            if error.take_message().is_some() {
+                SendError::NotSent("connection closed before the request was written")
+            } else {
+                SendError::Broken(error.into_error())
+            }
+        })
     }
 }
 
@@ -198,33 +208,22 @@
     idle: Mutex<FastMap<SocketAddr, Vec<Connection>>>,
     clock: Arc<dyn Clock>,
     connect_limit: Duration,
-    /// Size of the sockets' buffers; `None` if the kernel chooses it.
-    buffers: Option<usize>,
-    /// Largest number of idle connections to all addresses together.
-    max_idle: Option<usize>,
+    memory: Arc<BufferMemory>,
 }
 
 impl Pool {
-    /// Builds an empty pool.
+    /// Builds an empty pool. Its connections keep to the bounds of `memory`, and count there
+    /// while an answer is due.
     #[must_use]
-    pub fn new(clock: Arc<dyn Clock>, connect_limit: Duration) -> Self {
+    pub fn new(clock: Arc<dyn Clock>, connect_limit: Duration, memory: Arc<BufferMemory>) -> Self {
         Self {
             idle: Mutex::default(),
             clock,
             connect_limit,
-            buffers: None,
-            max_idle: None,
+            memory,
         }
     }
 
-    /// Sets the bounds on the sockets' buffers and on the number of idle connections.
-    #[must_use]
-    pub fn with_bounds(mut self, bounds: &CapacityBounds) -> Self {
-        self.buffers = bounds.socket;
-        self.max_idle = bounds.idle;
-        self
-    }
-
     fn lock(&self) -> MutexGuard<'_, FastMap<SocketAddr, Vec<Connection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -253,6 +252,7 @@
         mut make: impl FnMut() -> Outgoing,
     ) -> Result<Answer, SendError> {
         if let Some(mut connection) = self.take_idle(address) {
+            connection.share = Some(self.memory.hold(CONNECTION_BYTES));
             match connection.send(make()).await {
                 Ok(response) => {
                     return Ok(Answer {
@@ -264,7 +264,9 @@
                 Err(broken @ SendError::Broken(_)) => return Err(broken),
             }
         }
-        let mut connection = Connection::open(address, self.connect_limit, self.buffers).await?;
+        let opened = Connection::open(address, self.connect_limit, self.memory.bounds());
+        let mut connection = opened.await?;
+        connection.share = Some(self.memory.hold(CONNECTION_BYTES));
         let response = connection.send(make()).await?;
         Ok(Answer {
             response,
@@ -280,11 +282,12 @@
         mut connection: Connection,
         limit: Option<Duration>,
     ) {
+        connection.share = None;
         connection.idle_since = self.clock.now();
         connection.idle_limit = limit.unwrap_or(MAX_IDLE).min(MAX_IDLE);
         let mut idle = self.lock();
         let all = || idle.values().map(Vec::len).sum::<usize>();
-        if self.max_idle.is_some_and(|most| all() >= most) {
+        if self.memory.bounds().idle.is_some_and(|most| all() >= most) {
             metrics::counter!("cardamomtally_direct_idle_connections_closed_total").increment(1);
             return;
         }
--- a/src/cardamomtally/direct/link/watched.rs
+++ b/src/cardamomtally/direct/link/watched.rs
@@ -1,4 +1,9 @@
-//! Whether a backend server has received its request when its connection ends.
+//! Watches the connection to a backend server from below the HTTP library.
+//!
+//! What arrives is read in small pieces. The library's buffer for what it reads grows with each
+//! read that fills it, and a frame of one byte keeps all of it. Hundreds of backend servers that
+//! send bytes without end would take all memory by these buffers alone. The library also skips
+//! interim answers as long as they come, so they count towards the largest head.
 //!
 //! An answer without a length ends with its connection. If that ends in order while the request
 //! is still on its way, its backend server has not read the request to its end, and has most
@@ -10,36 +15,81 @@
     io,
     os::fd::AsRawFd as _,
     pin::Pin,
-    sync::atomic::{AtomicBool, Ordering},
-    task::{Context, Poll},
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
+    task::{Context, Poll, ready},
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
-/// How a connection has ended.
-#[derive(Clone, Debug, Default)]
-pub struct ConnectionEnd {
-    early: Arc<AtomicBool>,
+/// Most bytes that are read at once. The HTTP library's buffer begins with 8 KiB and doubles, up
+/// to the largest head, each time that a read fills it.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
+/// What is known of a connection.
+#[derive(Clone, Debug)]
+pub struct Watch(Arc<WatchState>);
+
+#[derive(Debug)]
+struct WatchState {
+    /// Most bytes that arrive from a request on until the head of its answer is complete.
+    max_head: usize,
+    /// Whether the peer has ended the connection before it had received all that was sent.
+    ended_early: AtomicBool,
+    /// Whether the head of an answer is due.
+    awaits_head: AtomicBool,
+    /// Bytes that have arrived since it is.
+    head_bytes: AtomicUsize,
 }
 
-impl ConnectionEnd {
+impl Watch {
+    /// Builds the watch of a connection whose answers may have heads of this many bytes,
+    /// interim answers included.
+    #[must_use]
+    pub fn new(head: usize) -> Self {
+        Self(Arc::new(WatchState {
+            // Bytes of the body may be read together with the end of the head.
+            max_head: head + MAX_READ_BYTES,
+            ended_early: AtomicBool::default(),
+            awaits_head: AtomicBool::default(),
+            head_bytes: AtomicUsize::default(),
+        }))
+    }
+
     /// Returns whether the peer has ended the connection before it had received all that was
     /// sent to it.
     #[must_use]
-    pub fn is_early(&self) -> bool {
-        self.early.load(Ordering::Acquire)
+    pub fn ended_early(&self) -> bool {
+        self.0.ended_early.load(Ordering::Acquire)
+    }
+
+    /// Records that a request is sent, so that the head of its answer is due.
+    pub fn await_head(&self) {
+        self.0.head_bytes.store(0, Ordering::Release);
+        self.0.awaits_head.store(true, Ordering::Release);
+    }
+
+    /// Records that the head of the answer is complete.
+    pub fn head_arrived(&self) {
+        self.0.awaits_head.store(false, Ordering::Release);
+    }
+
+    /// Counts bytes that have arrived. Returns whether there are too many before the head of
+    /// an answer is complete.
+    fn exceeds(&self, count: usize) -> bool {
+        let before = self.0.head_bytes.fetch_add(count, Ordering::AcqRel);
+        self.0.awaits_head.load(Ordering::Acquire) && before + count > self.0.max_head
     }
 }
 
-/// A connection that records how it ends.
+/// A connection that records what its peer does.
 #[derive(Debug)]
 pub struct WatchedStream {
     /// The socket.
     pub stream: TcpStream,
-    /// How the connection has ended.
-    pub end: ConnectionEnd,
+    /// What is known of the connection.
+    pub watch: Watch,
 }
 
 impl AsyncRead for WatchedStream {
@@ -48,14 +98,20 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let (before, room) = (buf.filled().len(), buf.remaining());
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let ended = matches!(polled, Poll::Ready(Ok(()))) && room > 0;
-        if ended && buf.filled().len() == before {
+        let room = buf.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(room));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let count = part.filled().len();
+        if count == 0 && room > 0 {
             let left = untaken(self.stream.as_raw_fd()).unwrap_or_default();
-            self.end.early.store(left > 0, Ordering::Release);
+            self.watch.0.ended_early.store(left > 0, Ordering::Release);
+        }
+        if self.watch.exceeds(count) {
+            let error = io::Error::other("no head of an answer within its largest size");
+            return Poll::Ready(Err(error));
         }
-        polled
+        buf.advance(count);
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/src/cardamomtally/listen/capacity.rs
+++ b/src/cardamomtally/listen/capacity.rs
@@ -31,6 +31,10 @@
 /// Least and largest size of a socket's buffer, in bytes. Below the least size, each event
 /// costs a wake-up of its own; above the largest one, nothing is gained within a region.
 const SOCKET_BYTES: (usize, usize) = (16 << 10, 256 << 10);
+/// Part of the VM's memory that the head of one answer of a backend server may take, and its
+/// bounds in bytes. As many arrive at once as callers have connections.
+const HEAD_PART: usize = 6_144;
+const HEAD_BYTES: (usize, usize) = (16 << 10, 64 << 10);
 /// Number of bytes of a stream that wait in the process for its caller, from which on the
 /// backend server is not read. The kernel's buffer holds further ones.
 const STREAM_BYTES: usize = 32 << 10;
@@ -86,6 +90,8 @@
     /// Number of bytes of one stream that wait for its caller; `None` if only the HTTP
     /// library bounds them.
     pub stream: Option<usize>,
+    /// Longest head of a backend server's answer, in bytes.
+    pub head: usize,
     /// Size of the sockets' buffers in bytes; `None` if the kernel chooses it.
     pub socket: Option<usize>,
     /// Time without progress after which a caller that does not take its response is
@@ -105,6 +111,7 @@
             limit: MAX_TOTAL_BYTES + MAX_TOTAL_BYTES / SMALL_PART,
             message: MAX_MESSAGE_BYTES,
             stream: None,
+            head: HEAD_BYTES.1,
             socket: None,
             unread: MAX_UNREAD_TIME,
             callers: None,
@@ -156,6 +163,7 @@
                 (bounds.total / MESSAGE_PART).clamp(SMALL_MESSAGE_BYTES, MAX_MESSAGE_BYTES);
             bounds.callers = Some(memory / CONNECTIONS_PART / CONNECTION_BYTES);
             bounds.socket = Some((memory / SOCKET_PART).clamp(least, largest));
+            bounds.head = (memory / HEAD_PART).clamp(HEAD_BYTES.0, HEAD_BYTES.1);
         }
         if let Some(fds) = settings.max_fds {
             let fds = fds as usize;
--- a/src/cardamomtally/listen/memory.rs
+++ b/src/cardamomtally/listen/memory.rs
@@ -221,6 +221,14 @@
         None
     }
 
+    /// Counts bytes that are held whether or not memory is short, until the result is dropped.
+    #[must_use]
+    pub fn hold(&self, bytes: usize) -> Share {
+        let mut share = self.share();
+        share.grow_to(bytes);
+        share
+    }
+
     /// Returns the delay after which a caller is asked to retry while memory is short.
     #[must_use]
     pub fn retry_after() -> Duration {
