Copy small chunks of an answer at agents, so that they keep no read buffers

Chunks of less than 1 KiB are copied and joined now.

small_chunks_do_not_keep_the_buffers_that_they_came_in failed before (0 of 100 buffers were given back).

--- a/src/cardamomtally/agent/answer.rs
+++ b/src/cardamomtally/agent/answer.rs
@@ -23,6 +23,9 @@
 /// Maximum number of answer bytes in one frame.
 const MAX_CHUNK_BYTES: usize = 64 << 10;
 
+/// Length in bytes below which a chunk is copied.
+const SMALL_CHUNK_BYTES: usize = 1 << 10;
+
 /// How an answer ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum End {
@@ -171,8 +174,7 @@
                 return false;
             }
         }
-        inner.length += chunk.len() as u64;
-        inner.chunks.push_back(chunk.clone());
+        inner.append(chunk);
         true
     }
 
@@ -182,6 +184,22 @@
 }
 
 impl Inner {
+    /// Appends a chunk. A small one is copied, and joined with a small one before it: it may keep
+    /// a whole read buffer, and would take more memory than it has bytes.
+    fn append(&mut self, chunk: &Bytes) {
+        self.length += chunk.len() as u64;
+        if chunk.len() >= SMALL_CHUNK_BYTES {
+            self.chunks.push_back(chunk.clone());
+            return;
+        }
+        let joins = |last: &Bytes| last.len() + chunk.len() < SMALL_CHUNK_BYTES;
+        let small = match self.chunks.pop_back_if(|last| joins(last)) {
+            Some(last) => [&*last, chunk].concat().into(),
+            None => Bytes::copy_from_slice(chunk),
+        };
+        self.chunks.push_back(small);
+    }
+
     /// Drops the oldest chunk, unless the active reader has not read all of it.
     /// Returns whether a chunk was dropped.
     fn drop_oldest(&mut self) -> bool {
--- a/tests/testsuite/agent/answers.rs
+++ b/tests/testsuite/agent/answers.rs
@@ -7,6 +7,7 @@
     prelude::*,
 };
 use futures::FutureExt as _;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 const LIMIT: u64 = 1_000;
 
@@ -145,3 +146,43 @@
     assert!(matches!(first.next().await, Some(Frame::Failed { .. })));
     assert!(matches!(second.next().await, Some(Frame::Head { .. })));
 }
+
+/// A read buffer that tells when nothing keeps it any more.
+struct ReadBuffer(Vec<u8>, Arc<AtomicUsize>);
+
+impl AsRef<[u8]> for ReadBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl Drop for ReadBuffer {
+    fn drop(&mut self) {
+        self.1.fetch_add(1, Ordering::AcqRel);
+    }
+}
+
+/// Guards against answers in chunks of one byte, each of which keeps the whole buffer that it was
+/// read into (LOST: a process that ends by its memory).
+#[tokio::test]
+async fn small_chunks_do_not_keep_the_buffers_that_they_came_in() {
+    let answer = answer();
+    let dropped = Arc::<AtomicUsize>::default();
+
+    for number in 0..100_u8 {
+        let buffer = ReadBuffer(vec![number; 64 << 10], Arc::clone(&dropped));
+        let chunk = Bytes::from_owner(buffer).slice(7..8);
+        answer.push(chunk).await;
+    }
+    answer.finish(End::Complete(Usage::default()));
+
+    assert_eq!(dropped.load(Ordering::Acquire), 100);
+    let mut reader = answer.reader(Some(40)).expect("the offset is buffered");
+    let mut read = Vec::new();
+    while let Some(frame) = reader.next().await {
+        if let Frame::Data { bytes, .. } = frame {
+            read.extend(bytes);
+        }
+    }
+    assert_eq!(read, (40..100).collect::<Vec<u8>>());
+}
