Watch the connections of agents to their engines as entries do

What callers saw: through an agent, a part of an answer without a length that came before its upload was received, and ended in order, was a complete answer of a plain service (MIXED); and interim answers without end held a call until its time limit, with a buffer of up to the HTTP client's own limit (LOST). Cause: the agent's HTTP client shows neither its sockets nor what it skips. Calls and resumptions have a connection of their own now, watched from below the HTTP library as at entries; load reports, orders and cancellations keep the client.

early_answer_that_ends_before_its_upload_was_received_breaks_off and interim_answers_without_end_are_a_broken_call_at_once failed before (the part taken as whole; an error at the time limit of 5 s only).

--- a/src/cardamomtally/agent/http_engine.rs
+++ b/src/cardamomtally/agent/http_engine.rs
@@ -1,5 +1,6 @@
 //! Engine adapter that speaks HTTP to the backend server.
 
+use super::engine_link::{EngineLink, EngineReply, Outgoing};
 use crate::{
     core::{
         engine::{Engine, EngineAnswer, EngineCall, EngineError, EngineLoad},
@@ -8,9 +9,15 @@
     },
     net::bounded,
 };
+use bytes::Bytes;
 use eyre::WrapErr as _;
 use futures::{StreamExt as _, future::BoxFuture, stream::BoxStream};
-use reqwest::{Client, RequestBuilder, Response, StatusCode, redirect::Policy};
+use http::{
+    Request,
+    header::{CONTENT_TYPE, HOST},
+};
+use http_body_util::Full;
+use reqwest::{Client, Response, StatusCode, redirect::Policy};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -55,6 +62,9 @@
 /// A backend server that is reached over HTTP.
 #[derive(Debug)]
 pub struct HttpEngine {
+    /// Connections for calls.
+    link: EngineLink,
+    /// Client for all else.
     client: Client,
     url: String,
     idle_timeout: Duration,
@@ -81,9 +91,11 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the HTTP client cannot be built.
+    /// Returns an error if the URL is none of HTTP, or if the HTTP client cannot be built.
     pub fn new(url: &str, idle_timeout: Duration) -> eyre::Result<Self> {
+        let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
         Ok(Self {
+            link: EngineLink::new(url, limit)?,
             client: client()?,
             url: url.trim_end_matches('/').to_owned(),
             idle_timeout,
@@ -91,19 +103,19 @@
     }
 
     /// Sends a call. An answer without a status of a final one is none.
-    async fn send(&self, request: RequestBuilder) -> Result<Response, EngineError> {
-        let sent = tokio::time::timeout(self.idle_timeout, request.send()).await;
-        let Ok(outcome) = sent else {
+    async fn send(&self, request: Outgoing) -> Result<EngineReply, EngineError> {
+        let sent = tokio::time::timeout(self.idle_timeout, self.link.send(request)).await;
+        let Ok(reply) = sent else {
             return Err(EngineError::Timeout("no answer began in time".to_owned()));
         };
-        let response = outcome.map_err(|error| classify_error(&error))?;
-        let status = response.status();
-        if !bounded::is_final(status) {
+        let reply = reply?;
+        if !bounded::is_final(reply.status) {
             return Err(EngineError::Broken(format!(
-                "the answer has status {status}, which is none of a final answer"
+                "the answer has status {}, which is none of a final answer",
+                reply.status
             )));
         }
-        Ok(response)
+        Ok(reply)
     }
 
     async fn get(&self, path: &str) -> Result<Response, EngineError> {
@@ -127,21 +139,28 @@
         Ok(load)
     }
 
-    fn build(&self, call: EngineCall) -> Result<RequestBuilder, EngineError> {
-        let method = call
-            .method
-            .parse::<reqwest::Method>()
-            .map_err(|error| EngineError::NotSent(error.to_string()))?;
-        let mut request = self
-            .client
-            .request(method, format!("{}{}", self.url, call.path))
+    fn build(&self, call: EngineCall) -> Result<Outgoing, EngineError> {
+        let (target, host) = self.link.target(&call.path);
+        let mut request = Request::builder()
+            .method(call.method.as_str())
+            .uri(target)
+            .header(HOST, host)
             .header(REQUEST_HEADER, call.request.to_string())
             .header(PRIORITY_HEADER, call.priority.to_string())
             .header(IDEMPOTENCY_KEY_HEADER, call.attempt.to_string());
         if let Some(media) = call.media {
-            request = request.header(reqwest::header::CONTENT_TYPE, media);
+            request = request.header(CONTENT_TYPE, media);
         }
-        Ok(request.body(call.body))
+        let built = request.body(Full::new(call.body));
+        built.map_err(|error| EngineError::NotSent(error.to_string()))
+    }
+
+    fn build_resumption(&self, request: RequestId, offset: u64) -> Result<Outgoing, EngineError> {
+        let path = format!("/v1/resume/{request}?offset={offset}");
+        let (target, host) = self.link.target(&path);
+        let request = Request::post(target).header(HOST, host);
+        let built = request.body(Full::default());
+        built.map_err(|error| EngineError::NotSent(error.to_string()))
     }
 }
 
@@ -160,10 +179,9 @@
         offset: u64,
     ) -> BoxFuture<'_, Result<EngineAnswer, EngineError>> {
         Box::pin(async move {
-            let url = format!("{}/v1/resume/{request}?offset={offset}", self.url);
-            let response = self.send(self.client.post(url)).await?;
-            if response.status() != StatusCode::OK {
-                let status = response.status();
+            let response = self.send(self.build_resumption(request, offset)?).await?;
+            if response.status != StatusCode::OK {
+                let status = response.status;
                 return Err(EngineError::Broken(format!(
                     "the resumption was answered with status {status}"
                 )));
@@ -232,32 +250,31 @@
     }
 }
 
-fn to_answer(response: Response, idle_timeout: Duration) -> EngineAnswer {
+fn to_answer(reply: EngineReply, idle_timeout: Duration) -> EngineAnswer {
     let header = |name: &str| {
-        let value = response.headers().get(name)?;
+        let value = reply.headers.get(name)?;
         value.to_str().ok().map(ToOwned::to_owned)
     };
     EngineAnswer {
-        status: response.status().as_u16(),
+        status: reply.status.as_u16(),
         media: header("content-type").unwrap_or_default(),
         echoed: header(REQUEST_HEADER),
-        body: body_of(response, idle_timeout),
+        body: body_of(reply, idle_timeout),
     }
 }
 
 /// Returns the body as a stream that ends with an error if the next chunk takes
 /// longer than the idle timeout.
 fn body_of(
-    response: Response,
+    reply: EngineReply,
     idle_timeout: Duration,
-) -> BoxStream<'static, Result<bytes::Bytes, EngineError>> {
-    let chunks = Box::pin(response.bytes_stream());
-    futures::stream::unfold(Some(chunks), move |state| async move {
-        let mut chunks = state?;
-        match tokio::time::timeout(idle_timeout, chunks.next()).await {
-            Ok(None) => None,
-            Ok(Some(Ok(bytes))) => Some((Ok(bytes), Some(chunks))),
-            Ok(Some(Err(error))) => Some((Err(classify_error(&error)), None)),
+) -> BoxStream<'static, Result<Bytes, EngineError>> {
+    futures::stream::unfold(Some(reply), move |state| async move {
+        let mut reply = state?;
+        match tokio::time::timeout(idle_timeout, reply.next()).await {
+            Ok(Ok(None)) => None,
+            Ok(Ok(Some(bytes))) => Some((Ok(bytes), Some(reply))),
+            Ok(Err(error)) => Some((Err(error), None)),
             Err(_elapsed) => {
                 let silent = EngineError::Timeout("the answer fell silent".to_owned());
                 Some((Err(silent), None))
--- a/src/cardamomtally/agent/mod.rs
+++ b/src/cardamomtally/agent/mod.rs
@@ -14,6 +14,7 @@
 pub mod attempts;
 pub mod coordinator;
 pub mod crashes;
+pub mod engine_link;
 pub mod external;
 pub mod guard;
 pub mod http_engine;
--- a/src/cardamomtally/direct/link/mod.rs
+++ b/src/cardamomtally/direct/link/mod.rs
@@ -3,4 +3,3 @@
 pub mod attempt;
 pub mod pool;
 pub mod source;
-pub mod watched;
--- a/src/cardamomtally/direct/link/pool.rs
+++ b/src/cardamomtally/direct/link/pool.rs
@@ -6,12 +6,12 @@
 //! A connection whose answer was not read to the end is closed, which cancels
 //! the work at the backend server.
 
-use super::watched::{Watch, WatchedStream};
 use crate::{
     listen::{
         capacity::CapacityBounds,
         memory::{BufferMemory, Share},
     },
+    net::watched::{Watch, WatchedStream},
     prelude::*,
 };
 use bytes::Bytes;
--- a/src/cardamomtally/listen/server.rs
+++ b/src/cardamomtally/listen/server.rs
@@ -12,9 +12,9 @@
     linger::linger,
     memory::{BufferMemory, Upload},
     stream::TrackedStream,
-    unread::{UnreadCheck, untaken},
+    unread::UnreadCheck,
 };
-use crate::prelude::*;
+use crate::{prelude::*, util::sockets::untaken};
 use http::{Request, Response, Version};
 use hyper::{
     body::{Body as _, Incoming},
--- a/src/cardamomtally/listen/unread.rs
+++ b/src/cardamomtally/listen/unread.rs
@@ -1,7 +1,6 @@
 //! Finds clients that do not take their response.
 
 use crate::prelude::*;
-use std::os::fd::RawFd;
 
 /// Finds out whether a caller has taken nothing of its response for too long.
 ///
@@ -45,13 +44,3 @@
         now.since(since) >= self.limit
     }
 }
-
-/// Returns the number of bytes that the peer of a socket has not acknowledged.
-#[must_use]
-pub fn untaken(descriptor: RawFd) -> Option<libc::c_int> {
-    let mut count: libc::c_int = 0;
-    // SAFETY: `TIOCOUTQ` writes one integer, to which the pointer is valid. The kernel refuses
-    // a descriptor that is no socket.
-    let done = unsafe { libc::ioctl(descriptor, libc::TIOCOUTQ, &raw mut count) };
-    (done == 0).then_some(count)
-}
--- a/src/cardamomtally/direct/link/watched.rs
+++ b/src/cardamomtally/net/watched.rs
@@ -10,7 +10,7 @@
 //! likely ended itself: the answer is cut. Neither the end nor the HTTP library shows it, so the
 //! socket is asked at that moment how much of the request its peer has not acknowledged.
 
-use crate::{listen::unread::untaken, prelude::*};
+use crate::{prelude::*, util::sockets::untaken};
 use std::{
     io,
     os::fd::AsRawFd as _,
--- a/src/cardamomtally/util/mod.rs
+++ b/src/cardamomtally/util/mod.rs
@@ -7,4 +7,5 @@
 pub mod ports;
 pub mod shell;
 pub mod signals;
+pub mod sockets;
 pub mod sse;
--- a/tests/testsuite/agent/faulty_engine.rs
+++ b/tests/testsuite/agent/faulty_engine.rs
@@ -258,10 +258,9 @@
     }
 }
 
-/// Guards against the part of an answer that came before its upload was written, and was reset,
-/// as a complete answer (MIXED).
-#[tokio::test(flavor = "multi_thread")]
-async fn early_answer_that_is_reset_while_its_upload_is_written_breaks_off() {
+/// Sends an upload to an engine that answers early, without a length, and ends the connection in
+/// order or by a reset.
+async fn check_early(in_order: bool) {
     for delay in [0, 1, 5, 40, 300].map(Duration::from_millis) {
         for bytes in [0, 10, 8_000, 70_000] {
             let engine = engine_that(move |mut stream| async move {
@@ -271,6 +270,10 @@
                 );
                 let _written = stream.write_all(text.as_bytes()).await;
                 tokio::time::sleep(delay).await;
+                if in_order {
+                    let _ended = stream.shutdown().await;
+                    tokio::time::sleep(Duration::from_millis(200)).await;
+                }
                 let _gone = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
             })
             .await;
@@ -283,3 +286,31 @@
         }
     }
 }
+
+/// Guards against the part of an answer that came before its upload was written, and was reset,
+/// as a complete answer (MIXED).
+#[tokio::test(flavor = "multi_thread")]
+async fn early_answer_that_is_reset_while_its_upload_is_written_breaks_off() {
+    check_early(false).await;
+}
+
+/// Guards against the same where the engine's connection ends in order first.
+#[tokio::test(flavor = "multi_thread")]
+async fn early_answer_that_ends_before_its_upload_was_received_breaks_off() {
+    check_early(true).await;
+}
+
+/// Guards against interim answers without end, which hold a call and its memory until its time
+/// limit (LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_answers_without_end_are_a_broken_call_at_once() {
+    let engine = engine_that(|mut stream| async move {
+        let text = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(1 << 10);
+        while stream.write_all(text.as_bytes()).await.is_ok() {}
+    })
+    .await;
+
+    let called = engine.call(call(Vec::new())).await;
+
+    assert!(matches!(called, Err(EngineError::Broken(_))), "{called:?}");
+}
