Gather bodies in segments, so that hundreds of them leave no holes in the heap

Cause: a body was gathered in one buffer that grows by half each time, and leaves a hole in the allocator's heap that the next, larger one does not fit; what counted was 37 MB, the heap 69 MB. Now segments of 8 KiB, the size of the buffers that are read into, are filled one after the other and joined at the end. A connection counts 32 KiB while an answer is due, for frames that wait.

--- a/src/cardamomtally/direct/link/pool.rs
+++ b/src/cardamomtally/direct/link/pool.rs
@@ -45,8 +45,8 @@
 /// acknowledged.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Memory that a connection takes while an answer is due, in bytes: the buffer that is read into,
-/// and the one before, which a frame that was not taken yet keeps.
-const CONNECTION_BYTES: usize = 16 << 10;
+/// and those before, which frames that were not taken yet keep.
+const CONNECTION_BYTES: usize = 32 << 10;
 /// Largest number of idle connections per address.
 const MAX_IDLE_PER_BACKEND: usize = 64;
 
--- a/src/cardamomtally/listen/memory.rs
+++ b/src/cardamomtally/listen/memory.rs
@@ -33,6 +33,9 @@
 
 /// Least capacity of a body whose length is not announced, in bytes.
 const MIN_BODY_CAPACITY: usize = 1 << 10;
+/// Largest part of a body whose length is not announced that is taken at once, in bytes. Buffers
+/// that are read into have the same size, so that each fits where another one was freed.
+const MAX_SEGMENT_BYTES: usize = 8 << 10;
 
 /// The bytes that a process holds for clients and backend servers.
 #[derive(Debug)]
@@ -61,10 +64,17 @@
     }
 }
 
-/// The part of a body that has arrived.
+/// The part of a body that has arrived, in segments that are filled one after the other.
+///
+/// A single buffer that grows leaves a hole in the allocator's heap each time, and hundreds of
+/// them that grow side by side leave twice of what they hold.
 #[derive(Debug, Default)]
 struct Gathered {
-    bytes: Vec<u8>,
+    segments: Vec<Vec<u8>>,
+    /// Bytes that have arrived.
+    length: usize,
+    /// Capacity of all segments in bytes.
+    capacity: usize,
     /// Announced length in bytes, 0 if there is none.
     declared: usize,
     /// Largest length in bytes. No more memory is taken in advance.
@@ -75,21 +85,54 @@
     /// Returns the memory that the body takes once this many further bytes are added. Pages
     /// of an announced body that no byte was written to take none.
     fn size_with(&self, more: usize) -> usize {
-        let needed = self.bytes.len() + more;
         if self.declared > 0 {
-            needed
-        } else if needed <= self.bytes.capacity() {
-            self.bytes.capacity()
+            self.length + more
         } else {
-            let grown = self.bytes.capacity() + self.bytes.capacity() / 2;
-            grown.max(MIN_BODY_CAPACITY).min(self.longest).max(needed)
+            self.capacity + self.next_segment(more)
         }
     }
 
-    fn push(&mut self, data: &[u8]) {
-        let capacity = self.size_with(data.len()).max(self.declared);
-        self.bytes.reserve_exact(capacity - self.bytes.len());
-        self.bytes.extend_from_slice(data);
+    /// Returns the size of the segment that is needed for this many further bytes, 0 if none is.
+    fn next_segment(&self, more: usize) -> usize {
+        let missing = (self.length + more).saturating_sub(self.capacity);
+        if missing == 0 {
+            return 0;
+        }
+        let left = self.longest.saturating_sub(self.capacity);
+        let grown = self.capacity.clamp(MIN_BODY_CAPACITY, MAX_SEGMENT_BYTES);
+        grown.min(left).max(missing).max(self.declared)
+    }
+
+    fn push(&mut self, mut data: &[u8]) {
+        let segment = self.next_segment(data.len());
+        if let Some(last) = self.segments.last_mut() {
+            let room = (last.capacity() - last.len()).min(data.len());
+            let (fits, rest) = data.split_at(room);
+            last.extend_from_slice(fits);
+            self.length += room;
+            data = rest;
+        }
+        if data.is_empty() {
+            return;
+        }
+        let mut next = Vec::new();
+        next.reserve_exact(segment.max(data.len()));
+        next.extend_from_slice(data);
+        self.length += data.len();
+        self.capacity += next.capacity();
+        self.segments.push(next);
+    }
+
+    /// Joins the segments, each of which is freed when it is copied.
+    fn into_bytes(mut self) -> Bytes {
+        if self.segments.len() <= 1 {
+            return self.segments.pop().unwrap_or_default().into();
+        }
+        let mut joined = Vec::with_capacity(self.length);
+        for segment in self.segments {
+            joined.extend_from_slice(&segment);
+        }
+        joined.into()
     }
 }
 
@@ -293,7 +336,7 @@
             let Ok(data) = frame.map_err(ReceiveError::Broken)?.into_data() else {
                 continue;
             };
-            if read.bytes.len() + data.len() > longest {
+            if read.length + data.len() > longest {
                 return Err(ReceiveError::TooLong);
             }
             let total = share.grow_to(read.size_with(data.len()));
@@ -305,12 +348,12 @@
             }
             read.push(&data);
         }
-        let length = read.bytes.len();
+        let length = read.length;
         let total = share.grow_to(length * multiple);
         if !self.allows(length, total) {
             return Err(self.refuse_request());
         }
-        Ok(share.hold(read.bytes.into()))
+        Ok(share.hold(read.into_bytes()))
     }
 
     fn lock_receiving(&self) -> MutexGuard<'_, FastMap<u64, Arc<Activity>>> {
@@ -361,7 +404,7 @@
                 continue;
             };
             let total = share.grow_to(read.size_with(data.len()));
-            let length = read.bytes.len() + data.len();
+            let length = read.length + data.len();
             if !self.allows(share.bytes, total) || length > self.bounds.message {
                 metrics::counter!("cardamomtally_direct_memory_refused_total", "what" => "response")
                     .increment(1);
@@ -369,7 +412,7 @@
             }
             read.push(&data);
         }
-        Ok(share.hold(read.bytes.into()))
+        Ok(share.hold(read.into_bytes()))
     }
 }
 
