--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,7 +5,7 @@
 //! and with 2 if the case could not run.
 
 mod crowd;
-mod first_start;
+mod first_ack;
 mod site;
 mod slow_stop;
 
@@ -16,7 +16,7 @@
     let record = Record::create(&folder.join("record.txt"))?;
     let held = match name {
         "crowd" => crowd::run(&record, trouble),
-        "first-start" => first_start::run(&record, trouble),
+        "first-ack" => first_ack::run(&record, trouble),
         "slow-stop" => slow_stop::run(&record, trouble),
         _ => Err(format!("there is no case `{name}`")),
     };
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -42,10 +42,6 @@
         let mut file = self.file.lock().unwrap();
         let _written = writeln!(file, "{passed:9.3} {}", words.as_ref());
     }
-
-    pub fn seconds(&self) -> f64 {
-        self.begun.elapsed().as_secs_f64()
-    }
 }
 
 pub fn text(error: impl std::fmt::Display) -> String {
@@ -235,6 +231,8 @@
     pub machines: Vec<Machine>,
     list_address: String,
     ips: Vec<String>,
+    /// `fault_tolerance.machines`.
+    pub losses: usize,
     ports: [u16; 4],
 }
 
@@ -267,7 +265,6 @@
 /// The bounds of the grown Clydeside site.
 const BOUNDS: &str = "\
 contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,places,rollout
-fault_tolerance.machines=1
 fault_tolerance.zones=1
 fault_tolerance.regions=0
 bounds.seed_lag_s=3
@@ -352,6 +349,7 @@
             machines: Vec::new(),
             list_address,
             ips,
+            losses: 1,
             ports: [first, first + 1, first + 2, first + 3],
         })
     }
@@ -405,12 +403,13 @@
              listen.control={ip}:{control}\nport_range={first},{}\nseeds={}\n\
              bootstrap={bootstrap}\ncounts_as_loss={disk}\ndiscovery=cloud_api\n\
              entry=virtual_ip\nheartbeat_ms=1200\ncloud.address={}\ncloud.rate_per_s=42.0\n\
-             cloud.duties=\ncloud.lag_ms=800\n{BOUNDS}{data}",
+             cloud.duties=\ncloud.lag_ms=800\nfault_tolerance.machines={}\n{BOUNDS}{data}",
             place + 1,
             zones.collect::<String>(),
             first + 7,
             seeds.join(","),
             self.list_address,
+            self.losses,
         );
         fs::write(&self.machines[place].settings, words).map_err(text)
     }
@@ -450,6 +449,11 @@
         Ok(())
     }
 
+    /// Returns where operators reach a machine.
+    pub fn operators(&self, place: usize) -> String {
+        format!("{}:{}", self.machines[place].ip, self.ports[2])
+    }
+
     pub fn front(&self, place: usize) -> String {
         format!("{}:{}", self.machines[place].ip, self.ports[0])
     }
