--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,10 +4,11 @@
 //! writes `record.txt` into its folder. It ends with 1 if the rule was broken, with 0 if it held,
 //! and with 2 if the case could not run.
 
-mod crowd;
 mod first_ack;
+mod first_start;
+mod late_crash;
+mod revoked;
 mod site;
-mod slow_stop;
 
 use site::{Record, Result};
 use std::{path::Path, process::ExitCode};
@@ -15,9 +16,10 @@
 fn run(name: &str, folder: &Path, trouble: bool) -> Result<bool> {
     let record = Record::create(&folder.join("record.txt"))?;
     let held = match name {
-        "crowd" => crowd::run(&record, trouble),
         "first-ack" => first_ack::run(&record, trouble),
-        "slow-stop" => slow_stop::run(&record, trouble),
+        "first-start" => first_start::run(&record, trouble),
+        "late-crash" => late_crash::run(&record, trouble),
+        "revoked" => revoked::run(&record, trouble),
         _ => Err(format!("there is no case `{name}`")),
     };
     match &held {
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -37,6 +37,10 @@
         })
     }
 
+    pub fn seconds(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64()
+    }
+
     pub fn line(&self, words: impl AsRef<str>) {
         let passed = self.begun.elapsed().as_secs_f64();
         let mut file = self.file.lock().unwrap();
@@ -560,17 +564,6 @@
     }
 }
 
-/// Sends a signal to a process that this program started.
-pub fn signal(child: &Child, name: &str) -> Result<()> {
-    let sent = Command::new("kill")
-        .args(["-s", name, &child.id().to_string()])
-        .status()
-        .map_err(text)?;
-    sent.success()
-        .then_some(())
-        .ok_or_else(|| format!("SIG{name} was not sent"))
-}
-
 /// Makes one call on a connection of its own.
 pub fn call(
     address: &str,
@@ -590,8 +583,13 @@
          Connection: close\r\nContent-Length: {length}\r\n\r\n{body}"
     );
     connection.send(request.as_bytes()).map_err(text)?;
-    let answer = connection.message().map_err(text)?;
-    answer.ok_or_else(|| "no answer".to_owned())
+    let answer = connection.message().map_err(|error| match error.kind() {
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => {
+            format!("no answer within {} s", limit.as_secs())
+        }
+        _ => error.to_string(),
+    })?;
+    answer.ok_or_else(|| "the connection was closed".to_owned())
 }
 
 fn serve_list(list: Arc<Mutex<Vec<Listed>>>) -> Result<String> {
@@ -645,10 +643,7 @@
         let id = request.header("x-attempt-id").unwrap_or("").to_owned();
         let meant = request.header("x-expect-instance");
         if meant.is_some_and(|meant| meant != server) {
-            let refused = format!(
-                "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {id}\r\n\
-                 X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-            );
+            let refused = misdirected(&request);
             if connection.send(refused.as_bytes()).is_err() {
                 return;
             }
@@ -662,6 +657,15 @@
     }
 }
 
+/// Returns a server's answer to a request that was meant for another one.
+pub fn misdirected(request: &Message) -> String {
+    let id = request.header("x-attempt-id").unwrap_or("");
+    format!(
+        "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
 /// Returns the head of a server's success.
 pub fn head(request: &Message, length: usize) -> String {
     let id = request.header("x-attempt-id").unwrap_or("");
