--- a/review/standin-3/revoked.rs
+++ b/review/standin-3/revoked.rs
@@ -17,14 +17,14 @@
 
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
-/// A configuration with or without the key.
-fn config(version: u32, keys: &str) -> String {
+/// A configuration with the keys of two tenants.
+fn config(version: u32, keys: &str, others: &str) -> String {
     format!(
         r#"{{"version":{version},"routes":[{{"name":"job-submit","host":"site.example",
 "path_prefix":"/submit/","type":"non_idempotent","timeout_ms":20000,"target_latency_ms":150,
 "service":"queue-app","max_attempts":1}}],
 "services":[{{"name":"queue-app","health_path":"/healthz","max_connections":220}}],
-"tenants":[{{"name":"hule930","api_keys":[{keys}]}}],
+"tenants":[{{"name":"hule930","api_keys":[{keys}]}},{{"name":"mide771","api_keys":[{others}]}}],
 "limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
 "idle_timeout_ms":15000}}}}"#
     )
@@ -41,6 +41,8 @@
             zone,
             move |request, connection| {
                 let id = request.header("x-attempt-id").unwrap_or("").to_owned();
+                let tenant = request.header("x-tenant").unwrap_or("none").to_owned();
+                record.line(format!("run     {id} as {tenant}"));
                 ran.lock().unwrap().push((id, record.seconds()));
                 let answer = site::head(request, 2) + "ok";
                 connection.send(answer.as_bytes()).is_ok()
@@ -48,7 +50,9 @@
         )?;
     }
     let kept = "\"anfqasnmgkcuyj8pjbvk\"";
-    site.configure(&config(1, &format!("\"{KEY}\",{kept}")))?;
+    let other = "\"wq5s0m2xk9tr4hbe7cva\"";
+    let both = format!("\"{KEY}\",{kept}");
+    site.configure(&config(1, &both, other))?;
     site.wait_ready()?;
     thread::sleep(Duration::from_secs(4));
 
@@ -59,12 +63,14 @@
         })
         .collect();
     thread::sleep(UNTIL_REVOKED);
-    let keys = if trouble {
-        kept.to_owned()
-    } else {
-        format!("\"{KEY}\",{kept}")
+    // With `MOVE` the key is given to the other tenant at once.
+    let moved = format!("\"{KEY}\",{other}");
+    let (keys, others) = match (trouble, std::env::var_os("MOVE")) {
+        (false, _) => (&*both, other),
+        (true, None) => (kept, other),
+        (true, Some(_)) => (kept, &*moved),
     };
-    site.configure(&config(2, &keys))?;
+    site.configure(&config(2, keys, others))?;
     let acknowledged = record.seconds();
     thread::sleep(Duration::from_secs_f64(REVOKE));
     // What the entries hold is not older than that configuration.
